--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+# The modules of the workspace.
+MODULES := fleet router ctl standin load
+SHELL := /bin/bash
+TOOLS := bin/tools
+export GOFLAGS := -buildvcs=false
+
+.PHONY: build test lint format generate tools demo bench clean
+
+build:
+	@mkdir -p bin
+	@for m in $(MODULES); do \
+		if [ -d $$m/cmd ]; then (cd $$m && go build -o ../bin/ ./cmd/...) || exit 1; fi; \
+	done
+
+tools: $(TOOLS)/staticcheck
+
+$(TOOLS)/staticcheck: tools/go.mod tools/go.sum
+	@mkdir -p $(TOOLS)
+	cd tools && GOWORK=off go build -o ../$(TOOLS)/ tool
+
+format: tools
+	$(TOOLS)/gofumpt -w $(MODULES)
+
+lint: tools
+	@out=$$($(TOOLS)/gofumpt -l $(MODULES)); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+	@for m in $(MODULES); do \
+		echo "lint $$m"; \
+		(cd $$m && go vet ./... && ../$(TOOLS)/staticcheck ./... && ../$(TOOLS)/errcheck -exclude ../errcheck.txt ./... \
+			&& ../$(TOOLS)/revive -config ../revive.toml -set_exit_status ./...) || exit 1; \
+	done
+	@if [ -d router/cmd ]; then cd router && ../$(TOOLS)/wire diff ./... || { echo "generated code is stale: run make generate"; exit 1; }; fi
+
+generate: tools
+	cd router && ../$(TOOLS)/wire ./...
+
+test:
+	@set -e; for m in $(MODULES); do (cd $$m && go test -count=1 ./...) || exit 1; done
+
+clean:
+	rm -rf bin out
--- /dev/null
+++ b/ctl/doc.go
@@ -0,0 +1,2 @@
+// Package ctl is the root of the module of the same name.
+package ctl
--- /dev/null
+++ b/fleet/claim/claim.go
@@ -0,0 +1,2 @@
+// Package claim is described in docs/design.md.
+package claim
--- /dev/null
+++ b/fleet/core/core.go
@@ -0,0 +1,2 @@
+// Package core is described in docs/design.md.
+package core
--- /dev/null
+++ b/fleet/limit/limit.go
@@ -0,0 +1,2 @@
+// Package limit is described in docs/design.md.
+package limit
--- /dev/null
+++ b/fleet/member/member.go
@@ -0,0 +1,2 @@
+// Package member is described in docs/design.md.
+package member
--- /dev/null
+++ b/fleet/object/object.go
@@ -0,0 +1,58 @@
+// Package object defines the HTTP protocol of the platform's object API.
+//
+//	GET    /objects/{kind}/{name}                      -> Object, or 404
+//	GET    /objects/{kind}                             -> List
+//	PUT    /objects/{kind}/{name}?if-version=N  bytes  -> Object without Value, or 409 with the current Object
+//	DELETE /objects/{kind}/{name}?if-version=N         -> 204, or 409
+//	GET    /watch/{kind}/{name}?after=N&wait-ms=M      -> Object newer than N, or 304 after M ms
+//	GET    /hosts                                      -> Hosts (lags behind the truth)
+//
+// Version 0 stands for an object that does not exist: a PUT with if-version=0
+// only creates. Versions of one object only grow, also over deletion. A call
+// above the rate limit gets 429, a call in an outage 503. Values have at most
+// MaxValue bytes. A reply can be lost after the write took effect.
+package object
+
+import "ragwortshunt.example/fleet/id"
+
+// MaxValue is the largest value of an object, in bytes.
+const MaxValue = 1 << 20
+
+// The kinds of objects that the system keeps.
+const (
+	KindManifest = "manifest" // one object, named "table"
+	KindSegment  = "segment"  // immutable, named by digest
+	KindLease    = "lease"    // share leases, named "<zone>.<group>"
+	KindClaim    = "claim"    // claims, named by shard
+	KindOrder    = "order"    // order leases, named by zone
+	KindStatus   = "status"   // status of hosts, named by host
+)
+
+// ManifestName is the name of the one manifest object.
+const ManifestName = "table"
+
+// Object is one stored value with its version.
+type Object struct {
+	Kind    string `json:"kind"`
+	Name    string `json:"name"`
+	Version uint64 `json:"version"`
+	Value   []byte `json:"value,omitempty"` // base64 in JSON
+}
+
+// List holds all objects of one kind.
+type List struct {
+	Objects []Object `json:"objects"`
+}
+
+// Hosts is the platform's list of hosts.
+type Hosts struct {
+	Hosts []Host `json:"hosts"`
+}
+
+// Host is one entry of the platform's list of hosts.
+type Host struct {
+	Host    id.Host `json:"host"`
+	Zone    id.Zone `json:"zone"`
+	Address string  `json:"address"` // ip:port of the router's peer protocol
+	Leaving bool    `json:"leaving,omitempty"`
+}
--- /dev/null
+++ b/fleet/order/order.go
@@ -0,0 +1,2 @@
+// Package order is described in docs/design.md.
+package order
--- /dev/null
+++ b/fleet/schedule/schedule.go
@@ -0,0 +1,2 @@
+// Package schedule is described in docs/design.md.
+package schedule
--- /dev/null
+++ b/load/doc.go
@@ -0,0 +1,2 @@
+// Package load is the root of the module of the same name.
+package load
--- /dev/null
+++ b/router/doc.go
@@ -0,0 +1,2 @@
+// Package router is the root of the module of the same name.
+package router
--- /dev/null
+++ b/standin/doc.go
@@ -0,0 +1,2 @@
+// Package standin is the root of the module of the same name.
+package standin
