--- /dev/null
+++ b/fleet/core/cell.go
@@ -0,0 +1,246 @@
+package core
+
+import (
+	"sort"
+	"time"
+
+	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/message"
+	"ragwortshunt.example/fleet/schedule"
+	"ragwortshunt.example/fleet/table"
+)
+
+// idleCell is how long a cell that another host owns is kept after its last
+// message. Its asks have moved to the owner by then.
+const idleCell = 5 * time.Second
+
+// ownedCell is a cell that this host schedules.
+type ownedCell struct {
+	cell    *schedule.Cell
+	used    time.Time // last message
+	polled  time.Time // last round of load reports
+	members map[id.Endpoint]bool
+}
+
+// schedulerState is the part of the state that a scheduler host needs.
+type schedulerState struct {
+	cells    map[cellKey]*ownedCell
+	requests map[id.Request]cellKey // requests known to an own cell
+	events   map[id.Endpoint]uint64 // last cache event seen
+}
+
+func newSchedulerState() schedulerState {
+	return schedulerState{
+		cells:    make(map[cellKey]*ownedCell),
+		requests: make(map[id.Request]cellKey),
+		events:   make(map[id.Endpoint]uint64),
+	}
+}
+
+func sortedCells(cells map[cellKey]*ownedCell) []cellKey {
+	keys := make([]cellKey, 0, len(cells))
+	for k := range cells {
+		keys = append(keys, k)
+	}
+	sort.Slice(keys, func(i, j int) bool { return keys[i].String() < keys[j].String() })
+	return keys
+}
+
+// ownCell returns the cell, which is created on the first message. A host that
+// is asked for a cell of another owner schedules it too: the asker has failed to
+// reach the owner, and engines refuse what two schedulers over-commit.
+func (s *step) ownCell(k cellKey) *ownedCell {
+	if c, ok := s.scheduler.cells[k]; ok {
+		return c
+	}
+	c := &ownedCell{cell: schedule.New(s.cfg.Schedule, k.Model, s.now, true), used: s.now}
+	s.scheduler.cells[k] = c
+	s.configureCell(k, c)
+	return c
+}
+
+// configureCell applies the table to a cell.
+func (s *step) configureCell(k cellKey, c *ownedCell) {
+	snap := s.snapshot()
+	if snap == nil {
+		return
+	}
+	weights := make(map[id.Account]int64, len(snap.Accounts))
+	for name, a := range snap.Accounts {
+		weights[name] = a.Weight
+	}
+	schedule.SetWeights(c.cell, weights)
+	eps := cellEndpoints(snap, k, s.cfg.CellEndpoints)
+	c.members = make(map[id.Endpoint]bool, len(eps))
+	for _, ep := range eps {
+		c.members[ep.Name] = true
+	}
+	s.cellActions(k, schedule.SetEndpoints(c.cell, s.now, eps))
+}
+
+// cellEndpoints returns the endpoints of a cell. Prefill and decode endpoints
+// are dealt out one by one, so that each part has its share of both.
+func cellEndpoints(snap *table.Snapshot, k cellKey, most int) []schedule.Endpoint {
+	parts := cellParts(snap, k.Model, k.Zone, most)
+	dealt := make(map[table.Role]int)
+	var out []schedule.Endpoint
+	for _, ep := range table.ModelEndpoints(snap, k.Model, k.Zone) {
+		pool := snap.Pools[ep.Pool]
+		n := dealt[pool.Role]
+		dealt[pool.Role] = n + 1
+		if n%parts != k.Part {
+			continue
+		}
+		out = append(out, schedule.Endpoint{
+			Name: ep.Name, Role: pool.Role, Slots: pool.Slots, Blocks: pool.Blocks,
+			BlockTokens: pool.BlockTokens, PrefillRate: pool.PrefillRate, LinkRate: pool.LinkRate,
+			Leaving: ep.State == table.StateLeaving,
+		})
+	}
+	return out
+}
+
+func (s *step) cellActions(k cellKey, actions []schedule.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case schedule.Send:
+			s.send(a.To, s.withWait(k, a.Message))
+		case schedule.Cancel:
+			s.cancelEndpoint(a)
+		}
+	}
+}
+
+// withWait adds the expected wait of the cell to an answer of its scheduler, so
+// that entry hosts can compare cells without further messages.
+func (s *step) withWait(k cellKey, m message.Message) message.Message {
+	c, ok := s.scheduler.cells[k]
+	if !ok {
+		return m
+	}
+	wait := schedule.Load(c.cell, s.now).Wait
+	switch m := m.(type) {
+	case message.SlotGrant:
+		m.Wait = wait
+		return m
+	case message.SlotRefuse:
+		m.Wait = wait
+		return m
+	}
+	return m
+}
+
+func (s *step) cancelEndpoint(a schedule.Cancel) {
+	ep, ok := s.snapshot().Endpoints[a.Endpoint]
+	if !ok {
+		return
+	}
+	s.emit(CancelRun{Request: a.Request, Attempt: a.Attempt, Endpoint: a.Endpoint, Address: ep.Address})
+}
+
+func (s *step) slotAsk(from id.Host, m message.SlotAsk) {
+	k := cellKey{Zone: s.cfg.Zone, Model: m.Model, Part: m.Part}
+	if s.snapshot() == nil {
+		s.send(from, message.SlotRefuse{Request: m.Request, Attempt: m.Attempt, Reason: CodeNoTable})
+		return
+	}
+	c := s.ownCell(k)
+	c.used = s.now
+	s.scheduler.requests[m.Request] = k
+	s.cellActions(k, schedule.HandleAsk(c.cell, s.now, from, m))
+	s.cellActions(k, schedule.Tick(c.cell, s.now))
+}
+
+func (s *step) slotHold(from id.Host, m message.SlotHold) {
+	if s.snapshot() == nil {
+		return
+	}
+	k := cellKey{Zone: s.cfg.Zone, Model: m.Model, Part: m.Part}
+	c := s.ownCell(k)
+	c.used = s.now
+	s.scheduler.requests[m.Request] = k
+	s.cellActions(k, schedule.HandleHold(c.cell, s.now, from, m))
+}
+
+func (s *step) slotUpdate(from id.Host, m message.SlotUpdate) {
+	k, ok := s.scheduler.requests[m.Request]
+	if !ok {
+		return
+	}
+	c, ok := s.scheduler.cells[k]
+	if !ok {
+		delete(s.scheduler.requests, m.Request)
+		return
+	}
+	c.used = s.now
+	s.cellActions(k, schedule.HandleUpdate(c.cell, s.now, from, m))
+	if m.Phase == message.PhaseDone || m.Phase == message.PhaseCancelled {
+		delete(s.scheduler.requests, m.Request)
+		s.cellActions(k, schedule.Tick(c.cell, s.now))
+	}
+}
+
+func (s *step) tickCells() {
+	for _, k := range sortedCells(s.scheduler.cells) {
+		c := s.scheduler.cells[k]
+		s.cellActions(k, schedule.Tick(c.cell, s.now))
+		s.pollCell(c)
+		if s.schedulerOf(k) != s.cfg.Host && s.now.Sub(c.used) > idleCell {
+			s.dropCell(k)
+		}
+	}
+}
+
+func (s *step) dropCell(k cellKey) {
+	delete(s.scheduler.cells, k)
+	for req, rk := range s.scheduler.requests {
+		if rk == k {
+			delete(s.scheduler.requests, req)
+		}
+	}
+}
+
+func (s *step) pollCell(c *ownedCell) {
+	if s.now.Sub(c.polled) < s.cfg.LoadInterval {
+		return
+	}
+	c.polled = s.now
+	names := make([]id.Endpoint, 0, len(c.members))
+	for name := range c.members {
+		names = append(names, name)
+	}
+	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
+	for _, name := range names {
+		ep, ok := s.snapshot().Endpoints[name]
+		if !ok {
+			continue
+		}
+		s.emit(PollLoad{Endpoint: name, Address: ep.Address, After: s.scheduler.events[name]})
+	}
+}
+
+// hostGone drops the work of a dead or restarted host from all own cells.
+func (s *step) hostGone(h id.Host) {
+	for _, k := range sortedCells(s.scheduler.cells) {
+		c := s.scheduler.cells[k]
+		s.cellActions(k, schedule.HostGone(c.cell, s.now, h))
+	}
+}
+
+func (s *step) loadReported(ev LoadReported) {
+	for _, k := range sortedCells(s.scheduler.cells) {
+		c := s.scheduler.cells[k]
+		if c.members[ev.Report.Endpoint] {
+			s.cellActions(k, schedule.HandleReport(c.cell, s.now, ev.Report))
+		}
+	}
+}
+
+func (s *step) cacheChanged(ev CacheChanged) {
+	s.scheduler.events[ev.Endpoint] = max(ev.Seq, s.scheduler.events[ev.Endpoint])
+	for _, c := range s.scheduler.cells {
+		if c.members[ev.Endpoint] {
+			schedule.HandleCacheEvent(c.cell, ev.Endpoint, ev.Prefix, ev.Evicted)
+		}
+	}
+}
--- /dev/null
+++ b/fleet/core/event.go
@@ -0,0 +1,164 @@
+package core
+
+import (
+	"time"
+
+	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/message"
+	"ragwortshunt.example/fleet/object"
+	"ragwortshunt.example/fleet/schedule"
+	"ragwortshunt.example/fleet/table"
+)
+
+// Event is something that happened outside the reducer.
+type Event interface{ isEvent() }
+
+// RequestArrived starts a request. The caller's key has been authenticated and
+// is not part of the event; the body stays with the caller shell.
+type RequestArrived struct {
+	Request        id.Request
+	Route          id.Route
+	Account        id.Account // owner of the key; empty without a key
+	Key            id.KeyID   // empty without a key
+	PromptTokens   int64
+	MaxTokens      int64  // output limit; 0 for services
+	Prefix         uint64 // hash of the first block of the prompt
+	IdempotencyKey string // services
+	Digest         string // digest of method, path and body; services
+}
+
+// CallerGone tells that the caller of a request has disconnected.
+type CallerGone struct{ Request id.Request }
+
+// PrefillDone tells that a prefill has finished.
+type PrefillDone struct {
+	Request      id.Request
+	Attempt      id.Attempt
+	KV           string
+	CachedTokens int64
+}
+
+// TokensArrived carries a part of an answer. Offset counts tokens from 0.
+type TokensArrived struct {
+	Request id.Request
+	Attempt id.Attempt
+	Offset  int64
+	Tokens  []string
+	End     bool
+	Finish  string
+}
+
+// RunFailed tells that a call to an endpoint did not succeed.
+type RunFailed struct {
+	Request  id.Request
+	Attempt  id.Attempt
+	Endpoint id.Endpoint
+	Code     string // stable code, kebab case
+	NotRun   bool   // the endpoint did not start the work
+	Down     bool   // the endpoint could not be reached
+}
+
+// ServiceDone tells that a plain service has answered. The reply itself stays
+// with the endpoint shell, except for the part that a claim keeps.
+type ServiceDone struct {
+	Request id.Request
+	Attempt id.Attempt
+	Status  int
+	Outcome []byte // reply as kept with a claim
+}
+
+// PeerMessage is one message from another router.
+type PeerMessage struct {
+	From        id.Host
+	Incarnation id.Incarnation
+	Message     message.Message
+}
+
+// PeerFailed tells that a message could not be delivered because nothing
+// listens at the peer's address.
+type PeerFailed struct{ Host id.Host }
+
+// HostsListed carries the platform's list of hosts.
+type HostsListed struct{ Hosts []object.Host }
+
+// ObjectRead answers ReadObject. Version 0 means that the object does not
+// exist. Unchanged answers a watch that ended without a newer version.
+type ObjectRead struct {
+	Kind      string
+	Name      string
+	Version   uint64
+	Value     []byte
+	Unchanged bool
+	Failed    bool
+	Sent      time.Time // when the call was made
+}
+
+// WriteOutcome tells what is known of a conditional update.
+type WriteOutcome uint8
+
+// The outcomes of a conditional update.
+const (
+	WriteDone     WriteOutcome = iota + 1
+	WriteConflict              // another version is stored
+	WriteUnknown               // the reply was lost; the write may have taken effect
+	WriteFailed                // the write certainly did not take effect
+)
+
+// ObjectWritten answers WriteObject.
+type ObjectWritten struct {
+	Kind    string
+	Name    string
+	Version uint64
+	Outcome WriteOutcome
+}
+
+// LoadReported carries a load report of an engine.
+type LoadReported struct{ Report schedule.Report }
+
+// CacheChanged carries a cache event of an engine.
+type CacheChanged struct {
+	Endpoint id.Endpoint
+	Seq      uint64
+	Prefix   uint64
+	Evicted  bool
+}
+
+// OrderAnswered answers SendOrder.
+type OrderAnswered struct {
+	Endpoint id.Endpoint
+	Fence    uint64
+	Done     bool
+	Stale    bool
+}
+
+// TableOpened carries a table that the platform shell or a peer has provided
+// and that has been decoded and verified outside the reducer's hot path.
+type TableOpened struct {
+	Snapshot *table.Snapshot
+	Manifest []byte
+	Segments map[string][]byte
+}
+
+// Tick drives timers. It comes every TickInterval.
+type Tick struct{}
+
+// DrainRequested starts a graceful shutdown.
+type DrainRequested struct{}
+
+func (RequestArrived) isEvent() {}
+func (CallerGone) isEvent()     {}
+func (PrefillDone) isEvent()    {}
+func (TokensArrived) isEvent()  {}
+func (RunFailed) isEvent()      {}
+func (ServiceDone) isEvent()    {}
+func (PeerMessage) isEvent()    {}
+func (PeerFailed) isEvent()     {}
+func (HostsListed) isEvent()    {}
+func (ObjectRead) isEvent()     {}
+func (ObjectWritten) isEvent()  {}
+func (LoadReported) isEvent()   {}
+func (CacheChanged) isEvent()   {}
+func (OrderAnswered) isEvent()  {}
+func (TableOpened) isEvent()    {}
+func (Tick) isEvent()           {}
+func (DrainRequested) isEvent() {}
--- /dev/null
+++ b/fleet/core/explain.go
@@ -0,0 +1,152 @@
+package core
+
+import (
+	"sort"
+	"time"
+
+	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/member"
+	"ragwortshunt.example/fleet/message"
+	"ragwortshunt.example/fleet/schedule"
+)
+
+// The names of metrics.
+const (
+	MetricFirstToken    = "first-token"
+	MetricBetweenTokens = "between-tokens"
+	MetricQueueTime     = "queue-time"
+	MetricServiceTime   = "service-time"
+	MetricFinished      = "finished"
+	MetricRefused       = "refused"
+	MetricRefusedInRate = "refused-within-rate"
+	MetricCancelled     = "cancelled"
+	MetricRetried       = "retried"
+	MetricResumed       = "resumed"
+	MetricWastedPrefill = "wasted-prefill-tokens"
+	MetricOutputTokens  = "output-tokens"
+)
+
+// Record tells what happened to one request.
+type Record struct {
+	Request id.Request  `json:"request-id"`
+	Account id.Account  `json:"account"`
+	Route   id.Route    `json:"route"`
+	Stage   Stage       `json:"stage"`
+	Result  string      `json:"result,omitempty"` // empty while it runs
+	Attempt id.Attempt  `json:"attempts"`
+	Prompt  int64       `json:"prompt-tokens"`
+	Output  int64       `json:"output-tokens"`
+	Trace   []TraceLine `json:"trace"`
+}
+
+// Status is the state of one host as operators see it.
+type Status struct {
+	Host          id.Host        `json:"host"`
+	Zone          id.Zone        `json:"zone"`
+	Incarnation   id.Incarnation `json:"incarnation"`
+	Ready         bool           `json:"ready"`
+	Draining      bool           `json:"draining"`
+	TableVersion  uint64         `json:"table-version"`
+	TableProblem  string         `json:"table-problem,omitempty"`
+	ConfirmedMS   int64          `json:"confirmed-age-ms"`
+	Requests      int            `json:"requests"`
+	Peers         []PeerStatus   `json:"peers"`
+	Cells         []CellStatus   `json:"cells"`
+	UptimeSeconds int64          `json:"uptime-s"`
+}
+
+// PeerStatus is what a host believes of another one.
+type PeerStatus struct {
+	Host        id.Host        `json:"host"`
+	Zone        id.Zone        `json:"zone"`
+	State       string         `json:"state"`
+	Incarnation id.Incarnation `json:"incarnation"`
+}
+
+// CellStatus is the state of a cell that the host schedules.
+type CellStatus struct {
+	Cell      string `json:"cell"`
+	Queued    int    `json:"queued"`
+	FreeSlots int    `json:"free-slots"`
+	WaitMS    int64  `json:"wait-ms"`
+}
+
+func (r *request) record(result string) Record {
+	return Record{
+		Request: r.Request, Account: r.account, Route: r.Route, Stage: r.stage, Result: result,
+		Attempt: r.attempt, Prompt: r.PromptTokens, Output: r.delivered, Trace: r.trace,
+	}
+}
+
+func (s *step) keepRecord(r *request, result string) {
+	if s.cfg.FinishedRecords == 0 {
+		return
+	}
+	rec := r.record(result)
+	if len(s.finished) < s.cfg.FinishedRecords {
+		s.finished = append(s.finished, rec)
+		return
+	}
+	s.finished[s.finishedN%s.cfg.FinishedRecords] = rec
+	s.finishedN++
+}
+
+// Explain returns what the host knows of a request.
+func Explain(st *State, req id.Request) (Record, bool) {
+	if r, ok := st.requests[req]; ok {
+		return r.record(""), true
+	}
+	for _, rec := range st.finished {
+		if rec.Request == req {
+			return rec, true
+		}
+	}
+	return Record{}, false
+}
+
+// IsReady tells whether the host may take requests: it has a table, and a peer
+// has had time to offer a newer one.
+func IsReady(st *State, now time.Time) bool {
+	if st.draining || st.snapshot() == nil {
+		return false
+	}
+	return st.heard || now.Sub(st.started) >= st.cfg.StartWait
+}
+
+// StatusOf returns the state of the host for operators.
+func StatusOf(st *State, now time.Time) Status {
+	out := Status{
+		Host: st.cfg.Host, Zone: st.cfg.Zone, Incarnation: st.cfg.Incarnation,
+		Ready: IsReady(st, now), Draining: st.draining,
+		TableProblem: st.table.problem, Requests: len(st.requests),
+		UptimeSeconds: int64(now.Sub(st.started) / time.Second),
+	}
+	if st.snapshot() != nil {
+		out.TableVersion = st.snapshot().Version
+		out.ConfirmedMS = now.Sub(st.table.confirmed).Milliseconds()
+	}
+	for _, p := range member.Peers(st.member) {
+		out.Peers = append(out.Peers, PeerStatus{
+			Host: p.Host, Zone: p.Zone, State: stateName(p.State), Incarnation: p.Incarnation,
+		})
+	}
+	for _, k := range sortedCells(st.scheduler.cells) {
+		l := schedule.Load(st.scheduler.cells[k].cell, now)
+		out.Cells = append(out.Cells, CellStatus{
+			Cell: k.String(), Queued: l.Queued, FreeSlots: l.FreeSlots, WaitMS: l.Wait.Milliseconds(),
+		})
+	}
+	sort.Slice(out.Peers, func(i, j int) bool { return out.Peers[i].Host < out.Peers[j].Host })
+	return out
+}
+
+func stateName(h message.HostState) string {
+	switch h {
+	case message.HostDead:
+		return "dead"
+	case message.HostLeaving:
+		return "leaving"
+	default:
+		return "alive"
+	}
+}
--- /dev/null
+++ b/fleet/core/objects.go
@@ -0,0 +1,140 @@
+package core
+
+import (
+	"ragwortshunt.example/fleet/claim"
+	"ragwortshunt.example/fleet/limit"
+	"ragwortshunt.example/fleet/object"
+	"ragwortshunt.example/fleet/order"
+)
+
+func (s *step) objectRead(ev ObjectRead) {
+	switch ev.Kind {
+	case object.KindManifest:
+		s.manifestRead(ev)
+	case object.KindSegment:
+		s.segmentRead(ev)
+	case object.KindLease:
+		s.limitActions(limit.HandleRead(s.limit, s.now, limit.LeaseRead{
+			Group: ev.Name, Version: ev.Version, Value: ev.Value, Failed: ev.Failed,
+		}))
+	case object.KindClaim:
+		s.claimActions(claim.HandleRead(s.claims, s.now, claim.ObjectRead{
+			Name: ev.Name, Version: ev.Version, Value: ev.Value, Failed: ev.Failed,
+		}))
+	case object.KindOrder:
+		s.orderActions(order.HandleRead(s.orders, s.now, order.ObjectRead{
+			Name: ev.Name, Version: ev.Version, Value: ev.Value, Failed: ev.Failed,
+		}))
+	}
+}
+
+func (s *step) objectWritten(ev ObjectWritten) {
+	switch ev.Kind {
+	case object.KindLease:
+		s.limitActions(limit.HandleWrite(s.limit, s.now, limit.LeaseWrite{
+			Group: ev.Name, Version: ev.Version, Outcome: limitOutcome(ev.Outcome),
+		}))
+	case object.KindClaim:
+		s.claimActions(claim.HandleWrite(s.claims, s.now, claim.ObjectWritten{
+			Name: ev.Name, Version: ev.Version, Outcome: claimOutcome(ev.Outcome),
+		}))
+	case object.KindOrder:
+		s.orderActions(order.HandleWrite(s.orders, s.now, order.ObjectWritten{
+			Name: ev.Name, Version: ev.Version, Outcome: orderOutcome(ev.Outcome),
+		}))
+	}
+}
+
+func limitOutcome(o WriteOutcome) limit.WriteOutcome {
+	switch o {
+	case WriteDone:
+		return limit.WriteDone
+	case WriteConflict:
+		return limit.WriteConflict
+	case WriteFailed:
+		return limit.WriteFailed
+	default:
+		return limit.WriteUnknown
+	}
+}
+
+func claimOutcome(o WriteOutcome) claim.WriteOutcome {
+	switch o {
+	case WriteDone:
+		return claim.WriteDone
+	case WriteConflict:
+		return claim.WriteConflict
+	case WriteFailed:
+		return claim.WriteFailed
+	default:
+		return claim.WriteUnknown
+	}
+}
+
+func orderOutcome(o WriteOutcome) order.WriteOutcome {
+	switch o {
+	case WriteDone:
+		return order.WriteDone
+	case WriteConflict:
+		return order.WriteConflict
+	case WriteFailed:
+		return order.WriteFailed
+	default:
+		return order.WriteUnknown
+	}
+}
+
+func (s *step) limitActions(actions []limit.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case limit.ReadLease:
+			s.emit(ReadObject{Kind: object.KindLease, Name: a.Group})
+		case limit.WriteLease:
+			s.emit(WriteObject{Kind: object.KindLease, Name: a.Group, IfVersion: a.IfVersion, Value: a.Value})
+		case limit.Send:
+			s.send(a.To, a.Message)
+		}
+	}
+}
+
+func (s *step) claimActions(actions []claim.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case claim.Read:
+			s.emit(ReadObject{Kind: object.KindClaim, Name: a.Name})
+		case claim.Write:
+			s.emit(WriteObject{Kind: object.KindClaim, Name: a.Name, IfVersion: a.IfVersion, Value: a.Value})
+		case claim.Send:
+			s.send(a.To, a.Message)
+		case claim.Result:
+			s.claimResult(a)
+		}
+	}
+}
+
+func (s *step) orderActions(actions []order.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case order.Read:
+			s.emit(ReadObject{Kind: object.KindOrder, Name: a.Name})
+		case order.Write:
+			s.emit(WriteObject{Kind: object.KindOrder, Name: a.Name, IfVersion: a.IfVersion, Value: a.Value})
+		case order.SendOrder:
+			s.sendOrder(a)
+		}
+	}
+}
+
+func (s *step) sendOrder(a order.SendOrder) {
+	ep, ok := s.snapshot().Endpoints[a.Endpoint]
+	if !ok {
+		return
+	}
+	s.emit(SendOrder{Endpoint: a.Endpoint, Address: ep.Address, Order: a.Order, NotAfter: a.NotAfter})
+}
+
+func (s *step) orderAnswered(ev OrderAnswered) {
+	s.orderActions(order.HandleResult(s.orders, s.now, order.OrderResult{
+		Endpoint: ev.Endpoint, Fence: ev.Fence, Done: ev.Done, Stale: ev.Stale,
+	}))
+}
--- /dev/null
+++ b/fleet/core/peers.go
@@ -0,0 +1,142 @@
+package core
+
+import (
+	"ragwortshunt.example/fleet/claim"
+	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/limit"
+	"ragwortshunt.example/fleet/member"
+	"ragwortshunt.example/fleet/message"
+)
+
+// partPeer is the log prefix of this part.
+const partPeer = "peer"
+
+func (s *step) hostsListed(ev HostsListed) {
+	member.SetList(s.member, s.now, ev.Hosts)
+	s.applyHosts()
+}
+
+// applyHosts passes the live hosts to the parts that depend on them.
+func (s *step) applyHosts() {
+	live := make(map[id.Zone][]id.Host, len(s.cfg.Zones))
+	for _, z := range s.cfg.Zones {
+		live[z] = s.liveIn(z)
+	}
+	s.limitActions(limit.SetHosts(s.limit, s.now, live))
+	s.applyOrders()
+}
+
+func (s *step) peerMessage(ev PeerMessage) {
+	changes := member.Heard(s.member, s.now, ev.From, ev.Incarnation)
+	delete(s.suspects, ev.From)
+	if hb, ok := ev.Message.(message.Heartbeat); ok {
+		changes = append(changes, member.HandleHeartbeat(s.member, s.now, ev.From, ev.Incarnation, hb)...)
+		s.peerVersion(ev.From, hb.TableVersion, hb.ConfirmedAge, hb.ConfirmedAge > 0)
+	}
+	s.memberChanges(changes)
+	if p, ok := member.PeerOf(s.member, ev.From); ok && p.Incarnation > ev.Incarnation {
+		s.log(LogWarn, partPeer, "Message of an old incarnation was ignored.")
+		return
+	}
+	s.dispatch(ev.From, ev.Message)
+}
+
+func (s *step) dispatch(from id.Host, m message.Message) {
+	switch m := m.(type) {
+	case message.SlotAsk:
+		s.slotAsk(from, m)
+	case message.SlotGrant:
+		s.slotGranted(from, m)
+	case message.SlotRefuse:
+		s.slotRefused(from, m)
+	case message.SlotUpdate:
+		s.slotUpdate(from, m)
+	case message.SlotHold:
+		s.slotHold(from, m)
+	case message.TableAsk:
+		s.tableAsked(from, m)
+	case message.TableGive:
+		s.tableGiven(m)
+	default:
+		s.dispatchTokens(from, m)
+	}
+}
+
+func (s *step) dispatchTokens(from id.Host, m message.Message) {
+	switch m := m.(type) {
+	case message.TokenAsk:
+		s.limitActions(limit.HandleAsk(s.limit, s.now, from, m))
+	case message.TokenGive:
+		d, actions := limit.HandleGive(s.limit, s.now, from, m)
+		s.limitActions(actions)
+		if r, ok := s.requests[m.Request]; ok && d != nil && r.stage == StageTokens {
+			s.limitDecision(r, d)
+		}
+	case message.TokenReturn:
+		limit.HandleReturn(s.limit, s.now, m)
+	case message.ClaimAsk:
+		s.claimActions(claim.HandleAsk(s.claims, s.now, from, m, s.wall))
+	case message.ClaimReply:
+		s.claimActions(claim.HandleReply(s.claims, s.now, m))
+	case message.ClaimSettle:
+		s.claimActions(claim.Settle(s.claims, s.now, m, s.cfg.Host))
+	}
+}
+
+// peerFailed passes over a host that refuses connections, so that its cells get
+// another scheduler before membership declares it dead.
+func (s *step) peerFailed(h id.Host) {
+	if _, ok := s.suspects[h]; !ok {
+		s.emit(Log{Level: LogWarn, Part: partPeer, Text: "Host refuses connections.", Host: h})
+	}
+	s.suspects[h] = s.now.Add(s.cfg.SuspectFor)
+	for _, r := range s.sortedRequests() {
+		if r.stage == StageQueue && r.host == h {
+			s.refreshQueue(r)
+		}
+	}
+}
+
+func (s *step) memberChanges(changes []member.Change) {
+	if len(changes) == 0 {
+		return
+	}
+	for _, c := range changes {
+		if c.To == message.HostDead || c.Restarted {
+			s.hostGone(c.Host)
+		}
+		s.emit(Log{Level: LogInfo, Part: partPeer, Text: changeText(c), Host: c.Host})
+	}
+	s.applyHosts()
+}
+
+func changeText(c member.Change) string {
+	switch {
+	case c.Restarted:
+		return "Host has restarted."
+	case c.To == message.HostDead:
+		return "Host is dead."
+	case c.To == message.HostLeaving:
+		return "Host is leaving."
+	default:
+		return "Host is alive."
+	}
+}
+
+func (s *step) tickMembers() {
+	beats, changes := member.Tick(s.member, s.now)
+	s.memberChanges(changes)
+	if len(beats) == 0 {
+		return
+	}
+	hb := message.Heartbeat{
+		Zone: s.cfg.Zone, TableVersion: s.version(), ConfirmedAge: s.confirmedAge(),
+		Reports: member.Reports(s.member),
+	}
+	if s.draining {
+		hb.State = message.HostLeaving
+	}
+	for _, to := range beats {
+		s.send(to, hb)
+	}
+}
--- /dev/null
+++ b/fleet/core/slot.go
@@ -0,0 +1,298 @@
+package core
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/member"
+	"ragwortshunt.example/fleet/message"
+	"ragwortshunt.example/fleet/schedule"
+	"ragwortshunt.example/fleet/table"
+)
+
+// partSlot is the log prefix of this part.
+const partSlot = "slot"
+
+const (
+	viewLife       = 2 * time.Second // a reported wait is believed so long
+	spillWait      = 100 * time.Millisecond
+	exploreShare   = 8 // one of so many requests tries a cell of unknown wait
+	maxRefusals    = 3 // cells that are tried after refusals
+	refusalBackoff = 100 * time.Millisecond
+)
+
+// cellKey names one cell: a part of the endpoints of one model in one zone.
+type cellKey struct {
+	Zone  id.Zone
+	Model id.Model
+	Part  int
+}
+
+// String returns the name under which the cell's scheduler host is chosen.
+func (k cellKey) String() string {
+	return fmt.Sprintf("cell/%s/%s/%d", k.Zone, k.Model, k.Part)
+}
+
+// cellView is what an entry host knows of a cell.
+type cellView struct {
+	wait time.Duration
+	at   time.Time
+}
+
+// cellParts returns the number of cells of a model in a zone.
+func cellParts(snap *table.Snapshot, model id.Model, zone id.Zone, most int) int {
+	n := len(table.ModelEndpoints(snap, model, zone))
+	return (n + most - 1) / most
+}
+
+// askSlot asks the scheduler of the most promising cell for capacity.
+func (s *step) askSlot(r *request) {
+	r.stage = StageQueue
+	r.attempt++
+	r.running = false
+	key, ok := s.chooseCell(r)
+	if !ok {
+		s.refuse(r, CodeNoEndpoint, "no endpoint serves the model", time.Second)
+		return
+	}
+	r.cell = key
+	s.sendAsk(r)
+}
+
+// chooseCell prefers the own zone until its expected wait is long, then the
+// cell with the shortest reported wait. A small share of the requests tries a
+// cell of unknown wait, so that reports stay fresh.
+func (s *step) chooseCell(r *request) (cellKey, bool) {
+	keys := s.cellsOf(r.route.Model)
+	if len(keys) == 0 {
+		return cellKey{}, false
+	}
+	best, bestWait := keys[0], time.Duration(-1)
+	h := xxhash.Sum64String(string(r.Request)) + uint64(r.attempt) + uint64(r.refusals)
+	own := s.ownWait(keys)
+	for i := range keys {
+		k := keys[(int(h%uint64(len(keys)))+i)%len(keys)]
+		w := s.cellWait(k, own, h)
+		if r.refusals > 0 && k == r.cell {
+			w += time.Hour // tried already
+		}
+		if bestWait < 0 || w < bestWait {
+			best, bestWait = k, w
+		}
+	}
+	return best, true
+}
+
+// cellWait returns the expected wait in a cell as seen from this host.
+func (s *step) cellWait(k cellKey, own time.Duration, h uint64) time.Duration {
+	v, known := s.cells[k]
+	fresh := known && s.now.Sub(v.at) < viewLife
+	if k.Zone == s.cfg.Zone {
+		if fresh {
+			return v.wait
+		}
+		return 0
+	}
+	if fresh {
+		return v.wait + s.cfg.ZoneCrossing
+	}
+	if own > spillWait && h%exploreShare == 0 {
+		return 0
+	}
+	return own + s.cfg.ZoneCrossing
+}
+
+// ownWait returns the shortest known wait in the own zone.
+func (s *step) ownWait(keys []cellKey) time.Duration {
+	best := time.Duration(-1)
+	for _, k := range keys {
+		if k.Zone != s.cfg.Zone {
+			continue
+		}
+		w := time.Duration(0)
+		if v, ok := s.cells[k]; ok && s.now.Sub(v.at) < viewLife {
+			w = v.wait
+		}
+		if best < 0 || w < best {
+			best = w
+		}
+	}
+	return max(best, 0)
+}
+
+// cellsOf returns the cells of a model that a live host can schedule.
+func (s *step) cellsOf(model id.Model) []cellKey {
+	var out []cellKey
+	for _, z := range s.cfg.Zones {
+		if len(s.liveIn(z)) == 0 {
+			continue
+		}
+		for p := range cellParts(s.snapshot(), model, z, s.cfg.CellEndpoints) {
+			out = append(out, cellKey{Zone: z, Model: model, Part: p})
+		}
+	}
+	return out
+}
+
+// liveIn returns the hosts of a zone that take work, without those that have
+// just refused a connection.
+func (s *step) liveIn(z id.Zone) []id.Host {
+	var out []id.Host
+	for _, h := range member.Live(s.member)[z] {
+		if until, ok := s.suspects[h]; ok && s.now.Before(until) {
+			continue
+		}
+		out = append(out, h)
+	}
+	return out
+}
+
+func (s *step) schedulerOf(k cellKey) id.Host {
+	return member.Owner(s.liveIn(k.Zone), k.String())
+}
+
+func (s *step) sendAsk(r *request) {
+	r.host = s.schedulerOf(r.cell)
+	r.asked = s.now
+	if r.host == "" {
+		return
+	}
+	r.note(s.now, "attempt %d asks %s for %s", r.attempt, r.host, r.cell)
+	s.send(r.host, message.SlotAsk{
+		Request:      r.Request,
+		Attempt:      r.attempt,
+		Account:      r.account,
+		Model:        r.route.Model,
+		Class:        r.route.Class,
+		PromptTokens: r.PromptTokens + r.delivered,
+		OutputTokens: r.MaxTokens - r.delivered,
+		Prefix:       r.Prefix,
+		Waited:       s.now.Sub(r.arrived),
+		FirstToken:   r.route.FirstToken,
+		CanWait:      r.route.CanWait || r.delivered > 0,
+		Avoid:        r.avoid,
+		Part:         r.cell.Part,
+	})
+}
+
+// refreshQueue repeats an unanswered ask, at once if another host schedules the
+// cell now.
+func (s *step) refreshQueue(r *request) {
+	owner := s.schedulerOf(r.cell)
+	if owner == "" {
+		if key, ok := s.chooseCell(r); ok {
+			r.cell = key
+		}
+	}
+	if owner != r.host || s.now.Sub(r.asked) >= s.cfg.AskRepeat {
+		s.sendAsk(r)
+	}
+}
+
+func (s *step) slotGranted(from id.Host, m message.SlotGrant) {
+	r, ok := s.requests[m.Request]
+	if !ok {
+		s.send(from, message.SlotUpdate{Request: m.Request, Attempt: m.Attempt, Phase: message.PhaseCancelled})
+		return
+	}
+	s.noteWait(r, from, m.Wait)
+	if r.attempt != m.Attempt || r.stage != StageQueue {
+		s.declineGrant(r, from, m)
+		return
+	}
+	r.host = from
+	r.prefill, r.decode = m.Prefill, m.Decode
+	s.startPrefill(r, m.Valid)
+}
+
+// declineGrant gives back a grant that the request no longer needs. A repeated
+// grant of the running attempt is the same reservation and stays.
+func (s *step) declineGrant(r *request, from id.Host, m message.SlotGrant) {
+	if r.attempt == m.Attempt && r.host == from {
+		return
+	}
+	s.send(from, message.SlotUpdate{Request: m.Request, Attempt: m.Attempt, Phase: message.PhaseCancelled})
+}
+
+func (s *step) noteWait(r *request, from id.Host, wait time.Duration) {
+	if r.host == from && r.cell.Model != "" {
+		s.cells[r.cell] = cellView{wait: wait, at: s.now}
+	}
+}
+
+// slotRefused tries another cell when the refusal is about this cell only, and
+// refuses the request otherwise.
+func (s *step) slotRefused(from id.Host, m message.SlotRefuse) {
+	r, ok := s.requests[m.Request]
+	if !ok || r.attempt != m.Attempt || r.stage != StageQueue {
+		return
+	}
+	s.noteWait(r, from, m.Wait)
+	r.refusals++
+	r.note(s.now, "cell %s refused: %s", r.cell, m.Reason)
+	late := m.Reason == schedule.ReasonTooLate
+	if late || r.refusals >= maxRefusals || len(s.cellsOf(r.route.Model)) < 2 {
+		s.refuse(r, m.Reason, "no capacity within the route's target", max(m.Retry, refusalBackoff))
+		return
+	}
+	s.askSlot(r)
+}
+
+// releaseAttempt frees everything that the current attempt holds: its place in
+// the queue, engine memory, the reservation. failed names an endpoint that did
+// not answer.
+func (s *step) releaseAttempt(r *request, failed id.Endpoint) {
+	if r.isService() {
+		return
+	}
+	s.cancelOn(r, r.prefill)
+	s.cancelOn(r, r.decode)
+	if r.host != "" && r.attempt > 0 {
+		s.send(r.host, message.SlotUpdate{
+			Request: r.Request, Attempt: r.attempt, Phase: message.PhaseCancelled,
+			Tokens: r.delivered, Failed: failed,
+		})
+	}
+	if r.running {
+		r.ran = true
+		r.running = false
+	}
+	r.prefill, r.decode = "", ""
+	clear(r.waiting)
+}
+
+func (s *step) cancelOn(r *request, ep id.Endpoint) {
+	if ep == "" || !r.running {
+		return
+	}
+	e, ok := s.snapshot().Endpoints[ep]
+	if !ok {
+		return
+	}
+	s.emit(CancelRun{Request: r.Request, Attempt: r.attempt, Endpoint: ep, Address: e.Address})
+}
+
+// registerHold tells the cell's scheduler of a running attempt.
+func (s *step) registerHold(r *request) {
+	owner := s.schedulerOf(r.cell)
+	if owner == "" {
+		return
+	}
+	if owner == r.host && s.now.Sub(r.held) < s.cfg.HoldRefresh {
+		return
+	}
+	r.host = owner
+	r.held = s.now
+	phase := message.PhasePrefill
+	if r.stage == StageDecode {
+		phase = message.PhaseDecode
+	}
+	s.send(owner, message.SlotHold{
+		Request: r.Request, Attempt: r.attempt, Account: r.account, Model: r.route.Model,
+		Prefill: r.prefill, Decode: r.decode, Phase: phase,
+		PromptTokens: r.PromptTokens, OutputTokens: r.MaxTokens, Part: r.cell.Part,
+	})
+}
--- /dev/null
+++ b/fleet/core/tablesync.go
@@ -0,0 +1,350 @@
+package core
+
+import (
+	"sort"
+	"time"
+
+	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/limit"
+	"ragwortshunt.example/fleet/member"
+	"ragwortshunt.example/fleet/message"
+	"ragwortshunt.example/fleet/object"
+	"ragwortshunt.example/fleet/order"
+	"ragwortshunt.example/fleet/table"
+)
+
+// partTable is the log prefix of this part.
+const partTable = "table"
+
+const askTableAgain = time.Second // an unanswered TableAsk is repeated after
+
+// tableState is the table in force and the one being fetched.
+type tableState struct {
+	snapshot  *table.Snapshot
+	manifest  []byte
+	segments  map[string][]byte
+	confirmed time.Time // when the platform last confirmed the version in force
+
+	object   uint64 // version of the manifest object that was read last
+	watching bool
+	retryAt  time.Time
+	pending  *pendingTable
+	askedAt  time.Time
+	problem  string // why the newest table is not in force
+}
+
+// pendingTable is a manifest whose segments are being read.
+type pendingTable struct {
+	manifest []byte
+	segments map[string][]byte
+	missing  map[string]bool
+	sent     time.Time
+}
+
+// isStale tells whether the route's bound on unconfirmed service has passed.
+func (s *step) isStale(route table.Route) bool {
+	if route.MaxStaleness <= 0 {
+		return false
+	}
+	return s.now.Sub(s.table.confirmed) > route.MaxStaleness
+}
+
+func (s *step) version() uint64 {
+	if s.table.snapshot == nil {
+		return 0
+	}
+	return s.table.snapshot.Version
+}
+
+// tickTable keeps a watch on the manifest if this host is one of the watchers of
+// its zone, or has no table yet.
+func (s *step) tickTable() {
+	if s.table.watching || s.now.Before(s.table.retryAt) || !s.isWatcher() {
+		return
+	}
+	s.table.watching = true
+	wait := s.cfg.WatchWait
+	if s.table.object == 0 {
+		wait = 0
+	}
+	s.emit(ReadObject{Kind: object.KindManifest, Name: object.ManifestName, After: s.table.object, Wait: wait})
+}
+
+func (s *step) isWatcher() bool {
+	if s.table.snapshot == nil {
+		return true
+	}
+	for _, h := range member.Owners(s.liveIn(s.cfg.Zone), "table-watch", s.cfg.Watchers) {
+		if h == s.cfg.Host {
+			return true
+		}
+	}
+	return false
+}
+
+// manifestRead handles the result of a watch. A version that is not above the
+// one in force confirms the latter only if it is the same.
+func (s *step) manifestRead(ev ObjectRead) {
+	s.table.watching = false
+	if ev.Failed || ev.Version == 0 && !ev.Unchanged {
+		s.table.retryAt = s.now.Add(s.cfg.WatchRetry)
+		return
+	}
+	if ev.Unchanged {
+		s.confirm(ev.Sent)
+		return
+	}
+	v, err := table.ManifestVersion(ev.Value)
+	if err != nil {
+		s.table.problem = err.Error()
+		s.table.retryAt = s.now.Add(s.cfg.WatchRetry)
+		s.log(LogError, partTable, "Manifest is unreadable: "+err.Error()+".")
+		return
+	}
+	s.manifestOffered(v, ev)
+}
+
+func (s *step) manifestOffered(v uint64, ev ObjectRead) {
+	if v < s.version() {
+		s.table.retryAt = s.now.Add(s.cfg.WatchRetry)
+		s.log(LogWarn, partTable, "Stale manifest was ignored.")
+		return
+	}
+	s.table.object = ev.Version
+	if v == s.version() {
+		s.confirm(ev.Sent)
+		return
+	}
+	s.fetchSegments(ev.Value, ev.Sent)
+}
+
+func (s *step) confirm(at time.Time) {
+	if at.After(s.table.confirmed) {
+		s.table.confirmed = at
+	}
+}
+
+func (s *step) fetchSegments(manifest []byte, sent time.Time) {
+	have := make(map[string]bool, len(s.table.segments))
+	for name := range s.table.segments {
+		have[name] = true
+	}
+	missing, err := table.Missing(manifest, have)
+	if err != nil {
+		s.table.problem = err.Error()
+		s.log(LogError, partTable, "Manifest is invalid: "+err.Error()+".")
+		return
+	}
+	p := &pendingTable{
+		manifest: manifest, sent: sent,
+		segments: make(map[string][]byte), missing: make(map[string]bool),
+	}
+	for name, data := range s.table.segments {
+		p.segments[name] = data
+	}
+	s.table.pending = p
+	for _, name := range missing {
+		p.missing[name] = true
+		s.emit(ReadObject{Kind: object.KindSegment, Name: name})
+	}
+	s.completeTable()
+}
+
+func (s *step) segmentRead(ev ObjectRead) {
+	p := s.table.pending
+	if p == nil || !p.missing[ev.Name] {
+		return
+	}
+	if ev.Failed || ev.Version == 0 {
+		// The next watch reads the manifest again.
+		s.table.pending = nil
+		s.table.object = 0
+		s.table.retryAt = s.now.Add(s.cfg.WatchRetry)
+		return
+	}
+	delete(p.missing, ev.Name)
+	p.segments[ev.Name] = ev.Value
+	s.completeTable()
+}
+
+func (s *step) completeTable() {
+	p := s.table.pending
+	if p == nil || len(p.missing) > 0 {
+		return
+	}
+	s.table.pending = nil
+	s.openTable(p.manifest, p.segments, p.sent)
+}
+
+// openTable installs a table that is complete, valid and newer than the one in
+// force. Anything else leaves the table in force as it is.
+func (s *step) openTable(manifest []byte, segments map[string][]byte, confirmed time.Time) {
+	snap, err := table.Open(manifest, segments)
+	if err != nil {
+		s.table.problem = err.Error()
+		s.table.retryAt = s.now.Add(s.cfg.WatchRetry)
+		s.log(LogError, partTable, "Table is invalid, the last one stays in force: "+err.Error()+".")
+		return
+	}
+	s.install(snap, manifest, segments, confirmed)
+}
+
+func (s *step) tableOpened(ev TableOpened) {
+	s.install(ev.Snapshot, ev.Manifest, ev.Segments, s.now)
+}
+
+func (s *step) install(snap *table.Snapshot, manifest []byte, segments map[string][]byte, confirmed time.Time) {
+	if snap.Version <= s.version() {
+		return
+	}
+	s.table.snapshot = snap
+	s.table.manifest = manifest
+	s.table.segments = usedSegments(manifest, segments)
+	s.table.problem = ""
+	s.confirm(confirmed)
+	s.applyLimits(snap)
+	for _, k := range sortedCells(s.scheduler.cells) {
+		s.configureCell(k, s.scheduler.cells[k])
+	}
+	s.applyOrders()
+	s.revokeRequests()
+	s.emit(TableInstalled{Snapshot: snap})
+	s.log(LogInfo, partTable, "Table installed.")
+}
+
+// usedSegments keeps the segments that the manifest names.
+func usedSegments(manifest []byte, segments map[string][]byte) map[string][]byte {
+	names, err := table.Missing(manifest, nil)
+	if err != nil {
+		return segments
+	}
+	out := make(map[string][]byte, len(names))
+	for _, name := range names {
+		out[name] = segments[name]
+	}
+	return out
+}
+
+func (s *step) applyLimits(snap *table.Snapshot) {
+	budgets := make(map[id.Account]limit.Budget, len(snap.Accounts))
+	for name, a := range snap.Accounts {
+		budgets[name] = limit.Budget{Rate: a.Rate, Burst: a.Burst}
+	}
+	limit.SetBudgets(s.limit, s.now, budgets)
+}
+
+func (s *step) applyOrders() {
+	snap := s.snapshot()
+	if snap == nil {
+		return
+	}
+	var wants []order.Want
+	for _, ep := range snap.Endpoints {
+		pool := snap.Pools[ep.Pool]
+		if ep.Zone != s.cfg.Zone || pool.Role == table.RoleService {
+			continue
+		}
+		wants = append(wants, order.Want{Endpoint: ep.Name, Role: pool.Role, Model: pool.Model, Fencing: ep.Fencing})
+	}
+	sort.Slice(wants, func(i, j int) bool { return wants[i].Endpoint < wants[j].Endpoint })
+	leader := member.Owner(s.liveIn(s.cfg.Zone), "order") == s.cfg.Host && !s.draining
+	s.orderActions(order.SetWants(s.orders, s.now, wants, leader))
+}
+
+// revokeRequests ends the requests whose key, client account or route is no
+// longer in the table. A service call that runs is left to its end.
+func (s *step) revokeRequests() {
+	for _, r := range s.sortedRequests() {
+		if r.stage == StageCall {
+			continue
+		}
+		code, text := s.revoked(r)
+		if code != "" {
+			s.refuse(r, code, text, 0)
+		}
+	}
+}
+
+func (s *step) revoked(r *request) (code, text string) {
+	snap := s.snapshot()
+	if _, ok := snap.Routes[r.Route]; !ok {
+		return CodeRouteRemoved, "the route has been removed"
+	}
+	if r.route.Open {
+		return "", ""
+	}
+	key, ok := snap.Keys[r.Key]
+	if !ok || key.State != table.StateActive || key.Account != r.account {
+		return CodeKeyWithdrawn, "the key has been withdrawn"
+	}
+	return "", ""
+}
+
+// peerVersion notes the table version of a peer: a newer one is asked for, the
+// same one passes on the confirmation by the platform.
+func (s *step) peerVersion(from id.Host, version uint64, age time.Duration, confirmed bool) {
+	s.heard = true
+	if version > s.version() {
+		s.askTable(from)
+		return
+	}
+	if confirmed && version == s.version() && version > 0 {
+		s.confirm(s.now.Add(-age))
+	}
+}
+
+func (s *step) askTable(from id.Host) {
+	if s.now.Sub(s.table.askedAt) < askTableAgain && !s.table.askedAt.IsZero() {
+		return
+	}
+	s.table.askedAt = s.now
+	names := make([]string, 0, len(s.table.segments))
+	for name := range s.table.segments {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	s.send(from, message.TableAsk{Have: s.version(), Segments: names})
+}
+
+func (s *step) tableAsked(from id.Host, m message.TableAsk) {
+	if s.version() <= m.Have {
+		return
+	}
+	have := make(map[string]bool, len(m.Segments))
+	for _, name := range m.Segments {
+		have[name] = true
+	}
+	missing, err := table.Missing(s.table.manifest, have)
+	if err != nil {
+		return
+	}
+	segments := make(map[string][]byte, len(missing))
+	for _, name := range missing {
+		segments[name] = s.table.segments[name]
+	}
+	s.send(from, message.TableGive{
+		Version: s.version(), Manifest: s.table.manifest, Segments: segments, Age: s.confirmedAge(),
+	})
+}
+
+func (s *step) tableGiven(m message.TableGive) {
+	s.table.askedAt = time.Time{}
+	if m.Version <= s.version() {
+		return
+	}
+	segments := make(map[string][]byte, len(s.table.segments)+len(m.Segments))
+	for name, data := range s.table.segments {
+		segments[name] = data
+	}
+	for name, data := range m.Segments {
+		segments[name] = data
+	}
+	s.openTable(m.Manifest, segments, s.now.Add(-m.Age))
+}
+
+func (s *step) confirmedAge() time.Duration {
+	if s.table.confirmed.IsZero() {
+		return 0
+	}
+	return s.now.Sub(s.table.confirmed)
+}
--- /dev/null
+++ b/fleet/core/tick.go
@@ -0,0 +1,114 @@
+package core
+
+import (
+	"sort"
+
+	"ragwortshunt.example/fleet/claim"
+	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/limit"
+	"ragwortshunt.example/fleet/member"
+	"ragwortshunt.example/fleet/message"
+	"ragwortshunt.example/fleet/order"
+)
+
+func (s *step) tick() {
+	s.tickHosts()
+	s.tickMembers()
+	s.tickTable()
+	s.tickLimits()
+	s.claimActions(claim.Tick(s.claims, s.now))
+	s.orderActions(order.Tick(s.orders, s.now))
+	s.tickCells()
+	s.tickRequests()
+	s.tickDrain()
+}
+
+func (s *step) tickHosts() {
+	if !s.hostsRead.IsZero() && s.now.Sub(s.hostsRead) < s.cfg.HostsInterval {
+		return
+	}
+	s.hostsRead = s.now
+	s.emit(ListHosts{})
+}
+
+func (s *step) tickLimits() {
+	resolved, actions := limit.Tick(s.limit, s.now)
+	s.limitActions(actions)
+	for _, res := range resolved {
+		if r, ok := s.requests[res.Request]; ok && r.stage == StageTokens {
+			s.limitDecision(r, res.Decision)
+		}
+	}
+}
+
+func (s *step) tickRequests() {
+	for _, r := range s.sortedRequests() {
+		switch r.stage {
+		case StageQueue:
+			s.refreshQueue(r)
+		case StagePrefill:
+			s.registerHold(r)
+		case StageDecode:
+			s.registerHold(r)
+			s.checkStalled(r)
+		case StageTokens, StageClaim, StageCall:
+		}
+	}
+}
+
+// sortedRequests returns the requests in the order of their IDs, so that
+// effects do not depend on the iteration order of maps.
+func (st *State) sortedRequests() []*request {
+	ids := make([]id.Request, 0, len(st.requests))
+	for req := range st.requests {
+		ids = append(ids, req)
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	out := make([]*request, 0, len(ids))
+	for _, req := range ids {
+		out = append(out, st.requests[req])
+	}
+	return out
+}
+
+// drain starts a graceful shutdown: no new requests, running ones go on, shares
+// are handed over at once.
+func (s *step) drain() {
+	if s.draining {
+		return
+	}
+	s.draining = true
+	member.SetLeaving(s.member)
+	s.limitActions(limit.Drain(s.limit, s.now))
+	s.applyHosts()
+	hb := message.Heartbeat{Zone: s.cfg.Zone, State: message.HostLeaving, TableVersion: s.version()}
+	for _, p := range member.Peers(s.member) {
+		if p.Host != s.cfg.Host {
+			s.send(p.Host, hb)
+		}
+	}
+	s.log(LogInfo, partPeer, "Host is leaving.")
+}
+
+// tickDrain ends a graceful shutdown when no request, share or cell is in use.
+func (s *step) tickDrain() {
+	if !s.draining || s.stopped || len(s.requests) > 0 {
+		return
+	}
+	if !limit.Drained(s.limit) || s.cellsInUse() {
+		return
+	}
+	s.stopped = true
+	s.emit(Stopped{})
+}
+
+// cellsInUse tells whether an own cell has had a message lately. Other hosts
+// have moved to the next scheduler when it has not.
+func (s *step) cellsInUse() bool {
+	for _, c := range s.scheduler.cells {
+		if s.now.Sub(c.used) < s.cfg.AskRepeat*2 {
+			return true
+		}
+	}
+	return false
+}
--- a/fleet/message/message.go
+++ b/fleet/message/message.go
@@ -83,6 +83,7 @@
 	FirstToken   time.Duration `cbor:"10,keyasint,omitempty"`
 	CanWait      bool          `cbor:"11,keyasint,omitempty"` // demote instead of refusing when late
 	Avoid        id.Endpoint   `cbor:"12,keyasint,omitempty"` // endpoint of a failed attempt
+	Part         int           `cbor:"13,keyasint,omitempty"` // cell of the model in the scheduler's zone
 }
 
 // SlotGrant reserves both engines for one attempt.
@@ -91,7 +92,8 @@
 	Attempt id.Attempt    `cbor:"2,keyasint"`
 	Prefill id.Endpoint   `cbor:"3,keyasint"`
 	Decode  id.Endpoint   `cbor:"4,keyasint"`
-	Valid   time.Duration `cbor:"5,keyasint"` // the prefill must start within this time of receipt
+	Valid   time.Duration `cbor:"5,keyasint"`           // the prefill must start within this time of receipt
+	Wait    time.Duration `cbor:"6,keyasint,omitempty"` // expected queueing time of a new request in the cell
 }
 
 // SlotRefuse ends an ask without a grant. The request has not run.
@@ -100,6 +102,7 @@
 	Attempt id.Attempt    `cbor:"2,keyasint"`
 	Reason  string        `cbor:"3,keyasint"` // stable code, kebab case
 	Retry   time.Duration `cbor:"4,keyasint,omitempty"`
+	Wait    time.Duration `cbor:"5,keyasint,omitempty"` // expected queueing time of a new request in the cell
 }
 
 // SlotUpdate reports progress of an attempt to the scheduler. PhaseDone and
@@ -124,6 +127,7 @@
 	PromptTokens int64       `cbor:"8,keyasint"`
 	OutputTokens int64       `cbor:"9,keyasint"`
 	Direct       bool        `cbor:"10,keyasint,omitempty"` // placed without a grant
+	Part         int         `cbor:"11,keyasint,omitempty"` // cell of the model in the scheduler's zone
 }
 
 // TokenAsk asks another holder of an account's share for tokens.
--- a/router/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package router is the root of the module of the same name.
-package router
--- /dev/null
+++ b/router/internal/app/app.go
@@ -0,0 +1,225 @@
+// Package app connects the shells of a router with its decision core and runs
+// them as one process.
+package app
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"ragwortshunt.example/fleet/core"
+	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/router/internal/caller"
+	"ragwortshunt.example/router/internal/endpoint"
+	"ragwortshunt.example/router/internal/inflight"
+	"ragwortshunt.example/router/internal/operator"
+	"ragwortshunt.example/router/internal/peer"
+	"ragwortshunt.example/router/internal/platform"
+	"ragwortshunt.example/router/internal/reactor"
+	"ragwortshunt.example/router/internal/settings"
+)
+
+// ErrApp is the base of the errors of this package.
+var ErrApp = errors.New("router")
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	closeTimeout      = 2 * time.Second
+	gaugeInterval     = time.Second
+)
+
+// Router is one router process.
+type Router struct {
+	settings *settings.Settings
+	log      *zap.Logger
+	clock    clockwork.Clock
+	reactor  *reactor.Reactor
+	dispatch *Dispatcher
+	caller   *caller.Server
+	operator *operator.Server
+	metrics  *operator.Metrics
+}
+
+// Lifetime is the context of the calls that the shells make. It ends after the
+// graceful shutdown.
+type Lifetime struct{ context.Context }
+
+func newCoreConfig(s *settings.Settings, inc id.Incarnation) core.Config {
+	cfg := core.DefaultConfig(s.Host, inc, s.Zone, s.Zones)
+	cfg.Limit.Groups = s.LeaseGroups
+	cfg.Limit.SlotRate = s.SlotRate
+	cfg.Limit.ReserveShare = s.ReserveShare
+	cfg.Limit.PooledLease = s.PooledLease
+	cfg.Limit.ReserveLease = s.ReserveLease
+	cfg.CellEndpoints = s.CellEndpoints
+	cfg.Claim.Shards = s.ClaimShards
+	cfg.Claim.Retention = s.Retention
+	return cfg
+}
+
+// newIncarnation derives the incarnation from the wall clock: hosts keep nothing
+// over a restart.
+func newIncarnation(clock clockwork.Clock) id.Incarnation {
+	return id.Incarnation(clock.Now().UnixMilli())
+}
+
+func newReactor(cfg core.Config, clock clockwork.Clock) *reactor.Reactor {
+	return reactor.New(cfg, clock)
+}
+
+func newCaller(s *settings.Settings, inc id.Incarnation, r *reactor.Reactor, store *inflight.Store) *caller.Server {
+	return caller.New(caller.Config{
+		Host: s.Host, Incarnation: inc, MaxBody: s.MaxBody, DefaultLimit: s.DefaultLimit,
+	}, r, store)
+}
+
+func newEndpoint(life Lifetime, clock clockwork.Clock, r *reactor.Reactor, store *inflight.Store) *endpoint.Client {
+	return endpoint.New(life, clock, r, store)
+}
+
+func newPlatform(life Lifetime, s *settings.Settings, clock clockwork.Clock, r *reactor.Reactor) *platform.Client {
+	return platform.New(life, s.PlatformURL, "ragwortshunt/"+string(s.Host), s.PlatformTimeout, clock, r)
+}
+
+func newSender(life Lifetime, s *settings.Settings, inc id.Incarnation, r *reactor.Reactor) *peer.Sender {
+	return peer.NewSender(life, s.Host, inc, r)
+}
+
+func newMetrics(s *settings.Settings) *operator.Metrics {
+	return operator.NewMetrics(s.Host, s.Zone)
+}
+
+func newOperator(r *reactor.Reactor, m *operator.Metrics) *operator.Server {
+	return operator.New(r, m)
+}
+
+// Run serves until ctx ends, then shuts down gracefully: no request is cut
+// unless the shutdown takes longer than the drain timeout.
+func (r *Router) Run(ctx context.Context) error {
+	r.reactor.SetHandler(r.dispatch)
+	loop, stopLoop := context.WithCancel(context.Background())
+	defer stopLoop()
+	servers, err := r.listen()
+	if err != nil {
+		return err
+	}
+	go r.reactor.Run(loop)
+	go r.updateGauges(loop)
+	r.log.Info("router: Started.", zap.String("host", string(r.settings.Host)))
+	failed := serve(servers)
+	select {
+	case err = <-failed:
+	case <-ctx.Done():
+		r.drain()
+	}
+	r.close(servers)
+	return err
+}
+
+// server is one listener with its HTTP server.
+type server struct {
+	http     *http.Server
+	listener net.Listener
+}
+
+func (r *Router) listen() ([]server, error) {
+	h2c := new(http.Protocols)
+	h2c.SetHTTP1(true)
+	h2c.SetUnencryptedHTTP2(true)
+	specs := []struct {
+		address string
+		handler http.Handler
+	}{
+		{r.settings.PeerAddress, peer.NewHandler(r.reactor)},
+		{r.settings.OperatorAddress, r.operator.Handler()},
+		{r.settings.CallerAddress, r.caller.Handler()},
+	}
+	var out []server
+	for _, sp := range specs {
+		l, err := net.Listen("tcp", sp.address)
+		if err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrApp, err)
+		}
+		out = append(out, server{
+			http: &http.Server{
+				Handler: sp.handler, Protocols: h2c, ReadHeaderTimeout: readHeaderTimeout,
+				ErrorLog: zap.NewStdLog(r.log),
+			},
+			listener: l,
+		})
+	}
+	return out, nil
+}
+
+func serve(servers []server) <-chan error {
+	failed := make(chan error, len(servers))
+	for _, s := range servers {
+		go func() {
+			if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+				failed <- fmt.Errorf("%w: serve: %w", ErrApp, err)
+			}
+		}()
+	}
+	return failed
+}
+
+// drain waits until the decision core has finished its requests and handed over
+// its shares.
+func (r *Router) drain() {
+	r.log.Info("router: Shutdown has begun.")
+	r.reactor.Post(core.DrainRequested{})
+	deadline := r.clock.NewTimer(r.settings.DrainTimeout)
+	defer deadline.Stop()
+	select {
+	case <-r.dispatch.Stopped():
+		r.waitCallers()
+	case <-deadline.Chan():
+		r.log.Warn("router: Drain timeout has passed, requests are cut.")
+	}
+}
+
+// waitCallers waits until the last answers have been written.
+func (r *Router) waitCallers() {
+	for range 100 {
+		if r.caller.Busy() == 0 {
+			return
+		}
+		r.clock.Sleep(closeTimeout / 100)
+	}
+}
+
+func (r *Router) close(servers []server) {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	for _, s := range servers {
+		if err := s.http.Shutdown(ctx); err != nil {
+			s.http.Close()
+		}
+	}
+	if err := r.metrics.Close(); err != nil {
+		r.log.Warn("router: Metrics were not closed.", zap.Error(err))
+	}
+	r.log.Info("router: Stopped.")
+}
+
+func (r *Router) updateGauges(ctx context.Context) {
+	ticker := r.clock.NewTicker(gaugeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			steps, busy := r.reactor.Load()
+			r.metrics.Gauge("decision-events", float64(steps))
+			r.metrics.Gauge("decision-seconds", busy.Seconds())
+			r.metrics.Gauge("open-requests", float64(r.caller.Busy()))
+		}
+	}
+}
--- /dev/null
+++ b/router/internal/caller/error.go
@@ -0,0 +1,76 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"ragwortshunt.example/fleet/core"
+	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/schedule"
+)
+
+// The refusal of a request that would pass the caller's key to an endpoint.
+const (
+	codeKeyInRequest = "key-in-request"
+	textKeyInRequest = "the request contains the caller's key outside of the Authorization header"
+)
+
+// apiError is the body of a refusal.
+type apiError struct {
+	Code    string     `json:"code"`
+	Message string     `json:"message"`
+	Request id.Request `json:"request-id,omitempty"`
+	NotRun  bool       `json:"not-run"`
+}
+
+// errorBody wraps an apiError, in a reply and in a stream.
+type errorBody struct {
+	Error apiError `json:"error"`
+}
+
+// statusOf returns the HTTP status of a refusal code.
+func statusOf(code string) int {
+	switch code {
+	case core.CodeUnauthorized, core.CodeKeyWithdrawn:
+		return http.StatusUnauthorized
+	case core.CodeUnknownRoute, core.CodeRouteRemoved:
+		return http.StatusNotFound
+	case core.CodeRateLimited, schedule.ReasonQueueFull:
+		return http.StatusTooManyRequests
+	case core.CodeTooManyTokens, core.CodeKeyMissing:
+		return http.StatusBadRequest
+	case core.CodeKeyMismatch:
+		return http.StatusUnprocessableEntity
+	case core.CodeKeyExpired, core.CodeOutcomeUnknown:
+		return http.StatusConflict
+	case core.CodeEndpointFailed:
+		return http.StatusBadGateway
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+func writeError(w http.ResponseWriter, status int, e apiError) {
+	w.Header().Set("Content-Type", "application/json")
+	if e.Request != "" {
+		w.Header().Set(headerRequest, string(e.Request))
+	}
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(errorBody{Error: e})
+}
+
+func writeRefusal(w http.ResponseWriter, e core.Refuse) {
+	if e.RetryAfter > 0 {
+		w.Header().Set("Retry-After", retryAfter(e.RetryAfter))
+	}
+	writeError(w, statusOf(e.Code), refusal(e))
+}
+
+func refusal(e core.Refuse) apiError {
+	return apiError{Code: e.Code, Message: e.Text, Request: e.Request, NotRun: e.NotRun}
+}
+
+// badRequest refuses a request that cannot be understood.
+func badRequest(w http.ResponseWriter, status int, code, message string) {
+	writeError(w, status, apiError{Code: code, Message: message, NotRun: true})
+}
--- /dev/null
+++ b/router/internal/caller/model.go
@@ -0,0 +1,197 @@
+package caller
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	restful "github.com/emicklei/go-restful/v3"
+
+	"ragwortshunt.example/fleet/core"
+	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/table"
+	"ragwortshunt.example/router/internal/inflight"
+)
+
+// prefixWords is the length of the block by which prompts are compared for
+// prefix affinity.
+const prefixWords = 64
+
+// maxOutputTokens is the largest output limit that a request may state.
+const maxOutputTokens = 1 << 20
+
+// completionRequest is the body of /v1/completions and /v1/chat/completions.
+type completionRequest struct {
+	Model     string        `json:"model"`
+	Prompt    string        `json:"prompt"`
+	Messages  []chatMessage `json:"messages"`
+	MaxTokens *int64        `json:"max_tokens"`
+	Stream    bool          `json:"stream"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// ask is one understood request.
+type ask struct {
+	route     string
+	prompt    string
+	maxTokens int64
+	stream    bool
+	chat      bool
+}
+
+func (s *Server) completions(req *restful.Request, w *restful.Response) {
+	s.complete(w.ResponseWriter, req.Request, false)
+}
+
+func (s *Server) chatCompletions(req *restful.Request, w *restful.Response) {
+	s.complete(w.ResponseWriter, req.Request, true)
+}
+
+func (s *Server) complete(w http.ResponseWriter, r *http.Request, chat bool) {
+	presented := presentedKey(r.Header)
+	key, refused := s.authenticate(presented)
+	if refused != nil {
+		writeError(w, statusOf(refused.Code), *refused)
+		return
+	}
+	body, ok := s.readBody(w, r)
+	if !ok {
+		return
+	}
+	if containsKey(body, presented) {
+		badRequest(w, http.StatusBadRequest, codeKeyInRequest, textKeyInRequest)
+		return
+	}
+	a, err := parseAsk(body, chat, s.cfg.DefaultLimit)
+	if err != nil {
+		badRequest(w, http.StatusBadRequest, "invalid-request", err.Error())
+		return
+	}
+	if containsKey([]byte(a.prompt), presented) {
+		badRequest(w, http.StatusBadRequest, codeKeyInRequest, textKeyInRequest)
+		return
+	}
+	if !s.isModelRoute(a.route) {
+		badRequest(w, http.StatusNotFound, core.CodeUnknownRoute, fmt.Sprintf("model %q does not exist", a.route))
+		return
+	}
+	s.runModel(w, r, a, key)
+}
+
+func (s *Server) isModelRoute(name string) bool {
+	snap := s.table.Load()
+	if snap == nil {
+		return true // the decision core refuses it
+	}
+	route, ok := snap.Routes[id.Route(name)]
+	return ok && route.Model != ""
+}
+
+// containsKey tells whether data contains the presented key, which must not
+// reach an endpoint.
+func containsKey(data []byte, presented string) bool {
+	return presented != "" && bytes.Contains(data, []byte(presented))
+}
+
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.cfg.MaxBody))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return body, true
+	case errors.As(err, &tooLarge):
+		badRequest(w, http.StatusRequestEntityTooLarge, "body-too-large",
+			fmt.Sprintf("the body is larger than %d bytes", s.cfg.MaxBody))
+	default:
+		badRequest(w, http.StatusBadRequest, "body-unreadable", "the body could not be read")
+	}
+	return nil, false
+}
+
+func parseAsk(body []byte, chat bool, defaultLimit int64) (ask, error) {
+	var c completionRequest
+	if err := json.Unmarshal(body, &c); err != nil {
+		return ask{}, fmt.Errorf("%w: the body is not valid JSON: %w", ErrCaller, err)
+	}
+	a := ask{route: c.Model, prompt: c.Prompt, stream: c.Stream, chat: chat, maxTokens: defaultLimit}
+	if chat {
+		a.prompt = joinMessages(c.Messages)
+	}
+	if c.MaxTokens != nil {
+		a.maxTokens = *c.MaxTokens
+	}
+	switch {
+	case a.route == "":
+		return ask{}, fmt.Errorf("%w: model is missing", ErrCaller)
+	case strings.TrimSpace(a.prompt) == "":
+		return ask{}, fmt.Errorf("%w: the prompt is empty", ErrCaller)
+	case a.maxTokens < 1 || a.maxTokens > maxOutputTokens:
+		return ask{}, fmt.Errorf("%w: max_tokens must be between 1 and %d", ErrCaller, maxOutputTokens)
+	}
+	return a, nil
+}
+
+func joinMessages(messages []chatMessage) string {
+	parts := make([]string, 0, len(messages))
+	for _, m := range messages {
+		parts = append(parts, m.Role+": "+m.Content)
+	}
+	return strings.Join(parts, "\n")
+}
+
+// promptPrefix returns the number of tokens of a prompt and the hash of its
+// first block. A word counts as one token.
+func promptPrefix(prompt string) (tokens int64, prefix uint64) {
+	words := strings.Fields(prompt)
+	if len(words) >= prefixWords {
+		prefix = xxhash.Sum64String(strings.Join(words[:prefixWords], " "))
+	}
+	return int64(len(words)), prefix
+}
+
+func (s *Server) runModel(w http.ResponseWriter, r *http.Request, a ask, key table.Key) {
+	req := s.newRequest()
+	tokens, prefix := promptPrefix(a.prompt)
+	c := s.open(core.RequestArrived{
+		Request: req, Route: id.Route(a.route), Account: key.Account, Key: key.ID,
+		PromptTokens: tokens, MaxTokens: a.maxTokens, Prefix: prefix,
+	}, &inflight.Item{Prompt: a.prompt})
+	out := newAnswer(w, req, a)
+	s.pump(r.Context(), req, c, out.handle)
+}
+
+// models lists the model routes that the key may use.
+func (s *Server) models(req *restful.Request, w *restful.Response) {
+	if _, refused := s.authenticate(presentedKey(req.Request.Header)); refused != nil {
+		writeError(w.ResponseWriter, statusOf(refused.Code), *refused)
+		return
+	}
+	type model struct {
+		ID     string `json:"id"`
+		Object string `json:"object"`
+	}
+	list := struct {
+		Object string  `json:"object"`
+		Data   []model `json:"data"`
+	}{Object: "list", Data: []model{}}
+	if snap := s.table.Load(); snap != nil {
+		for name, route := range snap.Routes {
+			if route.Model != "" {
+				list.Data = append(list.Data, model{ID: string(name), Object: "model"})
+			}
+		}
+	}
+	sort.Slice(list.Data, func(i, j int) bool { return list.Data[i].ID < list.Data[j].ID })
+	w.ResponseWriter.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w.ResponseWriter).Encode(list)
+}
--- /dev/null
+++ b/router/internal/operator/metrics.go
@@ -0,0 +1,132 @@
+package operator
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	tally "github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+
+	"ragwortshunt.example/fleet/core"
+	"ragwortshunt.example/fleet/id"
+)
+
+// maxAccounts bounds the client accounts that have histograms of their own. The
+// rest share one, so that a metrics page stays small with 20,000 accounts.
+const maxAccounts = 64
+
+// otherAccounts is the label of the accounts without histograms of their own.
+const otherAccounts = "other"
+
+const reportInterval = time.Second
+
+// latencyBuckets bounds the buckets of all latency histograms.
+var latencyBuckets = tally.DurationBuckets{
+	time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond,
+	20 * time.Millisecond, 35 * time.Millisecond, 51 * time.Millisecond, 75 * time.Millisecond,
+	100 * time.Millisecond, 200 * time.Millisecond, 350 * time.Millisecond, 570 * time.Millisecond,
+	800 * time.Millisecond, 1200 * time.Millisecond, 2 * time.Second, 5 * time.Second,
+	10 * time.Second, 30 * time.Second, 60 * time.Second,
+}
+
+// Metrics counts what the decision core reports.
+type Metrics struct {
+	scope    tally.Scope
+	closer   io.Closer
+	reporter prometheus.Reporter
+
+	mu       sync.Mutex
+	accounts map[id.Account]bool
+	counters map[counterKey]tally.Counter
+	timings  map[timingKey]tally.Histogram
+}
+
+type counterKey struct {
+	name, account, code string
+}
+
+type timingKey struct {
+	name, account string
+}
+
+// NewMetrics returns metrics with the labels host and zone.
+func NewMetrics(host id.Host, zone id.Zone) *Metrics {
+	reporter := prometheus.NewReporter(prometheus.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:          "ragwortshunt",
+		Tags:            map[string]string{"host": string(host), "zone": string(zone)},
+		CachedReporter:  reporter,
+		Separator:       prometheus.DefaultSeparator,
+		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
+	}, reportInterval)
+	return &Metrics{
+		scope: scope, closer: closer, reporter: reporter,
+		accounts: make(map[id.Account]bool),
+		counters: make(map[counterKey]tally.Counter),
+		timings:  make(map[timingKey]tally.Histogram),
+	}
+}
+
+// Handler serves the metrics page.
+func (m *Metrics) Handler() http.Handler {
+	return m.reporter.HTTPHandler()
+}
+
+// Close reports the last values.
+func (m *Metrics) Close() error {
+	if err := m.closer.Close(); err != nil {
+		return fmt.Errorf("operator: close metrics: %w", err)
+	}
+	return nil
+}
+
+// label returns the label of an account. It must be called with mu held.
+func (m *Metrics) label(a id.Account) string {
+	if a == "" {
+		return "none"
+	}
+	if m.accounts[a] {
+		return string(a)
+	}
+	if len(m.accounts) >= maxAccounts {
+		return otherAccounts
+	}
+	m.accounts[a] = true
+	return string(a)
+}
+
+// Count adds to a counter.
+func (m *Metrics) Count(e core.Count) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	key := counterKey{e.Name, m.label(e.Account), e.Code}
+	c, ok := m.counters[key]
+	if !ok {
+		tags := map[string]string{"account": key.account, "code": key.code}
+		c = m.scope.Tagged(tags).Counter(e.Name)
+		m.counters[key] = c
+	}
+	c.Inc(e.N)
+}
+
+// Observe records a duration.
+func (m *Metrics) Observe(e core.Observe) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	key := timingKey{e.Name, m.label(e.Account)}
+	h, ok := m.timings[key]
+	if !ok {
+		tags := map[string]string{"account": key.account}
+		h = m.scope.Tagged(tags).Histogram(e.Name, latencyBuckets)
+		m.timings[key] = h
+	}
+	h.RecordDuration(e.Value)
+}
+
+// Gauge sets a gauge of this host.
+func (m *Metrics) Gauge(name string, v float64) {
+	m.scope.Gauge(name).Update(v)
+}
--- /dev/null
+++ b/router/internal/settings/field.go
@@ -0,0 +1,149 @@
+package settings
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap/zapcore"
+
+	"ragwortshunt.example/fleet/id"
+)
+
+// Field describes one key of the settings file.
+type Field struct {
+	Section string
+	Name    string
+	Default string // empty when a value is required
+	Help    string // meaning, unit and range
+	set     func(s *Settings, text string) error
+}
+
+// Key returns section and name, joined by a dot.
+func (f Field) Key() string {
+	return f.Section + "." + f.Name
+}
+
+// Fields returns the description of all keys.
+func Fields() []Field {
+	return append([]Field(nil), fields...)
+}
+
+const (
+	maxTokensLimit = 1 << 20
+	maxBodyLimit   = 64 << 20
+	maxRate        = 1 << 40
+)
+
+var fields = []Field{
+	{"host", "name", "", "Name of this host, as in the platform's host list.", setHost},
+	{"host", "zone", "", "Availability zone of this host.", setZone},
+	{"host", "zones", "", "All availability zones, separated by commas; the same on every host.", setZones},
+	{"host", "drain-timeout", "10m", "Longest graceful shutdown, 1s to 24h.", duration(
+		func(s *Settings) *time.Duration { return &s.DrainTimeout }, time.Second, 24*time.Hour)},
+	{"caller", "address", "", "ip:port on which callers are served.", address(
+		func(s *Settings) *string { return &s.CallerAddress })},
+	{"caller", "max-body-bytes", "1048576", "Largest request body in bytes, 1024 to 67108864.", integer(
+		func(s *Settings) *int64 { return &s.MaxBody }, 1024, maxBodyLimit)},
+	{"caller", "default-max-tokens", "256", "Output limit of a request that states none, in tokens, 1 to 1048576.", integer(
+		func(s *Settings) *int64 { return &s.DefaultLimit }, 1, maxTokensLimit)},
+	{"peer", "address", "", "ip:port on which other hosts are served.", address(
+		func(s *Settings) *string { return &s.PeerAddress })},
+	{"operator", "address", "", "ip:port of health, status, explain and metrics.", address(
+		func(s *Settings) *string { return &s.OperatorAddress })},
+	{"operator", "log-level", "info", "debug, info, warn or error.", setLogLevel},
+	{"platform", "url", "", "URL of the platform's object API.", setPlatform},
+	{"platform", "timeout", "2s", "Longest platform call, 10ms to 1m.", duration(
+		func(s *Settings) *time.Duration { return &s.PlatformTimeout }, 10*time.Millisecond, time.Minute)},
+	{"limit", "lease-groups", "12", "Lease groups per zone, 1 to 4096; the same on every host.", setLeaseGroups},
+	{"limit", "slot-rate", "2000", "Rate in tokens per second that one share slot of an account carries; the same on every host.", integer(
+		func(s *Settings) *int64 { return &s.SlotRate }, 1, maxRate)},
+	{"limit", "reserve-share", "0.5", "Part of each share under the long lease, 0 to 1; the same on every host.", setReserveShare},
+	{"limit", "pooled-lease", "5s", "Short lease, 1s to 10m; the same on every host.", duration(
+		func(s *Settings) *time.Duration { return &s.PooledLease }, time.Second, 10*time.Minute)},
+	{"limit", "reserve-lease", "10m", "Long lease, 1s to 24h; the same on every host.", duration(
+		func(s *Settings) *time.Duration { return &s.ReserveLease }, time.Second, 24*time.Hour)},
+	{"schedule", "cell-endpoints", "16", "Most endpoints in one cell, 2 to 64; the same on every host.", setCellEndpoints},
+	{"claim", "shards", "64", "Claim objects in the platform, 1 to 4096; the same on every host and never changed while claims are kept.", setClaimShards},
+	{"claim", "retention", "24h", "How long claims of non-idempotent calls are kept, 1m to 720h.", duration(
+		func(s *Settings) *time.Duration { return &s.Retention }, time.Minute, 720*time.Hour)},
+}
+
+func setHost(s *Settings, text string) error {
+	s.Host = id.Host(text)
+	return nil
+}
+
+func setZone(s *Settings, text string) error {
+	s.Zone = id.Zone(text)
+	return nil
+}
+
+func setZones(s *Settings, text string) (err error) {
+	s.Zones, err = parseZones(text)
+	return err
+}
+
+func setPlatform(s *Settings, text string) (err error) {
+	s.PlatformURL, err = parseURL(text)
+	return err
+}
+
+func setLogLevel(s *Settings, text string) error {
+	if _, err := zapcore.ParseLevel(text); err != nil {
+		return fmt.Errorf("%q is not a log level", text)
+	}
+	s.LogLevel = text
+	return nil
+}
+
+func setReserveShare(s *Settings, text string) error {
+	v, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(v >= 0 && v <= 1) {
+		return fmt.Errorf("%q is not a number from 0 to 1", text)
+	}
+	s.ReserveShare = v
+	return nil
+}
+
+func setLeaseGroups(s *Settings, text string) error {
+	return setInt(&s.LeaseGroups, text, 1, 4096)
+}
+
+func setCellEndpoints(s *Settings, text string) error {
+	return setInt(&s.CellEndpoints, text, 2, 64)
+}
+
+func setClaimShards(s *Settings, text string) error {
+	return setInt(&s.ClaimShards, text, 1, 4096)
+}
+
+func setInt(dst *int, text string, low, high int64) error {
+	n, err := parseInt(text, low, high)
+	if err != nil {
+		return err
+	}
+	*dst = int(n)
+	return nil
+}
+
+func address(dst func(*Settings) *string) func(*Settings, string) error {
+	return func(s *Settings, text string) (err error) {
+		*dst(s), err = parseAddress(text)
+		return err
+	}
+}
+
+func integer(dst func(*Settings) *int64, low, high int64) func(*Settings, string) error {
+	return func(s *Settings, text string) (err error) {
+		*dst(s), err = parseInt(text, low, high)
+		return err
+	}
+}
+
+func duration(dst func(*Settings) *time.Duration, low, high time.Duration) func(*Settings, string) error {
+	return func(s *Settings, text string) (err error) {
+		*dst(s), err = parseDuration(text, low, high)
+		return err
+	}
+}
--- /dev/null
+++ b/router/internal/settings/settings.go
@@ -0,0 +1,219 @@
+// Package settings reads and checks the INI settings of a router.
+//
+// An unknown section or key, a value out of range or a missing value is an
+// error that names file and line. Nothing is changed silently.
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+
+	"ragwortshunt.example/fleet/id"
+)
+
+// ErrSettings is the base of the errors of this package.
+var ErrSettings = errors.New("settings")
+
+// Settings are the checked settings of one router.
+type Settings struct {
+	Host  id.Host
+	Zone  id.Zone
+	Zones []id.Zone
+
+	CallerAddress   string
+	PeerAddress     string
+	OperatorAddress string
+
+	PlatformURL     string
+	PlatformTimeout time.Duration
+
+	MaxBody      int64 // bytes
+	DefaultLimit int64 // tokens
+	DrainTimeout time.Duration
+
+	LeaseGroups   int
+	SlotRate      int64 // tokens per second
+	ReserveShare  float64
+	PooledLease   time.Duration
+	ReserveLease  time.Duration
+	CellEndpoints int
+	ClaimShards   int
+	Retention     time.Duration
+	LogLevel      string
+}
+
+// Problem is one error in a settings file.
+type Problem struct {
+	File string
+	Line int // 0 when the key is missing
+	Key  string
+	Text string
+}
+
+// Error formats the problem with its position.
+func (p *Problem) Error() string {
+	if p.Line == 0 {
+		return fmt.Sprintf("%s: %s: %s", p.File, p.Key, p.Text)
+	}
+	return fmt.Sprintf("%s:%d: %s: %s", p.File, p.Line, p.Key, p.Text)
+}
+
+// Load reads and checks a file. The error joins all problems.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrSettings, err)
+	}
+	return Parse(path, data)
+}
+
+// Parse checks the content of a settings file.
+func Parse(name string, data []byte) (*Settings, error) {
+	file, err := ini.LoadSources(ini.LoadOptions{SkipUnrecognizableLines: false}, data)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %s: %w", ErrSettings, name, err)
+	}
+	p := &parser{name: name, lines: lineNumbers(data), file: file}
+	p.rejectUnknown()
+	s := new(Settings)
+	for _, f := range fields {
+		p.apply(s, f)
+	}
+	p.checkZones(s)
+	if len(p.problems) > 0 {
+		return nil, fmt.Errorf("%w:\n%w", ErrSettings, errors.Join(p.problems...))
+	}
+	return s, nil
+}
+
+type parser struct {
+	name     string
+	lines    map[string]int
+	file     *ini.File
+	problems []error
+}
+
+func (p *parser) problem(key, format string, args ...any) {
+	p.problems = append(p.problems, &Problem{
+		File: p.name, Line: p.lines[key], Key: key, Text: fmt.Sprintf(format, args...),
+	})
+}
+
+// lineNumbers maps "section.key" to the line on which the key stands.
+func lineNumbers(data []byte) map[string]int {
+	out := make(map[string]int)
+	section := ""
+	for i, line := range strings.Split(string(data), "\n") {
+		line = strings.TrimSpace(line)
+		if strings.HasPrefix(line, "[") && strings.Contains(line, "]") {
+			section = strings.TrimSpace(line[1:strings.Index(line, "]")])
+			continue
+		}
+		key, _, ok := strings.Cut(line, "=")
+		if ok && !strings.HasPrefix(line, "#") && !strings.HasPrefix(line, ";") {
+			out[section+"."+strings.TrimSpace(key)] = i + 1
+		}
+	}
+	return out
+}
+
+func (p *parser) rejectUnknown() {
+	known := make(map[string]bool, len(fields))
+	for _, f := range fields {
+		known[f.Key()] = true
+	}
+	for _, sec := range p.file.Sections() {
+		for _, k := range sec.Keys() {
+			key := sec.Name() + "." + k.Name()
+			if sec.Name() == ini.DefaultSection {
+				key = "." + k.Name()
+			}
+			if !known[key] {
+				p.problem(key, "unknown key")
+			}
+		}
+	}
+}
+
+// apply sets one field from the file or from its default.
+func (p *parser) apply(s *Settings, f Field) {
+	text := f.Default
+	if sec, err := p.file.GetSection(f.Section); err == nil && sec.HasKey(f.Name) {
+		text = sec.Key(f.Name).String()
+	}
+	if text == "" {
+		p.problem(f.Key(), "a value is required")
+		return
+	}
+	if err := f.set(s, text); err != nil {
+		p.problem(f.Key(), "%s", err.Error())
+	}
+}
+
+func (p *parser) checkZones(s *Settings) {
+	if len(s.Zones) == 0 || s.Zone == "" {
+		return
+	}
+	for _, z := range s.Zones {
+		if z == s.Zone {
+			return
+		}
+	}
+	p.problem("host.zone", "zone %q is not in host.zones", s.Zone)
+}
+
+func parseAddress(text string) (string, error) {
+	a, err := netip.ParseAddrPort(text)
+	if err != nil || a.Port() == 0 {
+		return "", fmt.Errorf("%q is not an address of the form ip:port", text)
+	}
+	return text, nil
+}
+
+func parseURL(text string) (string, error) {
+	u, err := url.Parse(text)
+	if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+		return "", fmt.Errorf("%q is not an http or https URL", text)
+	}
+	return strings.TrimRight(text, "/"), nil
+}
+
+func parseInt(text string, low, high int64) (int64, error) {
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || n < low || n > high {
+		return 0, fmt.Errorf("%q is not a whole number from %d to %d", text, low, high)
+	}
+	return n, nil
+}
+
+func parseDuration(text string, low, high time.Duration) (time.Duration, error) {
+	d, err := time.ParseDuration(text)
+	if err != nil || d < low || d > high {
+		return 0, fmt.Errorf("%q is not a duration from %s to %s", text, low, high)
+	}
+	return d, nil
+}
+
+func parseZones(text string) ([]id.Zone, error) {
+	seen := make(map[id.Zone]bool)
+	var out []id.Zone
+	for _, part := range strings.Split(text, ",") {
+		z := id.Zone(strings.TrimSpace(part))
+		if z == "" || seen[z] {
+			return nil, fmt.Errorf("%q has an empty or repeated zone", text)
+		}
+		seen[z] = true
+		out = append(out, z)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out, nil
+}
