--- /dev/null
+++ b/fleet/limit/hosts.go
@@ -0,0 +1,58 @@
+package limit
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"ragwortshunt.example/fleet/id"
+)
+
+// SetHosts installs the live hosts of all zones. A host outside the list of its
+// own zone is no preferred holder and hands its groups over.
+func SetHosts(s *State, now time.Time, live map[id.Zone][]id.Host) []Action {
+	for _, zone := range s.cfg.Zones {
+		hosts := slices.Clone(live[zone])
+		slices.Sort(hosts)
+		hosts = slices.Compact(hosts)
+		if slices.Equal(hosts, s.live[zone]) {
+			continue
+		}
+		s.live[zone] = hosts
+		delete(s.holders, zone)
+	}
+	for i, g := range s.groups {
+		g.prefer(now, s.holder(s.cfg.Zone, i))
+	}
+	return s.stepGroups(now)
+}
+
+// holder returns the preferred holder of a group: the live host of the zone
+// with the highest hash. It is empty if the zone has no live host.
+func (s *State) holder(zone id.Zone, group int) id.Host {
+	cached, ok := s.holders[zone]
+	if !ok {
+		cached = make([]id.Host, s.cfg.Groups)
+		s.holders[zone] = cached
+	}
+	if cached[group] == "" {
+		cached[group] = rendezvous(groupName(zone, group), s.live[zone])
+	}
+	return cached[group]
+}
+
+func rendezvous(name string, hosts []id.Host) id.Host {
+	var best id.Host
+	var bestHash uint64
+	for _, h := range hosts {
+		hash := hashOf(name, string(h))
+		if best == "" || hash > bestHash {
+			best, bestHash = h, hash
+		}
+	}
+	return best
+}
+
+func groupName(zone id.Zone, group int) string {
+	return string(zone) + "." + strconv.Itoa(group)
+}
