Add the cell scheduler

Queues requests of one model in one zone and grants prefill endpoint, decode slot with memory, and transfer together.

--- /dev/null
+++ b/fleet/schedule/ask.go
@@ -0,0 +1,244 @@
+package schedule
+
+import (
+	"container/heap"
+	"time"
+
+	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/message"
+)
+
+// HandleAsk queues a request, or grants it at once. A repeated ask gets the
+// same grant or refusal again.
+func HandleAsk(c *Cell, now time.Time, from id.Host, m message.SlotAsk) []Action {
+	c.advance(now)
+	if r, ok := c.ended.records[m.Request]; ok && r.attempt >= m.Attempt {
+		return c.repeatEnd(from, m, r)
+	}
+	var acts []Action
+	if e, ok := c.entries[m.Request]; ok {
+		if e.attempt >= m.Attempt {
+			return c.repeatGrant(e, m)
+		}
+		acts = c.abandon(acts, e)
+	}
+	e := c.newEntry(from, m)
+	c.entries[e.request] = e
+	e.account.live++
+	if reason := c.unplaceable(e); reason != "" {
+		return append(acts, c.refuse(e, reason))
+	}
+	if c.cfg.Policy.Placement != PlacementReserve {
+		return append(acts, c.grantBlind(e))
+	}
+	acts, ok := c.makeRoom(acts, e)
+	if !ok {
+		return acts
+	}
+	c.enqueue(e)
+	return c.grantQueued(acts)
+}
+
+// repeatEnd answers a repeated ask of an attempt that has ended. A host ignores
+// a refusal of an attempt that it has started.
+func (c *Cell) repeatEnd(from id.Host, m message.SlotAsk, r endedRecord) []Action {
+	if r.attempt != m.Attempt || r.outcome == outcomeClosed {
+		return nil
+	}
+	refusal := message.SlotRefuse{Request: m.Request, Attempt: m.Attempt, Reason: r.reason, Retry: r.retry}
+	return []Action{Send{To: from, Message: refusal}}
+}
+
+// repeatGrant sends a grant again that may have been lost.
+func (c *Cell) repeatGrant(e *entry, m message.SlotAsk) []Action {
+	if e.attempt != m.Attempt || e.state != stateGranted {
+		return nil
+	}
+	valid := c.cfg.GrantValid - (c.now - (e.deadline - c.cfg.HoldTimeout))
+	if valid <= 0 {
+		return nil
+	}
+	return []Action{Send{To: e.host, Message: c.grantMessage(e, valid)}}
+}
+
+func (c *Cell) newEntry(from id.Host, m message.SlotAsk) *entry {
+	e := &entry{
+		request:   m.Request,
+		attempt:   m.Attempt,
+		host:      from,
+		account:   c.account(m.Account),
+		class:     m.Class,
+		prompt:    clampTokens(m.PromptTokens),
+		output:    clampTokens(m.OutputTokens),
+		prefix:    m.Prefix,
+		avoid:     m.Avoid,
+		canWait:   m.CanWait,
+		asked:     c.now,
+		laneIndex: -1,
+		lateIndex: -1,
+		runIndex:  -1,
+	}
+	e.prefillTime = tokenTime(e.prompt, c.capacity.prefillRate)
+	e.large = e.prefillTime > c.cfg.LargePrefill
+	if !e.large && c.classIndex(e.class) == interactive {
+		c.smallSeen = c.now
+		c.smallEver = true
+	}
+	c.setTimes(e, max(m.Waited, 0), m.FirstToken)
+	return e
+}
+
+// setTimes derives the latest start from the first-token target. A target that
+// not even an idle cell could meet bounds the time in the queue instead, because
+// a refusal would come back for every retry.
+func (c *Cell) setTimes(e *entry, waited, target time.Duration) {
+	e.arrived = c.now - waited
+	limit := e.limit(c)
+	e.latest, e.giveUp = limit, limit
+	if target <= 0 || c.classIndex(e.class) == deferrable {
+		return
+	}
+	work := e.prefillTime + tokenTime(e.prompt, c.capacity.linkRate) + c.cfg.FirstTokenMargin
+	e.latest = e.arrived + target - work
+	if target < work {
+		e.latest = e.arrived + target
+	}
+	if !c.cfg.Policy.NoEarlyRefusal {
+		e.giveUp = e.latest
+	}
+}
+
+// unplaceable returns the reason why the cell can never run e, or "".
+func (c *Cell) unplaceable(e *entry) string {
+	if len(c.prefills) == 0 || len(c.decodes) == 0 {
+		return ReasonNoEndpoint
+	}
+	if !c.fits(e) {
+		return ReasonTooLarge
+	}
+	return ""
+}
+
+// refuseUnplaceable refuses queued requests after a loss of endpoints.
+func (c *Cell) refuseUnplaceable(acts []Action) []Action {
+	var lost []*entry
+	for _, e := range c.late {
+		if c.unplaceable(e) != "" {
+			lost = append(lost, e)
+		}
+	}
+	sortEntries(lost)
+	for _, e := range lost {
+		acts = append(acts, c.refuse(e, c.unplaceable(e)))
+	}
+	return acts
+}
+
+// refuse ends an attempt that has no reservation.
+func (c *Cell) refuse(e *entry, reason string) Action {
+	retry := c.retryAfter(reason)
+	if e.lane != nil {
+		c.dequeue(e)
+	}
+	c.forget(e, endedRecord{outcome: outcomeRefused, reason: reason, retry: retry})
+	refusal := message.SlotRefuse{Request: e.request, Attempt: e.attempt, Reason: reason, Retry: retry}
+	return Send{To: e.host, Message: refusal}
+}
+
+func (c *Cell) retryAfter(reason string) time.Duration {
+	if reason == ReasonTooLarge {
+		return 0 // a retry would get the same answer
+	}
+	return min(max(c.expectedWait(), c.cfg.RetryLeast), c.cfg.RetryMost)
+}
+
+// giveUpLate refuses or demotes queued requests whose time has passed.
+func (c *Cell) giveUpLate(acts []Action) []Action {
+	for len(c.late) > 0 && c.late[0].giveUp < c.now {
+		e := c.late[0]
+		if e.giveUp >= e.limit(c) {
+			acts = append(acts, c.refuse(e, ReasonWaitLimit))
+			continue
+		}
+		if !e.canWait {
+			acts = append(acts, c.refuse(e, ReasonTooLate))
+			continue
+		}
+		c.demote(e)
+	}
+	return acts
+}
+
+// limit is the end of the longest queueing time.
+func (e *entry) limit(c *Cell) time.Duration { return e.arrived + c.cfg.MaxDeferrableWait }
+
+func (c *Cell) demote(e *entry) {
+	c.dequeue(e)
+	e.class = message.ClassDeferrable
+	e.latest = e.limit(c)
+	e.giveUp = e.latest
+	c.enqueue(e)
+}
+
+// makeRoom keeps the queue within its bound and tells whether e may be queued. The account with the most queued
+// requests for its weight loses one, so that a flood displaces only itself.
+func (c *Cell) makeRoom(acts []Action, e *entry) ([]Action, bool) {
+	if c.queued() < c.cfg.MaxQueue {
+		return acts, true
+	}
+	victim := c.longestFlow(e)
+	if victim == nil {
+		return append(acts, c.refuse(e, ReasonQueueFull)), false
+	}
+	return append(acts, c.refuse(victim.last(), ReasonQueueFull)), true
+}
+
+// longestFlow returns the flow that loses a request to e, or nil if e itself is
+// refused. Deferrable requests go first within an account.
+func (c *Cell) longestFlow(e *entry) *flow {
+	own := e.account
+	most := own
+	for _, a := range c.accounts {
+		if a.longer(most, own) {
+			most = a
+		}
+	}
+	low, high := &most.flows[deferrable], &most.flows[interactive]
+	if most == own && (c.classIndex(e.class) == deferrable || low.queued == 0) {
+		return nil
+	}
+	if low.queued > 0 {
+		return low
+	}
+	return high
+}
+
+// longer tells whether a has more requests for its weight than b, with names
+// breaking ties and the asker counted with its new request.
+func (a *account) longer(b, asker *account) bool {
+	x := a.queuedWith(asker) * b.weight
+	y := b.queuedWith(asker) * a.weight
+	if x != y {
+		return x > y
+	}
+	return a != asker && b != asker && a.name < b.name
+}
+
+func (a *account) queuedWith(asker *account) int64 {
+	n := a.flows[interactive].queued + a.flows[deferrable].queued
+	if a == asker {
+		n++
+	}
+	return int64(n)
+}
+
+// last returns a request from the end of the flow.
+func (f *flow) last() *entry {
+	l := &f.lanes[laneLarge]
+	if len(l.heap) == 0 {
+		l = &f.lanes[laneSmall]
+	}
+	return l.heap[len(l.heap)-1]
+}
+
+func (q *classQueue) remove(l *lane) { heap.Remove(&q.lanes, l.index) }
--- /dev/null
+++ b/fleet/schedule/place.go
@@ -0,0 +1,231 @@
+package schedule
+
+import "time"
+
+// obstacle is the reason why a queued request gets no grant now.
+type obstacle uint8
+
+const (
+	obstacleNone    obstacle = iota
+	obstaclePrefill          // every prefill endpoint has enough work
+	obstacleLarge            // the endpoints for large prompts have enough work
+	obstacleSlot             // no decode slot
+	obstacleMemory           // no decode endpoint with enough memory
+	obstacleLink             // a link is busy for too long
+	obstacleOther            // concerns this request alone
+)
+
+// placement is a choice of endpoints with the planned times.
+type placement struct {
+	prefill, decode          *endpoint
+	prefillStart, prefillEnd time.Duration
+	sendStart, sendEnd       time.Duration
+}
+
+// pin keeps a decode endpoint from new work, so that enough memory becomes free
+// for one request.
+type pin struct {
+	entry    *entry
+	endpoint *endpoint
+}
+
+func (c *Cell) place(e *entry) (placement, obstacle) {
+	if c.classIndex(e.class) == deferrable && c.deferrableFull() {
+		return placement{}, obstacleOther
+	}
+	p, why := c.choosePrefill(e)
+	if p == nil {
+		return placement{}, why
+	}
+	start := c.now + c.backlog(p)
+	pl := placement{prefill: p, prefillStart: start, prefillEnd: start + tokenTime(e.prompt, p.PrefillRate)}
+	why = c.chooseDecode(e, &pl)
+	return pl, why
+}
+
+// open tells whether the endpoint may be granted to e.
+func (c *Cell) open(ep *endpoint, e *entry, avoid bool) bool {
+	if c.now < ep.backOffUntil || (ep.fails > 0 && ep.probe != nil) {
+		return false
+	}
+	if avoid && ep.Name == e.avoid {
+		return false
+	}
+	return !c.rebuilding() || ep.ownSlots < max(1, ep.Slots*c.cfg.RebuildPercent/100)
+}
+
+// avoids tells whether e can avoid the endpoint of its failed attempt: there
+// must be another one of its role.
+func (c *Cell) avoids(e *entry, eps []*endpoint) bool {
+	return e.avoid != "" && (len(eps) > 1 || eps[0].Name != e.avoid)
+}
+
+// choosePrefill returns the endpoint where the prefill starts first. A cached
+// prefix counts as a bonus, but is never waited for.
+func (c *Cell) choosePrefill(e *entry) (*endpoint, obstacle) {
+	if e.large && c.largeLimited() {
+		return nil, obstacleLarge
+	}
+	avoid := c.avoids(e, c.prefills)
+	var best *endpoint
+	var least time.Duration
+	why := obstaclePrefill
+	for _, ep := range c.prefills {
+		backlog := c.backlog(ep)
+		if backlog > c.cfg.MaxBacklog || ep.freeSlots() < 1 || !c.open(ep, e, false) {
+			continue
+		}
+		if ep.freeBlocks() < ep.blocksFor(e.prompt) || (avoid && ep.Name == e.avoid) {
+			why = obstacleOther
+			continue
+		}
+		score := backlog - c.affinity(ep, e)
+		if best == nil || score < least {
+			best, least = ep, score
+		}
+	}
+	if best == nil {
+		return nil, why
+	}
+	return best, obstacleNone
+}
+
+func (c *Cell) affinity(ep *endpoint, e *entry) time.Duration {
+	if e.prefix == 0 || c.cfg.Policy.NoAffinity || !ep.cache.has(e.prefix) {
+		return 0
+	}
+	return c.cfg.AffinityBonus
+}
+
+// largeLimited tells whether large prompts must leave the remaining prefill
+// endpoint to small ones, which would otherwise wait for a long prefill.
+func (c *Cell) largeLimited() bool {
+	if c.cfg.Policy.NoLargeLimit || !c.smallEver || c.now-c.smallSeen > c.cfg.SmallMemory {
+		return false
+	}
+	busy := 0
+	for _, ep := range c.prefills {
+		if ep.hasLarge() {
+			busy++
+		}
+	}
+	return len(c.prefills) > 1 && busy >= len(c.prefills)-1
+}
+
+func (ep *endpoint) hasLarge() bool {
+	for _, e := range ep.queue {
+		if e.large {
+			return true
+		}
+	}
+	return false
+}
+
+// chooseDecode completes the placement with the decode endpoint that has the
+// most free slots, among those with enough memory and with a link that is free
+// while the KV cache lives.
+func (c *Cell) chooseDecode(e *entry, pl *placement) obstacle {
+	avoid := c.avoids(e, c.decodes)
+	why := obstacleSlot
+	var best *endpoint
+	for _, ep := range c.decodes {
+		free := ep.freeSlots()
+		if free < 1 || c.pinned(ep, e) {
+			continue
+		}
+		if !c.open(ep, e, avoid) {
+			why = max(why, obstacleOther)
+			continue
+		}
+		if ep.freeBlocks() < ep.blocksFor(e.prompt+e.output) {
+			if why == obstacleSlot {
+				why = obstacleMemory
+			}
+			continue
+		}
+		if best != nil && !roomier(ep, best) {
+			continue
+		}
+		if !c.planSend(e, pl, ep) {
+			why = obstacleLink
+			continue
+		}
+		best = ep
+	}
+	if best == nil {
+		return why
+	}
+	pl.decode = best
+	return obstacleNone
+}
+
+func roomier(a, b *endpoint) bool {
+	if a.freeSlots() != b.freeSlots() {
+		return a.freeSlots() > b.freeSlots()
+	}
+	return a.freeBlocks() > b.freeBlocks()
+}
+
+func (c *Cell) pinned(ep *endpoint, e *entry) bool {
+	return c.pin.endpoint == ep && c.pin.entry != e
+}
+
+// planSend plans the transfer to ep and tells whether it starts in time.
+func (c *Cell) planSend(e *entry, pl *placement, ep *endpoint) bool {
+	length := tokenTime(e.prompt, linkRate(pl.prefill, ep))
+	at := sendAt(pl.prefill, ep, pl.prefillEnd, length)
+	if at-pl.prefillEnd > c.cfg.KVSurvival-c.cfg.KVMargin {
+		return false
+	}
+	pl.sendStart = at
+	pl.sendEnd = at + length
+	return true
+}
+
+// deferrableFull tells whether deferrable requests hold as many decode slots as
+// they may; the others stay free for interactive bursts.
+func (c *Cell) deferrableFull() bool {
+	if c.cfg.Policy.NoDeferrableCap {
+		return false
+	}
+	most := max(1, c.capacity.decodeSlots*c.cfg.DeferrableSlots/100)
+	return c.deferrableSlots >= most
+}
+
+// drainFor pins a decode endpoint for a request that has lacked memory for long.
+func (c *Cell) drainFor(e *entry) {
+	after := c.cfg.PinAfter
+	if c.classIndex(e.class) == deferrable {
+		after = c.cfg.PinDeferrableAfter
+	}
+	if c.cfg.Policy.NoPin || c.pin.entry != nil || c.now-e.asked < after {
+		return
+	}
+	avoid := c.avoids(e, c.decodes)
+	var best *endpoint
+	for _, ep := range c.decodes {
+		if !c.open(ep, e, avoid) || ep.Blocks < ep.blocksFor(e.prompt+e.output) {
+			continue
+		}
+		if best == nil || ep.freeBlocks() > best.freeBlocks() {
+			best = ep
+		}
+	}
+	if best != nil {
+		c.pin = pin{entry: e, endpoint: best}
+	}
+}
+
+// fits tells whether some usable endpoint of each role has the memory for e.
+func (c *Cell) fits(e *entry) bool {
+	return hasBlocks(c.prefills, e.prompt) && hasBlocks(c.decodes, e.prompt+e.output)
+}
+
+func hasBlocks(eps []*endpoint, tokens int64) bool {
+	for _, ep := range eps {
+		if ep.Slots > 0 && ep.blocksFor(tokens) <= ep.Blocks {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/fleet/schedule/schedule_test.go
@@ -0,0 +1,470 @@
+package schedule_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/message"
+	"ragwortshunt.example/fleet/schedule"
+	"ragwortshunt.example/fleet/table"
+)
+
+const ms = time.Millisecond
+
+var t0 = time.Unix(1_700_000_000, 0)
+
+func at(d time.Duration) time.Time { return t0.Add(d) }
+
+func prefill(name string) schedule.Endpoint {
+	return schedule.Endpoint{
+		Name: id.Endpoint(name), Role: table.RolePrefill, Slots: 4, Blocks: 100, BlockTokens: 1000,
+		PrefillRate: 10_000, LinkRate: 1_000_000,
+	}
+}
+
+func decode(name string, slots, blocks int64) schedule.Endpoint {
+	return schedule.Endpoint{
+		Name: id.Endpoint(name), Role: table.RoleDecode, Slots: slots, Blocks: blocks, BlockTokens: 1000, LinkRate: 1_000_000,
+	}
+}
+
+// ask is a small interactive request of 100 prompt and 100 output tokens.
+func ask(request string, change ...func(*message.SlotAsk)) message.SlotAsk {
+	m := message.SlotAsk{
+		Request: id.Request(request), Attempt: 1, Account: "a", Model: "m", Class: message.ClassInteractive,
+		PromptTokens: 100, OutputTokens: 100, FirstToken: 570 * ms,
+	}
+	for _, f := range change {
+		f(&m)
+	}
+	return m
+}
+
+func prompt(n int64) func(*message.SlotAsk) { return func(m *message.SlotAsk) { m.PromptTokens = n } }
+
+func output(n int64) func(*message.SlotAsk) { return func(m *message.SlotAsk) { m.OutputTokens = n } }
+
+func account(a id.Account) func(*message.SlotAsk) { return func(m *message.SlotAsk) { m.Account = a } }
+
+func target(d time.Duration) func(*message.SlotAsk) {
+	return func(m *message.SlotAsk) { m.FirstToken = d }
+}
+
+func avoiding(ep id.Endpoint) func(*message.SlotAsk) {
+	return func(m *message.SlotAsk) { m.Avoid = ep }
+}
+
+func attempt(n id.Attempt) func(*message.SlotAsk) { return func(m *message.SlotAsk) { m.Attempt = n } }
+func canWait(m *message.SlotAsk)                  { m.CanWait = true }
+func later(m *message.SlotAsk)                    { m.Class = message.ClassDeferrable; m.FirstToken = 0 }
+
+func cell(change func(*schedule.Config), eps ...schedule.Endpoint) *schedule.Cell {
+	cfg := schedule.DefaultConfig()
+	if change != nil {
+		change(&cfg)
+	}
+	c := schedule.New(cfg, "m", t0, false)
+	schedule.SetEndpoints(c, t0, eps)
+	return c
+}
+
+func grants(acts []schedule.Action) []message.SlotGrant {
+	var out []message.SlotGrant
+	for _, a := range acts {
+		if s, ok := a.(schedule.Send); ok {
+			if g, ok := s.Message.(message.SlotGrant); ok {
+				out = append(out, g)
+			}
+		}
+	}
+	return out
+}
+
+func refusals(acts []schedule.Action) []message.SlotRefuse {
+	var out []message.SlotRefuse
+	for _, a := range acts {
+		if s, ok := a.(schedule.Send); ok {
+			if r, ok := s.Message.(message.SlotRefuse); ok {
+				out = append(out, r)
+			}
+		}
+	}
+	return out
+}
+
+func cancels(acts []schedule.Action) []schedule.Cancel {
+	var out []schedule.Cancel
+	for _, a := range acts {
+		if x, ok := a.(schedule.Cancel); ok {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+func names(acts []schedule.Action) []id.Request {
+	var out []id.Request
+	for _, g := range grants(acts) {
+		out = append(out, g.Request)
+	}
+	return out
+}
+
+func update(request string, phase message.Phase, tokens int64) message.SlotUpdate {
+	return message.SlotUpdate{Request: id.Request(request), Attempt: 1, Phase: phase, Tokens: tokens}
+}
+
+// finish runs a granted request to its end at one moment.
+func finish(c *schedule.Cell, now time.Time, request string, tokens int64) []schedule.Action {
+	acts := schedule.HandleUpdate(c, now, "h", update(request, message.PhasePrefill, 0))
+	acts = append(acts, schedule.HandleUpdate(c, now, "h", update(request, message.PhaseDecode, 0))...)
+	return append(acts, schedule.HandleUpdate(c, now, "h", update(request, message.PhaseDone, tokens))...)
+}
+
+// start brings a granted request into the decode phase.
+func start(c *schedule.Cell, now time.Time, request string) []schedule.Action {
+	return schedule.HandleUpdate(c, now, "h", update(request, message.PhaseDecode, 0))
+}
+
+func mustCheck(t *testing.T, c *schedule.Cell) {
+	t.Helper()
+	assert.NilError(t, schedule.Check(c))
+}
+
+// A grant without a reserved decode slot would waste its prefill.
+func TestGrantWaitsForDecodeSlot(t *testing.T) {
+	c := cell(nil, prefill("p1"), prefill("p2"), decode("d", 1, 100))
+	assert.DeepEqual(t, grants(schedule.HandleAsk(c, t0, "h", ask("r1"))), []message.SlotGrant{
+		{Request: "r1", Attempt: 1, Prefill: "p1", Decode: "d", Valid: 250 * ms},
+	})
+	assert.Equal(t, len(schedule.HandleAsk(c, t0, "h", ask("r2"))), 0)
+	assert.Equal(t, schedule.Load(c, t0).Queued, 1)
+	assert.DeepEqual(t, names(finish(c, at(50*ms), "r1", 10)), []id.Request{"r2"})
+	mustCheck(t, c)
+}
+
+// A backlog at the engines would take the order away from the scheduler.
+func TestPrefillBacklogIsBounded(t *testing.T) {
+	c := cell(nil, prefill("p"), decode("d", 20, 100))
+	assert.Equal(t, len(schedule.HandleAsk(c, t0, "h", ask("r1", prompt(1000)))), 1) // 100 ms
+	assert.Equal(t, len(schedule.HandleAsk(c, t0, "h", ask("r2", prompt(1000)))), 0)
+	assert.Equal(t, len(schedule.Tick(c, at(50*ms))), 0)
+	assert.DeepEqual(t, names(schedule.Tick(c, at(70*ms))), []id.Request{"r2"})
+	mustCheck(t, c)
+}
+
+// A request whose memory does not fit must wait, and smaller ones must not.
+func TestMemoryIsReserved(t *testing.T) {
+	c := cell(nil, prefill("p1"), prefill("p2"), decode("d", 20, 10))
+	assert.Equal(t, len(schedule.HandleAsk(c, t0, "h", ask("r1", prompt(500), output(5000)))), 1) // 6 blocks
+	assert.Equal(t, len(schedule.HandleAsk(c, t0, "h", ask("r2", prompt(100), output(4500)))), 0) // 5 blocks
+	assert.Equal(t, len(schedule.HandleAsk(c, t0, "h", ask("r3", prompt(100), output(3500)))), 1) // 4 blocks
+	assert.Equal(t, refusals(schedule.HandleAsk(c, t0, "h", ask("r4", output(10_000))))[0].Reason, schedule.ReasonTooLarge)
+	assert.DeepEqual(t, names(finish(c, at(50*ms), "r1", 10)), []id.Request{"r2"})
+	mustCheck(t, c)
+}
+
+// Small requests that fit must not keep a request that needs much memory out.
+func TestDrainForLargeMemory(t *testing.T) {
+	for _, off := range []bool{false, true} {
+		c := cell(func(cfg *schedule.Config) { cfg.Policy.NoPin = off }, prefill("p1"), prefill("p2"), decode("d", 20, 4))
+		for _, r := range []string{"s1", "s2"} {
+			assert.Equal(t, len(schedule.HandleAsk(c, t0, "h", ask(r, output(1500)))), 1)
+			start(c, at(10*ms), r)
+		}
+		schedule.HandleAsk(c, t0, "h", ask("big", output(3500), target(10*time.Second)))
+		schedule.Tick(c, at(400*ms))
+		schedule.HandleAsk(c, at(400*ms), "h", ask("s3", output(1500)))
+		first := names(finish(c, at(410*ms), "s1", 1))
+		second := names(finish(c, at(420*ms), "s2", 1))
+		if off {
+			assert.DeepEqual(t, first, []id.Request{"s3"})
+			continue
+		}
+		assert.Equal(t, len(first), 0)
+		assert.DeepEqual(t, second, []id.Request{"big"})
+		mustCheck(t, c)
+	}
+}
+
+// A busy link would let the KV cache expire before its transfer.
+func TestLinkIsReserved(t *testing.T) {
+	d := decode("d", 20, 100)
+	d.LinkRate = 1000
+	c := cell(nil, prefill("p1"), prefill("p2"), prefill("p3"), d)
+	assert.Equal(t, len(schedule.HandleAsk(c, t0, "h", ask("r1", prompt(500)))), 1) // 500 ms on the link
+	assert.Equal(t, len(schedule.HandleAsk(c, t0, "h", ask("r2", prompt(500)))), 1) // starts 500 ms after its prefill
+	r3 := ask("r3", prompt(500), target(2*time.Second))
+	assert.Equal(t, len(schedule.HandleAsk(c, t0, "h", r3)), 0) // would start 1 s after it
+	assert.DeepEqual(t, names(schedule.Tick(c, at(450*ms))), []id.Request{"r3"})
+}
+
+// The order of one class must not depend on the order of arrival alone.
+func TestOrder(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		policy schedule.Policy
+		asks   []message.SlotAsk
+		want   []id.Request
+	}{
+		{"class", schedule.Policy{}, []message.SlotAsk{ask("d", later), ask("i")}, []id.Request{"i", "d"}},
+		{"classes off", schedule.Policy{NoClasses: true}, []message.SlotAsk{ask("d", later), ask("i", target(time.Hour))}, []id.Request{"d", "i"}},
+		{"latest start", schedule.Policy{}, []message.SlotAsk{ask("slow", target(20*time.Second)), ask("fast", target(15*time.Second))}, []id.Request{"fast", "slow"}},
+		{"account served before", schedule.Policy{}, []message.SlotAsk{ask("a", account("served")), ask("b", account("new"), target(20*time.Second))}, []id.Request{"b", "a"}},
+		{"fair queue off", schedule.Policy{NoFairQueue: true}, []message.SlotAsk{ask("b", account("new"), target(20*time.Second)), ask("a", account("served"))}, []id.Request{"a", "b"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := cell(func(cfg *schedule.Config) { cfg.Policy = tc.policy }, prefill("p"), decode("d", 1, 100))
+			schedule.HandleAsk(c, t0, "h", ask("first", account("served"), output(1000)))
+			for _, m := range tc.asks {
+				m.FirstToken = max(m.FirstToken, 10*time.Second)
+				assert.Equal(t, len(schedule.HandleAsk(c, t0, "h", m)), 0)
+			}
+			got := names(finish(c, at(50*ms), "first", 1000))
+			got = append(got, names(finish(c, at(100*ms), string(got[0]), 100))...)
+			assert.DeepEqual(t, got, tc.want)
+			mustCheck(t, c)
+		})
+	}
+}
+
+// A large prompt must leave a prefill endpoint to small interactive ones, but
+// only while there are such requests.
+func TestLargePromptsLeaveOneEndpoint(t *testing.T) {
+	c := cell(nil, prefill("p1"), prefill("p2"), decode("d", 20, 100))
+	big := func(r string) message.SlotAsk { return ask(r, prompt(20_000), target(time.Minute)) }
+	assert.Equal(t, len(schedule.HandleAsk(c, t0, "h", ask("s1"))), 1)
+	start(c, at(10*ms), "s1")
+	assert.Equal(t, len(schedule.HandleAsk(c, at(time.Second), "h", big("l1"))), 1)
+	assert.Equal(t, len(schedule.HandleAsk(c, at(time.Second), "h", big("l2"))), 0)
+	assert.Equal(t, len(schedule.HandleAsk(c, at(time.Second), "h", ask("s2"))), 1)
+	assert.DeepEqual(t, names(schedule.Tick(c, at(5900*ms))), []id.Request{"l2"}) // l1 has expired
+	assert.Equal(t, len(schedule.HandleAsk(c, at(6100*ms), "h", big("l3"))), 1)   // 5.1 s after s2
+}
+
+// A request that cannot meet its target must not take capacity from others.
+func TestLateRequests(t *testing.T) {
+	c := cell(nil, prefill("p"), decode("d", 1, 100))
+	schedule.HandleAsk(c, t0, "h", ask("r1"))
+	schedule.HandleHold(c, t0, "h", message.SlotHold{Request: "r1", Attempt: 1, Prefill: "p", Decode: "d", Phase: message.PhaseDecode})
+	schedule.HandleAsk(c, t0, "h", ask("refused"))
+	schedule.HandleAsk(c, t0, "h", ask("demoted", canWait))
+	schedule.HandleAsk(c, t0, "h", ask("no-target", target(0)))
+	assert.Equal(t, len(schedule.Tick(c, at(500*ms))), 0)
+	got := refusals(schedule.Tick(c, at(520*ms)))
+	assert.Equal(t, len(got), 1)
+	assert.Equal(t, got[0].Reason, schedule.ReasonTooLate)
+	assert.Assert(t, got[0].Retry > 0)
+	late := refusals(schedule.HandleAsk(c, at(530*ms), "h", ask("waited", func(m *message.SlotAsk) { m.Waited = time.Second })))
+	assert.Equal(t, late[0].Reason, schedule.ReasonTooLate)
+	assert.DeepEqual(t, names(finish(c, at(600*ms), "r1", 1)), []id.Request{"no-target"})
+	assert.DeepEqual(t, names(finish(c, at(700*ms), "no-target", 1)), []id.Request{"demoted"})
+	schedule.HandleAsk(c, at(700*ms), "h", ask("d", later))
+	start(c, at(720*ms), "demoted")
+	mustCheck(t, c)
+}
+
+// Deferrable work that is never granted must come back to its caller.
+func TestWaitLimit(t *testing.T) {
+	c := cell(nil, prefill("p"), decode("d", 1, 100))
+	schedule.HandleAsk(c, t0, "h", ask("r1"))
+	schedule.HandleAsk(c, t0, "h", ask("r2", later))
+	hold := message.SlotHold{Request: "r1", Attempt: 1, Prefill: "p", Decode: "d", Phase: message.PhaseDecode}
+	for s := range 300 {
+		assert.Equal(t, len(schedule.HandleHold(c, at(time.Duration(s)*time.Second), "h", hold)), 0)
+	}
+	got := refusals(schedule.Tick(c, at(300*time.Second+ms)))
+	assert.Equal(t, got[0].Reason, schedule.ReasonWaitLimit)
+}
+
+// A flood of one account must not fill the queue for others.
+func TestQueueFullRefusesTheLongest(t *testing.T) {
+	c := cell(func(cfg *schedule.Config) { cfg.MaxQueue = 3 }, prefill("p"), decode("d", 1, 100))
+	schedule.HandleAsk(c, t0, "h", ask("run"))
+	for _, r := range []string{"r1", "r2", "r3"} {
+		assert.Equal(t, len(schedule.HandleAsk(c, t0, "h", ask(r))), 0)
+	}
+	got := refusals(schedule.HandleAsk(c, t0, "h", ask("r4")))
+	assert.Equal(t, got[0].Request, id.Request("r4"))
+	assert.Equal(t, got[0].Reason, schedule.ReasonQueueFull)
+	got = refusals(schedule.HandleAsk(c, t0, "h", ask("r5", account("b"))))
+	assert.Equal(t, len(got), 1)
+	assert.Assert(t, got[0].Request != "r5")
+	mustCheck(t, c)
+}
+
+// A cached prefix decides between endpoints, but nothing waits for it.
+func TestAffinity(t *testing.T) {
+	withPrefix := func(m *message.SlotAsk) { m.Prefix = 7 }
+	for _, tc := range []struct {
+		name    string
+		off     bool
+		evicted bool
+		busy    bool
+		want    id.Endpoint
+	}{
+		{"cached", false, false, false, "p2"},
+		{"off", true, false, false, "p1"},
+		{"evicted", false, true, false, "p1"},
+		{"busy", false, false, true, "p1"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := cell(func(cfg *schedule.Config) { cfg.Policy.NoAffinity = tc.off }, prefill("p1"), prefill("p2"), decode("d", 20, 100))
+			schedule.HandleCacheEvent(c, "p2", 7, false)
+			if tc.evicted {
+				schedule.HandleCacheEvent(c, "p2", 7, true)
+			}
+			if tc.busy {
+				schedule.HandleAsk(c, t0, "h", ask("r0", prompt(1000), withPrefix))
+			}
+			got := grants(schedule.HandleAsk(c, t0, "h", ask("r1", withPrefix)))
+			assert.Equal(t, got[0].Prefill, tc.want)
+		})
+	}
+}
+
+// The endpoint of a failed attempt is avoided unless it is the only one.
+func TestAvoid(t *testing.T) {
+	c := cell(nil, prefill("p1"), prefill("p2"), decode("d1", 20, 100))
+	got := grants(schedule.HandleAsk(c, t0, "h", ask("r1", avoiding("p1"))))
+	assert.Equal(t, got[0].Prefill, id.Endpoint("p2"))
+	got = grants(schedule.HandleAsk(c, t0, "h", ask("r2", avoiding("d1"))))
+	assert.Equal(t, got[0].Decode, id.Endpoint("d1"))
+}
+
+// A dead endpoint must not draw requests again and again.
+func TestBackOff(t *testing.T) {
+	c := cell(nil, prefill("p"), decode("d", 20, 100))
+	schedule.EndpointFailed(c, t0, "p")
+	schedule.EndpointFailed(c, t0, "p") // the same failure
+	schedule.HandleAsk(c, t0, "h", ask("r1", target(time.Minute)))
+	schedule.HandleAsk(c, t0, "h", ask("r2", target(time.Minute)))
+	assert.Equal(t, len(schedule.Tick(c, at(499*ms))), 0)
+	assert.DeepEqual(t, names(schedule.Tick(c, at(500*ms))), []id.Request{"r1"}) // one tries it
+	failed := update("r1", message.PhaseCancelled, 0)
+	failed.Failed = "p"
+	assert.Equal(t, len(schedule.HandleUpdate(c, at(600*ms), "h", failed)), 0)
+	assert.Equal(t, len(schedule.HandleUpdate(c, at(600*ms), "h", failed)), 0)
+	assert.Equal(t, len(schedule.Tick(c, at(1599*ms))), 0)
+	assert.DeepEqual(t, names(schedule.Tick(c, at(1600*ms))), []id.Request{"r2"})
+	schedule.HandleAsk(c, at(1600*ms), "h", ask("r3"))
+	assert.DeepEqual(t, names(schedule.HandleUpdate(c, at(1620*ms), "h", update("r2", message.PhaseDecode, 0))), []id.Request{"r3"})
+	mustCheck(t, c)
+}
+
+// Lost, doubled and reordered messages must not reserve twice or for ever.
+func TestRepeatedMessages(t *testing.T) {
+	c := cell(nil, prefill("p"), decode("d", 20, 100))
+	first := grants(schedule.HandleAsk(c, t0, "h", ask("r1")))[0]
+	again := grants(schedule.HandleAsk(c, at(100*ms), "h", ask("r1")))[0]
+	first.Valid -= 100 * ms
+	assert.DeepEqual(t, again, first)
+	assert.Equal(t, len(schedule.HandleAsk(c, at(300*ms), "h", ask("r1"))), 0)
+	acts := schedule.Tick(c, at(1700*ms))
+	assert.DeepEqual(t, cancels(acts), []schedule.Cancel{{Endpoint: "p", Request: "r1", Attempt: 1}, {Endpoint: "d", Request: "r1", Attempt: 1}})
+	assert.Equal(t, refusals(schedule.HandleAsk(c, at(1800*ms), "h", ask("r1")))[0].Reason, schedule.ReasonGrantExpired)
+
+	schedule.HandleUpdate(c, at(1900*ms), "h", update("r2", message.PhaseCancelled, 0))
+	assert.Equal(t, len(schedule.HandleAsk(c, at(1901*ms), "h", ask("r2"))), 0) // the cancellation overtook the ask
+	finish(c, at(1902*ms), "r2", 1)
+	assert.Equal(t, schedule.Load(c, at(1902*ms)).FreeSlots, 20)
+
+	schedule.HandleAsk(c, at(2*time.Second), "h", ask("r3"))
+	acts = schedule.HandleAsk(c, at(2*time.Second), "h", ask("r3", attempt(2)))
+	assert.Equal(t, len(cancels(acts)), 2)
+	assert.Equal(t, grants(acts)[0].Attempt, id.Attempt(2))
+	assert.Equal(t, len(schedule.HandleUpdate(c, at(2*time.Second), "h", update("r3", message.PhaseDone, 1))), 0) // attempt 1
+	assert.Equal(t, schedule.Load(c, at(2*time.Second)).FreeSlots, 19)
+	mustCheck(t, c)
+}
+
+// Work of dead or silent hosts must not keep engine memory.
+func TestHostsThatStop(t *testing.T) {
+	c := cell(nil, prefill("p"), decode("d", 20, 100))
+	schedule.HandleAsk(c, t0, "dead", ask("r1"))
+	schedule.HandleAsk(c, t0, "silent", ask("r2"))
+	schedule.HandleUpdate(c, t0, "silent", update("r2", message.PhaseDecode, 1))
+	assert.Equal(t, len(cancels(schedule.HostGone(c, at(ms), "dead"))), 2)
+	assert.Equal(t, len(schedule.Tick(c, at(3400*ms))), 0)
+	acts := schedule.Tick(c, at(3600*ms))
+	assert.DeepEqual(t, cancels(acts), []schedule.Cancel{{Endpoint: "d", Request: "r2", Attempt: 1}})
+	assert.Equal(t, schedule.Load(c, at(3600*ms)).FreeSlots, 20)
+	mustCheck(t, c)
+}
+
+// Engine work that nobody registers must be cancelled, and counts meanwhile.
+func TestUnregisteredRuns(t *testing.T) {
+	c := cell(nil, prefill("p"), decode("d", 2, 10))
+	r := schedule.Report{Endpoint: "d", Running: 1, Slots: 2, FreeBlocks: 1, Runs: []schedule.Run{{Request: "x", Attempt: 1}}}
+	schedule.HandleReport(c, t0, r)
+	assert.Equal(t, schedule.Load(c, t0).FreeSlots, 1)
+	assert.Equal(t, len(schedule.HandleAsk(c, t0, "h", ask("r1", output(1900)))), 0) // 2 blocks
+	assert.Equal(t, len(cancels(schedule.HandleReport(c, at(4900*ms), r))), 0)
+	acts := schedule.HandleReport(c, at(5*time.Second), r)
+	assert.DeepEqual(t, cancels(acts), []schedule.Cancel{{Endpoint: "d", Request: "x", Attempt: 1}})
+	schedule.HandleHold(c, at(5*time.Second), "h", message.SlotHold{Request: "y", Attempt: 1, Decode: "d", Phase: message.PhaseDecode, Direct: true})
+	r.Runs = []schedule.Run{{Request: "y", Attempt: 1}}
+	schedule.HandleReport(c, at(5100*ms), r)
+	assert.Equal(t, schedule.Load(c, at(5100*ms)).FreeSlots, 1)
+	mustCheck(t, c)
+}
+
+// An endpoint that leaves gets no new work, whoever announces it.
+func TestLeaving(t *testing.T) {
+	c := cell(nil, prefill("p"), decode("d1", 2, 10), decode("d2", 1, 10))
+	schedule.HandleReport(c, t0, schedule.Report{Endpoint: "d1", Leaving: true, FreeBlocks: 10})
+	assert.Equal(t, grants(schedule.HandleAsk(c, t0, "h", ask("r1")))[0].Decode, id.Endpoint("d2"))
+	schedule.HandleAsk(c, t0, "h", ask("r2"))
+	leaving := decode("d2", 1, 10)
+	leaving.Leaving = true
+	got := refusals(schedule.SetEndpoints(c, t0, []schedule.Endpoint{prefill("p"), leaving}))
+	assert.Equal(t, got[0].Reason, schedule.ReasonNoEndpoint)
+	assert.Equal(t, refusals(schedule.HandleAsk(c, t0, "h", ask("r3")))[0].Reason, schedule.ReasonNoEndpoint)
+	mustCheck(t, c)
+}
+
+// A successor must leave room for what its predecessor may have granted.
+func TestRebuild(t *testing.T) {
+	c := schedule.New(schedule.DefaultConfig(), "m", t0, true)
+	p := prefill("p")
+	p.Slots = 20
+	schedule.SetEndpoints(c, t0, []schedule.Endpoint{p, decode("d", 4, 100)})
+	assert.Equal(t, len(grants(schedule.HandleAsk(c, t0, "h", ask("r1")))), 1)
+	assert.Equal(t, len(grants(schedule.HandleAsk(c, t0, "h", ask("r2", target(time.Minute))))), 0)
+	start(c, at(10*ms), "r1")
+	hold := message.SlotHold{Request: "old", Attempt: 2, Decode: "d", Phase: message.PhaseDecode, PromptTokens: 10, OutputTokens: 10}
+	schedule.HandleHold(c, at(100*ms), "h", hold)
+	assert.DeepEqual(t, names(schedule.Tick(c, at(1500*ms))), []id.Request{"r2"})
+	assert.Equal(t, schedule.Load(c, at(1500*ms)).FreeSlots, 1)
+	mustCheck(t, c)
+
+	c = schedule.New(schedule.DefaultConfig(), "m", t0, true)
+	schedule.SetEndpoints(c, t0, []schedule.Endpoint{p, decode("d", 4, 100)})
+	schedule.HandleAsk(c, t0, "h", ask("r1"))
+	start(c, at(10*ms), "r1")
+	schedule.HandleAsk(c, at(10*ms), "h", ask("r2"))
+	schedule.HandleReport(c, at(300*ms), schedule.Report{Endpoint: "p", FreeBlocks: 100})
+	got := schedule.HandleReport(c, at(300*ms), schedule.Report{Endpoint: "d", FreeBlocks: 100})
+	assert.DeepEqual(t, names(got), []id.Request{"r2"}) // nothing is unregistered
+}
+
+// The baselines must grant without a queue, or they measure nothing.
+func TestBaselines(t *testing.T) {
+	for _, p := range []schedule.Placement{schedule.PlacementRoundRobin, schedule.PlacementLeastLoaded} {
+		c := cell(func(cfg *schedule.Config) { cfg.Policy.Placement = p }, prefill("p"), decode("d1", 1, 1), decode("d2", 1, 1))
+		schedule.HandleReport(c, t0, schedule.Report{Endpoint: "d1", Running: 1})
+		var got []id.Endpoint
+		for _, r := range []string{"r1", "r2", "r3", "r4"} {
+			got = append(got, grants(schedule.HandleAsk(c, t0, "h", ask(r)))[0].Decode)
+		}
+		want := []id.Endpoint{"d1", "d2", "d1", "d2"}
+		if p == schedule.PlacementLeastLoaded {
+			want = []id.Endpoint{"d2", "d2", "d2", "d2"}
+		}
+		assert.DeepEqual(t, got, want)
+		mustCheck(t, c)
+	}
+}
