--- /dev/null
+++ b/fleet/table/diff.go
@@ -0,0 +1,80 @@
+package table
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Op tells how a row differs between two snapshots.
+type Op string
+
+// The operations of a change.
+const (
+	OpAdd    Op = "add"
+	OpChange Op = "change"
+	OpRemove Op = "remove"
+)
+
+// Change is the difference of one row. Added and removed rows list all their
+// columns, changed rows those whose values differ.
+type Change struct {
+	Kind    Kind           `json:"kind"`
+	Name    string         `json:"name"`
+	Op      Op             `json:"op"`
+	Columns []ColumnChange `json:"columns"`
+}
+
+// ColumnChange is the difference of one cell. A blank value stands for a column
+// that does not apply.
+type ColumnChange struct {
+	Column string `json:"column"`
+	Old    string `json:"old"`
+	New    string `json:"new"`
+}
+
+// Diff returns the changes that lead from old to new, ordered by kind and name.
+// A nil snapshot stands for an empty table.
+func Diff(old, new *Snapshot) []Change {
+	before, after := byName(Rows(old)), byName(Rows(new))
+	var out []Change
+	for name, row := range before {
+		if _, ok := after[name]; !ok {
+			out = append(out, change(OpRemove, row, Row{Kind: row.Kind, Name: row.Name}))
+		}
+	}
+	for name, row := range after {
+		prior, ok := before[name]
+		if !ok {
+			out = append(out, change(OpAdd, Row{Kind: row.Kind, Name: row.Name}, row))
+			continue
+		}
+		if c := change(OpChange, prior, row); len(c.Columns) > 0 {
+			out = append(out, c)
+		}
+	}
+	slices.SortFunc(out, func(a, b Change) int {
+		return cmp.Or(cmp.Compare(kindIndex(a.Kind), kindIndex(b.Kind)), cmp.Compare(a.Name, b.Name))
+	})
+	return out
+}
+
+func byName(rows []Row) map[RowName]Row {
+	out := make(map[RowName]Row, len(rows))
+	for _, r := range rows {
+		out[RowName{r.Kind, r.Name}] = r
+	}
+	return out
+}
+
+func kindIndex(k Kind) int { return slices.Index(Kinds(), k) }
+
+func change(op Op, old, new Row) Change {
+	out := Change{Kind: new.Kind, Name: new.Name, Op: op}
+	for _, column := range columns {
+		before, after := old.Value(column), new.Value(column)
+		if before != after {
+			out.Columns = append(out.Columns, ColumnChange{column, before, after})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/fleet/table/manifest.go
@@ -0,0 +1,156 @@
+package table
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+)
+
+// manifestFormat is the version of the manifest's own format.
+const manifestFormat = 1
+
+// Manifest lists the segments of one version of the table. Its object is the
+// commit point of a change.
+type Manifest struct {
+	Format   int       `json:"format"`
+	Version  uint64    `json:"version"`
+	Digest   string    `json:"digest"` // over the segment names
+	Segments []string  `json:"segments"`
+	History  []History `json:"history,omitempty"` // previous versions, newest first
+}
+
+// History tells which segments a previous version was the last to use.
+type History struct {
+	Version uint64   `json:"version"`
+	Digest  string   `json:"digest"`
+	Retired []string `json:"retired"`
+}
+
+// ErrManifest tells that the bytes are no manifest that this program reads.
+var ErrManifest = errors.New("malformed manifest")
+
+// ParseManifest reads the stored form of a manifest. Its error is ErrManifest.
+func ParseManifest(manifest []byte) (Manifest, error) {
+	var m Manifest
+	if err := json.Unmarshal(manifest, &m); err != nil {
+		return Manifest{}, fmt.Errorf("%w: %w", ErrManifest, err)
+	}
+	if m.Format != manifestFormat {
+		return Manifest{}, fmt.Errorf("%w: format %d, want %d", ErrManifest, m.Format, manifestFormat)
+	}
+	if m.Version == 0 {
+		return Manifest{}, fmt.Errorf("%w: no version", ErrManifest)
+	}
+	if len(m.Segments) == 0 {
+		return Manifest{}, fmt.Errorf("%w: no segments", ErrManifest)
+	}
+	for i, name := range m.Segments {
+		if !validSegmentName(name) {
+			return Manifest{}, fmt.Errorf("%w: segment %d has an invalid name", ErrManifest, i)
+		}
+		if i > 0 && name <= m.Segments[i-1] {
+			return Manifest{}, fmt.Errorf("%w: segment names are not sorted", ErrManifest)
+		}
+	}
+	if m.Digest != contentDigest(m.Segments) {
+		return Manifest{}, fmt.Errorf("%w: the digest does not match the segments", ErrManifest)
+	}
+	return m, nil
+}
+
+// Bytes returns the stored form of m.
+func (m Manifest) Bytes() ([]byte, error) {
+	out, err := json.Marshal(m)
+	if err != nil {
+		return nil, fmt.Errorf("encode the manifest: %w", err)
+	}
+	return out, nil
+}
+
+// After returns m with the history of the previous manifest, which covers at
+// most the given number of versions.
+func (m Manifest) After(previous Manifest, versions int) Manifest {
+	last := History{Version: previous.Version, Digest: previous.Digest}
+	for _, name := range previous.Segments {
+		if !slices.Contains(m.Segments, name) {
+			last.Retired = append(last.Retired, name)
+		}
+	}
+	m.History = append([]History{last}, previous.History...)
+	m.History = m.History[:min(len(m.History), versions)]
+	return m
+}
+
+// Uses returns the names of the segments of m and of the versions in its history.
+func (m Manifest) Uses() map[string]bool {
+	out := map[string]bool{}
+	for _, name := range m.Segments {
+		out[name] = true
+	}
+	for _, h := range m.History {
+		for _, name := range h.Retired {
+			out[name] = true
+		}
+	}
+	return out
+}
+
+// Contains tells whether the version of other is m or in the history of m.
+func (m Manifest) Contains(other Manifest) bool {
+	if m.Version == other.Version && m.Digest == other.Digest {
+		return true
+	}
+	return slices.ContainsFunc(m.History, func(h History) bool {
+		return h.Version == other.Version && h.Digest == other.Digest
+	})
+}
+
+// ManifestVersion returns the version of the table that a manifest describes.
+func ManifestVersion(manifest []byte) (uint64, error) {
+	m, err := ParseManifest(manifest)
+	return m.Version, err
+}
+
+// Missing returns the segments of a manifest that are not in have, sorted.
+func Missing(manifest []byte, have map[string]bool) ([]string, error) {
+	m, err := ParseManifest(manifest)
+	if err != nil {
+		return nil, err
+	}
+	var out []string
+	for _, name := range m.Segments {
+		if !have[name] {
+			out = append(out, name)
+		}
+	}
+	return out, nil
+}
+
+// contentDigest identifies the content of a table: equal rows give equal
+// segments, and these give equal names.
+func contentDigest(names []string) string {
+	h := sha256.New()
+	for _, name := range names {
+		h.Write([]byte(name))
+		h.Write([]byte{'\n'})
+	}
+	return hex.EncodeToString(h.Sum(nil)[:segmentNameBytes])
+}
+
+// segmentNameBytes is the part of a SHA-256 that names a segment, in bytes.
+const segmentNameBytes = 16
+
+// SegmentName returns the name of a segment with the given content.
+func SegmentName(segment []byte) string {
+	sum := sha256.Sum256(segment)
+	return hex.EncodeToString(sum[:segmentNameBytes])
+}
+
+func validSegmentName(name string) bool {
+	b, err := hex.DecodeString(name)
+	return err == nil && len(b) == segmentNameBytes && bytes.Equal([]byte(name), bytes.ToLower([]byte(name)))
+}
