--- a/fleet/table/diff.go
+++ b/fleet/table/diff.go
@@ -32,10 +32,10 @@
 	New    string `json:"new"`
 }
 
-// Diff returns the changes that lead from old to new, ordered by kind and name.
-// A nil snapshot stands for an empty table.
-func Diff(old, new *Snapshot) []Change {
-	before, after := byName(Rows(old)), byName(Rows(new))
+// Diff returns the changes that lead from one snapshot to another, ordered by
+// kind and name. A nil snapshot stands for an empty table.
+func Diff(from, to *Snapshot) []Change {
+	before, after := byName(Rows(from)), byName(Rows(to))
 	var out []Change
 	for name, row := range before {
 		if _, ok := after[name]; !ok {
@@ -68,10 +68,10 @@
 
 func kindIndex(k Kind) int { return slices.Index(Kinds(), k) }
 
-func change(op Op, old, new Row) Change {
-	out := Change{Kind: new.Kind, Name: new.Name, Op: op}
+func change(op Op, from, to Row) Change {
+	out := Change{Kind: to.Kind, Name: to.Name, Op: op}
 	for _, column := range columns {
-		before, after := old.Value(column), new.Value(column)
+		before, after := from.Value(column), to.Value(column)
 		if before != after {
 			out.Columns = append(out.Columns, ColumnChange{column, before, after})
 		}
