Add the stand-ins for the platform, engines and services

Engines verify that an imported KV cache belongs to the request and ends with the delivered output, so that a wrong offset of a resumed answer shows as a refusal.

--- /dev/null
+++ b/standin/internal/engine/http.go
@@ -0,0 +1,269 @@
+package engine
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/emicklei/go-restful/v3"
+
+	"ragwortshunt.example/fleet/engine"
+	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/table"
+	"ragwortshunt.example/standin/internal/record"
+)
+
+// The kinds of orders.
+const (
+	orderRole = "role"
+	orderLoad = "load"
+)
+
+// failure is an error reply.
+type failure struct {
+	status  int
+	code    string
+	message string
+	notRun  bool
+}
+
+func badRequest(message string) *failure {
+	return &failure{http.StatusBadRequest, engine.CodeBadRequest, message, true}
+}
+
+func noRun() *failure {
+	return &failure{http.StatusNotFound, engine.CodeNoRun, "the run is unknown", false}
+}
+
+func (f *failure) write(w http.ResponseWriter) {
+	writeJSON(w, f.status, engine.Error{Code: f.code, Message: f.message, NotRun: f.notRun})
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// The caller may have gone, which its own error tells it.
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func (e *Engine) handlePrefill(r *restful.Request, w *restful.Response) {
+	var ask engine.PrefillRequest
+	if err := json.NewDecoder(r.Request.Body).Decode(&ask); err != nil {
+		badRequest(err.Error()).write(w)
+		return
+	}
+	if ask.Request == "" || ask.Attempt == 0 || ask.PromptTokens <= 0 {
+		badRequest("want request-id, attempt and prompt-tokens").write(w)
+		return
+	}
+	p, f := e.addPrefill(ask)
+	if f != nil {
+		f.write(w)
+		return
+	}
+	select {
+	case <-p.done:
+	case <-r.Request.Context().Done():
+		e.abandonPrefill(p)
+		return
+	}
+	switch p.outcome {
+	case record.EndFinished:
+		writeJSON(w, http.StatusOK, p.reply)
+	case record.EndDied:
+		panic(http.ErrAbortHandler)
+	default:
+		cancelled().write(w)
+	}
+}
+
+func cancelled() *failure {
+	return &failure{http.StatusConflict, engine.CodeCancelled, "the run was cancelled", false}
+}
+
+func (e *Engine) handleDecode(r *restful.Request, w *restful.Response) {
+	var ask engine.DecodeRequest
+	if err := json.NewDecoder(r.Request.Body).Decode(&ask); err != nil {
+		badRequest(err.Error()).write(w)
+		return
+	}
+	if ask.Request == "" || ask.Attempt == 0 || ask.PromptTokens <= 0 || ask.From < 0 || ask.MaxTokens <= ask.From {
+		badRequest("want request-id, attempt, prompt-tokens and max-tokens above from").write(w)
+		return
+	}
+	run, f := e.addRun(ask)
+	if f != nil {
+		f.write(w)
+		return
+	}
+	e.follow(r, w, run, ask.From)
+}
+
+// follow waits for the transfer of a run and streams its output.
+func (e *Engine) follow(r *restful.Request, w *restful.Response, run *run, from int64) {
+	e.attach(run)
+	defer e.detach(run)
+	for {
+		_, outcome, changed := e.output(run, from)
+		if f := e.runFailure(run, outcome); f != nil {
+			f.write(w)
+			return
+		}
+		select {
+		case <-run.ready:
+			e.stream(r.Request.Context(), w, run, from)
+			return
+		case <-changed:
+		case <-r.Request.Context().Done():
+			return
+		}
+	}
+}
+
+// runFailure returns the reply for a run that ended without output, or nil.
+func (e *Engine) runFailure(run *run, outcome string) *failure {
+	switch outcome {
+	case record.EndKVLost:
+		return &failure{http.StatusGone, engine.CodeKVLost, run.failure.Error(), true}
+	case record.EndRejected:
+		return badRequest(run.failure.Error())
+	case record.EndCancelled, record.EndOrphaned:
+		return cancelled()
+	case record.EndDied:
+		panic(http.ErrAbortHandler)
+	}
+	return nil
+}
+
+// attemptKey reads the attempt that the path names.
+func attemptKey(r *restful.Request) (runKey, error) {
+	attempt, err := strconv.ParseUint(r.PathParameter("attempt"), 10, 32)
+	if err != nil {
+		return runKey{}, errors.New("attempt: want a whole number")
+	}
+	return runKey{id.Request(r.PathParameter("request")), id.Attempt(attempt)}, nil
+}
+
+func (e *Engine) handleResume(r *restful.Request, w *restful.Response) {
+	k, err := attemptKey(r)
+	if err != nil {
+		badRequest(err.Error()).write(w)
+		return
+	}
+	from, err := strconv.ParseInt(r.QueryParameter("from"), 10, 64)
+	if err != nil {
+		badRequest("from: want a whole number").write(w)
+		return
+	}
+	e.mu.Lock()
+	run, ok := e.runs[k]
+	e.mu.Unlock()
+	if !ok {
+		noRun().write(w)
+		return
+	}
+	if from < run.ask.From {
+		badRequest("from lies before the first token of the run").write(w)
+		return
+	}
+	e.follow(r, w, run, from)
+}
+
+func (e *Engine) handleCancel(r *restful.Request, w *restful.Response) {
+	k, err := attemptKey(r)
+	if err != nil {
+		badRequest(err.Error()).write(w)
+		return
+	}
+	e.mu.Lock()
+	known := e.cancel(k)
+	e.mu.Unlock()
+	if !known {
+		noRun().write(w)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) handleLoad(_ *restful.Request, w *restful.Response) {
+	e.mu.Lock()
+	load := e.report()
+	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, load)
+}
+
+func (e *Engine) handleCacheEvents(r *restful.Request, w *restful.Response) {
+	var seq uint64
+	if text := r.QueryParameter("after"); text != "" {
+		n, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			badRequest("after: want a whole number").write(w)
+			return
+		}
+		seq = n
+	}
+	e.mu.Lock()
+	events := e.cache.after(seq, time.Now().Add(-e.cfg.ReportLag))
+	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, engine.CacheEvents{Events: events})
+}
+
+func (e *Engine) handleOrder(r *restful.Request, w *restful.Response) {
+	var order engine.Order
+	if err := json.NewDecoder(r.Request.Body).Decode(&order); err != nil {
+		badRequest(err.Error()).write(w)
+		return
+	}
+	f := e.obey(order)
+	e.records.AddOrder(record.Order{
+		Endpoint: e.cfg.Name,
+		Fence:    order.Fence,
+		Kind:     order.Kind,
+		Accepted: f == nil,
+		Time:     time.Now(),
+	})
+	if f != nil {
+		f.write(w)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// obey carries out an order, or returns the refusal. Running work goes on.
+func (e *Engine) obey(order engine.Order) *failure {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	role := table.Role(order.Role)
+	switch {
+	case order.Kind != orderRole && order.Kind != orderLoad:
+		return badRequest("unknown kind of order")
+	case order.Kind == orderRole && role != table.RolePrefill && role != table.RoleDecode:
+		return badRequest("unknown role")
+	case e.cfg.Fencing == table.FencingChecked && order.Fence < e.fence:
+		return &failure{http.StatusConflict, engine.CodeStaleFence, "the fencing number is old", true}
+	}
+	e.fence = max(e.fence, order.Fence)
+	if order.Kind == orderRole {
+		e.role = role
+	}
+	return nil
+}
+
+func (e *Engine) handleExport(r *restful.Request, w *restful.Response) {
+	k := e.pinKV(r.PathParameter("id"))
+	if k == nil {
+		kvLost().write(w)
+		return
+	}
+	if err := e.sendKV(r.Request.Context(), k); err != nil {
+		kvLost().write(w)
+		return
+	}
+	writeJSON(w, http.StatusOK, k.export)
+}
+
+func kvLost() *failure {
+	return &failure{http.StatusGone, engine.CodeKVLost, "the KV cache is gone", true}
+}
