Add membership of hosts

Hosts of a zone exchange heartbeats with ring neighbours, and monitors report deaths, returns and leaving hosts to the zone. Other zones are asked through two contacts.

--- /dev/null
+++ b/fleet/member/member_test.go
@@ -0,0 +1,377 @@
+package member_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"sort"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/member"
+	"ragwortshunt.example/fleet/message"
+	"ragwortshunt.example/fleet/object"
+)
+
+const (
+	step    = 50 * time.Millisecond
+	latency = 5 * time.Millisecond
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// TestMain fixes the seed, so that each run gives the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "100", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// node is one simulated host.
+type node struct {
+	host    id.Host
+	zone    id.Zone
+	inc     id.Incarnation
+	state   *member.State
+	down    bool
+	paused  bool
+	changes []member.Change
+	inbox   []delivery
+}
+
+// delivery is one heartbeat under way.
+type delivery struct {
+	from id.Host
+	inc  id.Incarnation
+	beat message.Heartbeat
+}
+
+// cluster is a set of hosts on a simulated network.
+type cluster struct {
+	tb    rapid.TB
+	now   time.Time
+	nodes map[id.Host]*node
+	names []id.Host
+	list  []object.Host
+	cfg   member.Config
+	cut   func(a, b *node) bool
+	beats int
+}
+
+func newCluster(tb rapid.TB, zones, perZone int) *cluster {
+	c := &cluster{tb: tb, now: start, nodes: map[id.Host]*node{}, cfg: member.DefaultConfig()}
+	c.cut = func(*node, *node) bool { return false }
+	for z := range zones {
+		for i := range perZone {
+			n := &node{host: id.Host(fmt.Sprintf("host-%d-%03d", z, i)), zone: id.Zone(fmt.Sprintf("z%d", z))}
+			c.nodes[n.host] = n
+			c.names = append(c.names, n.host)
+			c.list = append(c.list, object.Host{Host: n.host, Zone: n.zone, Address: "127.0.0.1:1"})
+		}
+	}
+	c.restartAll()
+	return c
+}
+
+func (c *cluster) restartAll() {
+	for _, h := range c.names {
+		c.restart(c.nodes[h])
+	}
+}
+
+func (c *cluster) restart(n *node) {
+	cfg := c.cfg
+	n.inc++
+	cfg.Host, cfg.Zone, cfg.Incarnation = n.host, n.zone, n.inc
+	n.state = member.New(cfg, c.now)
+	n.down, n.paused, n.inbox = false, false, nil
+	member.SetList(n.state, c.now, c.list)
+}
+
+// run advances the clock; a step delivers what was sent in the step before.
+func (c *cluster) run(d time.Duration) {
+	for end := c.now.Add(d); c.now.Before(end); c.now = c.now.Add(step) {
+		for _, h := range c.names {
+			n := c.nodes[h]
+			if n.down || n.paused {
+				continue
+			}
+			beats, changes := member.Tick(n.state, c.now)
+			n.changes = append(n.changes, changes...)
+			c.beats += len(beats)
+			for _, to := range beats {
+				c.send(n, c.nodes[to])
+			}
+		}
+		for _, h := range c.names {
+			c.deliver(c.nodes[h])
+		}
+	}
+}
+
+func (c *cluster) send(from, to *node) {
+	if to.down || c.cut(from, to) {
+		return
+	}
+	self, _ := member.PeerOf(from.state, from.host)
+	m := message.Heartbeat{Zone: from.zone, State: self.State, Reports: member.Reports(from.state)}
+	to.inbox = append(to.inbox, delivery{from: from.host, inc: from.inc, beat: m})
+}
+
+func (c *cluster) deliver(n *node) {
+	if n.down || n.paused {
+		return
+	}
+	for _, d := range n.inbox {
+		n.changes = append(n.changes, member.HandleHeartbeat(n.state, c.now.Add(latency), d.from, d.inc, d.beat)...)
+	}
+	n.inbox = nil
+	assert.NilError(c.tb, member.Check(n.state))
+}
+
+// expect compares the views of all running hosts on the hosts that they can reach.
+func (c *cluster) expect(onlyZone bool) {
+	for _, h := range c.names {
+		n := c.nodes[h]
+		if n.down {
+			continue
+		}
+		for _, o := range c.names {
+			peer := c.nodes[o]
+			if onlyZone && peer.zone != n.zone {
+				continue
+			}
+			want := !peer.down && !c.cut(n, peer)
+			assert.Equal(c.tb, member.Usable(n.state, o), want, "%s on %s at %s", h, o, c.now.Sub(start))
+		}
+	}
+}
+
+// deaths counts the changes to dead that hosts other than those skipped noticed.
+func (c *cluster) deaths() int {
+	n := 0
+	for _, h := range c.names {
+		for _, ch := range c.nodes[h].changes {
+			if ch.To == message.HostDead {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Guards against deaths that reach only the monitors, or too late, and against
+// false deaths in a healthy zone.
+func TestDeathReachesZone(t *testing.T) {
+	for _, size := range []int{2, 9, 13, 14, 60} {
+		c := newCluster(t, 2, size)
+		c.run(10 * time.Second)
+		assert.Equal(t, c.deaths(), 0)
+		c.expect(false)
+		c.nodes["host-0-001"].down = true
+		c.run(2500 * time.Millisecond)
+		c.expect(true)
+		assert.Equal(t, c.deaths(), size-1)
+	}
+}
+
+// Guards against the loss of a whole rack, which takes many monitors with it.
+func TestRackLoss(t *testing.T) {
+	c := newCluster(t, 1, 60)
+	c.run(2 * time.Second)
+	for _, h := range c.names[10:40] {
+		c.nodes[h].down = true
+	}
+	c.run(10 * time.Second)
+	c.expect(true)
+}
+
+// Guards against a woken host that holds all others for dead, and against a
+// zone that does not take it back.
+func TestPause(t *testing.T) {
+	c := newCluster(t, 1, 30)
+	c.run(2 * time.Second)
+	n := c.nodes["host-0-007"]
+	n.paused = true
+	c.run(20 * time.Second)
+	assert.Equal(t, c.deaths(), 29)
+	dead := c.nodes["host-0-008"]
+	dead.down = true
+	c.run(5 * time.Second)
+	n.paused = false
+	n.inbox = nil
+	c.run(3 * time.Second)
+	c.expect(true)
+	assert.Equal(t, len(n.changes), 1, "only the host that died during the pause: %v", n.changes)
+}
+
+// Guards against a restart that goes unnoticed and against messages of the
+// process before.
+func TestRestart(t *testing.T) {
+	c := newCluster(t, 1, 30)
+	c.run(2 * time.Second)
+	n := c.nodes["host-0-003"]
+	c.restart(n)
+	c.run(2 * time.Second)
+	for _, h := range c.names {
+		if h != n.host {
+			assert.DeepEqual(t, c.nodes[h].changes, []member.Change{{Host: n.host, Restarted: true}})
+		}
+	}
+	other := c.nodes["host-0-004"].state
+	assert.Assert(t, member.Stale(other, n.host, 1))
+	assert.Equal(t, len(member.HandleHeartbeat(other, c.now, n.host, 1, message.Heartbeat{Zone: n.zone, State: message.HostDead})), 0)
+	assert.Assert(t, member.Usable(other, n.host))
+}
+
+// Guards against a cut zone that stays in use, and against hosts that do not
+// return when the cut has healed.
+func TestZoneCut(t *testing.T) {
+	c := newCluster(t, 3, 7)
+	c.run(3 * time.Second)
+	c.cut = func(a, b *node) bool { return a.zone != b.zone && (a.zone == "z2" || b.zone == "z2") }
+	c.run(12 * time.Second)
+	c.expect(false)
+	c.run(4 * time.Minute)
+	c.cut = func(*node, *node) bool { return false }
+	c.run(5 * time.Second)
+	c.expect(false)
+}
+
+// Guards against a host of another zone that was sent work, is silent and stays in use.
+func TestContacted(t *testing.T) {
+	c := newCluster(t, 2, 30)
+	c.run(3 * time.Second)
+	c.nodes["host-1-005"].down = true
+	n := c.nodes["host-0-000"]
+	member.Contacted(n.state, c.now, "host-1-005")
+	c.run(7 * time.Second)
+	assert.Assert(t, !member.Usable(n.state, "host-1-005"))
+	assert.Equal(t, len(n.changes), 1)
+}
+
+// Guards against a list that removes living hosts, and against dead hosts kept for ever.
+func TestList(t *testing.T) {
+	c := newCluster(t, 2, 5)
+	c.run(3 * time.Second)
+	n := c.nodes["host-0-000"]
+	member.SetList(n.state, c.now, nil)
+	member.SetList(n.state, c.now, c.list[:1])
+	c.run(10 * time.Second)
+	c.expect(false)
+	c.nodes["host-0-001"].down = true
+	c.run(2 * time.Minute)
+	_, known := member.PeerOf(n.state, "host-0-001")
+	assert.Assert(t, !known)
+	assert.Equal(t, len(member.Peers(n.state)), 9)
+	c.list[3].Leaving = true
+	member.SetList(n.state, c.now, c.list)
+	assert.Assert(t, !member.Usable(n.state, c.list[3].Host))
+}
+
+// Guards against a leaving host that gets new work, and a lone host without itself.
+func TestLeaving(t *testing.T) {
+	c := newCluster(t, 1, 30)
+	c.run(time.Second)
+	n := c.nodes["host-0-002"]
+	member.SetLeaving(n.state)
+	c.run(200 * time.Millisecond)
+	for _, h := range c.names {
+		assert.Equal(t, len(member.Live(c.nodes[h].state)["z0"]), 29)
+	}
+	lone := newCluster(t, 1, 1)
+	lone.run(10 * time.Second)
+	assert.DeepEqual(t, member.Live(lone.nodes["host-0-000"].state), map[id.Zone][]id.Host{"z0": {"host-0-000"}})
+}
+
+// Guards against views that stay wrong after any sequence of failures.
+func TestViewsConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(t, 2, rapid.IntRange(2, 9).Draw(t, "size"))
+		c.cfg.Monitors = rapid.IntRange(1, 3).Draw(t, "monitors")
+		c.restartAll()
+		for range rapid.IntRange(1, 6).Draw(t, "faults") {
+			n := c.nodes[rapid.SampledFrom(c.names).Draw(t, "host")]
+			switch rapid.IntRange(0, 4).Draw(t, "fault") {
+			case 0:
+				n.down = true
+			case 1:
+				c.restart(n)
+			case 2:
+				n.paused = !n.paused
+			case 3:
+				salt := rapid.IntRange(2, 4).Draw(t, "cut")
+				c.cut = func(a, b *node) bool { return len(a.changes)%salt != len(b.changes)%salt }
+			default:
+				c.cut = func(a, _ *node) bool { return a == n }
+			}
+			c.run(time.Duration(rapid.IntRange(0, 6000).Draw(t, "ms")) * time.Millisecond)
+		}
+		c.cut = func(*node, *node) bool { return false }
+		for _, n := range c.nodes {
+			n.paused = false
+		}
+		c.run(25 * time.Second)
+		c.expect(true)
+	})
+}
+
+// Guards against owners that move between unrelated hosts.
+func TestOwner(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := rapid.SliceOfNDistinct(rapid.Custom(func(t *rapid.T) id.Host {
+			return id.Host(rapid.StringMatching("[a-z]{1,4}").Draw(t, "host"))
+		}), 1, 20, rapid.ID).Draw(t, "hosts")
+		owners := member.Owners(hosts, "key", len(hosts))
+		assert.Equal(t, owners[0], member.Owner(hosts, "key"))
+		sort.Slice(hosts, func(i, j int) bool { return hosts[i] < hosts[j] })
+		assert.DeepEqual(t, member.Owners(hosts, "key", len(hosts)), owners)
+		assert.Equal(t, member.Owner(owners[1:], "key"), append(owners[1:], "")[0])
+	})
+}
+
+// Guards against more heartbeats than the budget of a host allows at full size.
+// The hosts around the measured one are simulated: each answers every heartbeat,
+// and two hosts of each other zone have chosen the measured one as contact.
+func TestHeartbeatRate(t *testing.T) {
+	const zones, perZone, seconds = 9, 311, 60
+	var list []object.Host
+	for i := range zones * perZone {
+		list = append(list, object.Host{
+			Host: id.Host(fmt.Sprintf("host-%04d", i)), Zone: id.Zone(fmt.Sprint(i / perZone)), Address: "127.0.0.1:1",
+		})
+	}
+	cfg := member.DefaultConfig()
+	cfg.Host, cfg.Zone, cfg.Incarnation = "host-0100", "0", 1
+	s := member.New(cfg, start)
+	member.SetList(s, start, list)
+	now, beats := start, 0
+	for ; now.Before(start.Add(seconds * time.Second)); now = now.Add(step) {
+		sent, changes := member.Tick(s, now)
+		assert.Equal(t, len(changes), 0)
+		beats += len(sent)
+		for _, h := range sent {
+			p, _ := member.PeerOf(s, h)
+			member.HandleHeartbeat(s, now, h, 1, message.Heartbeat{Zone: p.Zone})
+		}
+		if now.Sub(start)%(2*time.Second) != 0 {
+			continue
+		}
+		for i := perZone; i < zones*perZone; i += perZone {
+			for _, h := range list[i+int(now.Unix()%300):][:2] {
+				member.HandleHeartbeat(s, now, h.Host, 1, message.Heartbeat{Zone: h.Zone})
+			}
+		}
+	}
+	rate := float64(beats-(perZone-1)) / seconds
+	t.Logf("%.1f heartbeats/s sent, without the first announcement", rate)
+	assert.Assert(t, rate < 50)
+}
--- /dev/null
+++ b/fleet/member/ring.go
@@ -0,0 +1,139 @@
+package member
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"ragwortshunt.example/fleet/id"
+)
+
+// Owner returns the rendezvous choice among hosts for a key, or "" if there is
+// no host. Each key moves only when its owner leaves or a better one joins.
+func Owner(live []id.Host, key string) id.Host {
+	var best id.Host
+	var bestScore uint64
+	for _, h := range live {
+		n := score(h, key)
+		if best == "" || n > bestScore || n == bestScore && h < best {
+			best, bestScore = h, n
+		}
+	}
+	return best
+}
+
+// Owners returns the n best rendezvous choices for a key, best first. It returns
+// fewer if there are fewer hosts.
+func Owners(live []id.Host, key string, n int) []id.Host {
+	type ranked struct {
+		host  id.Host
+		score uint64
+	}
+	all := make([]ranked, 0, len(live))
+	for _, h := range live {
+		all = append(all, ranked{host: h, score: score(h, key)})
+	}
+	sort.Slice(all, func(i, j int) bool {
+		if all[i].score != all[j].score {
+			return all[i].score > all[j].score
+		}
+		return all[i].host < all[j].host
+	})
+	if n < len(all) {
+		all = all[:n]
+	}
+	out := make([]id.Host, 0, len(all))
+	for _, r := range all {
+		out = append(out, r.host)
+	}
+	return out
+}
+
+// score is the rendezvous weight of a host for a key.
+func score(h id.Host, key string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(string(h))
+	return d.Sum64()
+}
+
+// inRing reports whether a host belongs to the ring of the own zone.
+func inRing(s *State, p *peer) bool {
+	return p.Zone == s.cfg.Zone && !p.dead
+}
+
+// buildRing brings ring, watch and near up to date. A host that stays monitored
+// keeps the start of its watch.
+func buildRing(s *State, now time.Time) {
+	if s.ring != nil {
+		return
+	}
+	s.ring = []id.Host{}
+	for _, h := range s.order {
+		if inRing(s, s.peers[h]) {
+			s.ring = append(s.ring, h)
+		}
+	}
+	sort.SliceStable(s.ring, func(i, j int) bool {
+		return xxhash.Sum64String(string(s.ring[i])) < xxhash.Sum64String(string(s.ring[j]))
+	})
+	old := s.watch
+	s.watch = map[id.Host]time.Time{}
+	s.near = map[id.Host]bool{}
+	for _, h := range around(s, -1) {
+		s.near[h] = true
+		s.watch[h] = now
+		if since, ok := old[h]; ok {
+			s.watch[h] = since
+		}
+	}
+	for _, h := range around(s, 1) {
+		s.near[h] = true
+	}
+}
+
+// around returns the neighbours of the own host on one side of the ring. In a
+// zone of at most twice as many hosts as there are monitors, these are all hosts.
+func around(s *State, step int) []id.Host {
+	n := len(s.ring)
+	self := 0
+	for i, h := range s.ring {
+		if h == s.cfg.Host {
+			self = i
+		}
+	}
+	count := s.cfg.Monitors
+	if n-1 <= 2*s.cfg.Monitors {
+		count = n - 1
+	}
+	var out []id.Host
+	for i := 1; i <= count; i++ {
+		out = append(out, s.ring[((self+step*i)%n+n)%n])
+	}
+	return out
+}
+
+// monitors reports whether the own host is among the monitors of a host of the
+// zone, also if that host is dead and thus not in the ring.
+func monitors(s *State, now time.Time, h id.Host) bool {
+	buildRing(s, now)
+	if _, ok := s.watch[h]; ok {
+		return true
+	}
+	p, ok := s.peers[h]
+	if !ok || inRing(s, p) {
+		return false
+	}
+	n := len(s.ring)
+	place := xxhash.Sum64String(string(h))
+	first := sort.Search(n, func(i int) bool { return xxhash.Sum64String(string(s.ring[i])) > place })
+	for i := 0; i < s.cfg.Monitors && i < n; i++ {
+		if s.ring[(first+i)%n] == s.cfg.Host {
+			return true
+		}
+	}
+	return false
+}
