--- /dev/null
+++ b/fleet/core/random_test.go
@@ -0,0 +1,114 @@
+package core_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"ragwortshunt.example/fleet/core"
+	"ragwortshunt.example/fleet/fake"
+)
+
+// TestMain fixes seed and number of the randomised runs, so that every run of
+// the tests gives the same verdict. Flags on the command line still win.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "12", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+const (
+	warmUp    = 5 * time.Second
+	loadEnd   = 35 * time.Second
+	runEnd    = 90 * time.Second
+	heldBound = 20 * time.Second // no engine memory is held so long after a call has ended
+)
+
+// shortLeases lets leases lapse several times within a run.
+func shortLeases(cfg *core.Config) {
+	cfg.Limit.PooledLease = 3 * time.Second
+	cfg.Limit.ReserveLease = 8 * time.Second
+	cfg.Order.Lease = 3 * time.Second
+}
+
+func drawFaults(t *rapid.T) []fake.Fault {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) fake.Fault {
+		return fake.Fault{
+			Kind:   fake.FaultKind(rapid.IntRange(0, int(fake.FaultWithdrawKey)).Draw(t, "kind")),
+			At:     time.Duration(rapid.IntRange(2000, 33000).Draw(t, "at-ms")) * time.Millisecond,
+			For:    time.Duration(rapid.IntRange(100, 14000).Draw(t, "for-ms")) * time.Millisecond,
+			Target: rapid.IntRange(0, 30).Draw(t, "target"),
+		}
+	}), 0, 12).Draw(t, "faults")
+}
+
+// mixedLoad keeps the deployment near its capacity, with one account above its
+// rate, cancelled calls and repeated non-idempotent calls.
+func mixedLoad(w *fake.World) {
+	interactive := fake.Load{
+		Account: "large-1", Route: fake.RouteInteractive, Rate: 12, From: warmUp, To: loadEnd,
+		PromptMin: 50, PromptMax: 400, WantMin: 10, WantMax: 80, Limit: 100, Cancel: 0.1,
+	}
+	deferrable := fake.Load{
+		Account: "large-2", Route: fake.RouteDeferrable, Rate: 3, From: warmUp, To: loadEnd,
+		PromptMin: 1000, PromptMax: 20000, WantMin: 50, WantMax: 300, Limit: 400, Cancel: 0.1,
+	}
+	over := deferrable
+	over.Account, over.Rate = "small-1", 4
+	once := fake.Load{
+		Account: "small-2", Route: fake.RouteOnce, Rate: 6, From: warmUp, To: loadEnd,
+		PromptMin: 5, PromptMax: 20, Cancel: 0.1, Repeat: 0.4,
+	}
+	for _, l := range []fake.Load{interactive, deferrable, over, once} {
+		w.Generate(l)
+	}
+}
+
+// TestRandomFaults drives nine decision cores through random faults. It guards
+// every point of "What must always hold" that can be seen from outside: rate and
+// burst in every window, answers whole and once, true refusals, at most one run
+// of a non-idempotent call, no held memory, one table version everywhere.
+func TestRandomFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := fake.Tallinn().Config(rapid.Uint64().Draw(t, "seed"))
+		cfg.Tune = shortLeases
+		w, err := fake.New(cfg)
+		assert.NilError(t, err)
+		for _, f := range drawFaults(t) {
+			w.Inject(f)
+		}
+		mixedLoad(w)
+		assert.NilError(t, w.Run(runEnd))
+		checkRun(t, w)
+	})
+}
+
+func checkRun(t assert.TestingT, w *fake.World) {
+	assert.NilError(t, w.CheckRates())
+	assert.Equal(t, len(w.Repeated()), 0, "non-idempotent calls ran twice: %v", w.Repeated())
+	for _, h := range w.HeldByEnded() {
+		assert.Assert(t, w.Now().Sub(h.Since) < heldBound, "%s still holds memory for %s", h.Endpoint, h.Request)
+	}
+	for _, c := range w.Calls() {
+		rec, _ := w.Explain(c)
+		assert.Assert(t, c.Result != fake.ResultOpen, "call %s on %s has no end: %+v", c.Request, c.Host, rec)
+	}
+	var version uint64
+	for _, h := range w.Hosts() {
+		if !w.Alive(h) {
+			continue
+		}
+		if version == 0 {
+			version = w.Version(h)
+		}
+		assert.Equal(t, w.Version(h), version, "host %s", h)
+	}
+}
--- a/fleet/core/request.go
+++ b/fleet/core/request.go
@@ -68,8 +68,9 @@
 
 	prefill  id.Endpoint
 	decode   id.Endpoint
-	progress time.Time // last sign of life of the attempt
-	resumed  bool      // the attempt's stream has been resumed since its last token
+	progress time.Time     // last sign of life of the attempt
+	timeout  time.Duration // of the prefill
+	resumed  bool          // the attempt's stream has been resumed since its last token
 
 	ran        bool // an earlier attempt may have run
 	running    bool // the current attempt has been handed to an endpoint
--- a/fleet/core/run.go
+++ b/fleet/core/run.go
@@ -17,6 +17,9 @@
 	priorityDeferrable  = 1
 )
 
+// codeStalled is the code of an attempt that was silent for too long.
+const codeStalled = "stalled"
+
 const defaultPrefillRate = 1000 // tokens per second, when the pool states none
 
 func (r *request) priority() int {
@@ -35,6 +38,7 @@
 	r.stage = StagePrefill
 	r.running = true
 	r.progress = s.now
+	r.timeout = s.prefillTimeout(r)
 	r.held = s.now
 	r.note(s.now, "attempt %d: prefill on %s, decode slot on %s", r.attempt, r.prefill, r.decode)
 	s.emit(Observe{Name: MetricQueueTime, Account: r.account, Value: s.now.Sub(r.arrived)})
@@ -42,7 +46,7 @@
 		Request: r.Request, Attempt: r.attempt, Model: r.route.Model,
 		Endpoint: r.prefill, Address: ep.Address, Priority: r.priority(),
 		Tokens: r.PromptTokens + r.delivered, Output: r.delivered,
-		NotAfter: s.now.Add(valid), Timeout: s.prefillTimeout(r),
+		NotAfter: s.now.Add(valid), Timeout: r.timeout,
 	})
 }
 
@@ -258,10 +262,15 @@
 	s.close(r, "finished")
 }
 
-// checkStalled ends an attempt whose stream has been silent for too long.
+// checkStalled ends an attempt that has been silent for too long. The shell's own
+// timeout of a prefill comes first unless its event was lost.
 func (s *step) checkStalled(r *request) {
-	if r.stage != StageDecode || s.now.Sub(r.progress) < s.cfg.DecodeStall {
+	ep, bound := r.decode, s.cfg.DecodeStall
+	if r.stage == StagePrefill {
+		ep, bound = r.prefill, r.timeout+s.cfg.DecodeStall
+	}
+	if s.now.Sub(r.progress) < bound {
 		return
 	}
-	s.attemptFailed(r, r.decode, "stalled", false)
+	s.attemptFailed(r, ep, codeStalled, false)
 }
--- a/fleet/core/tick.go
+++ b/fleet/core/tick.go
@@ -46,9 +46,7 @@
 		switch r.stage {
 		case StageQueue:
 			s.refreshQueue(r)
-		case StagePrefill:
-			s.registerHold(r)
-		case StageDecode:
+		case StagePrefill, StageDecode:
 			s.registerHold(r)
 			s.checkStalled(r)
 		case StageTokens, StageClaim, StageCall:
--- a/fleet/fake/engine.go
+++ b/fleet/fake/engine.go
@@ -420,6 +420,7 @@
 func (w *World) cancel(en *engineFake, key runKey) {
 	if r, ok := en.runs[key]; ok {
 		r.ended = true
+		w.failRun(r.host, r.inc, key.request, key.attempt, en.name, engine.CodeCancelled, false, false)
 		w.release(en, r)
 	}
 	for _, r := range en.imports {
@@ -434,7 +435,9 @@
 	for _, j := range en.queue {
 		if (runKey{j.e.Request, j.e.Attempt}) != key {
 			rest = append(rest, j)
+			continue
 		}
+		w.failRun(j.host, j.inc, key.request, key.attempt, en.name, engine.CodeCancelled, true, false)
 	}
 	en.queue = rest
 }
--- a/fleet/fake/host.go
+++ b/fleet/fake/host.go
@@ -167,3 +167,8 @@
 func (w *World) Version(name id.Host) uint64 {
 	return core.StatusOf(w.hosts[name].state, w.now).TableVersion
 }
+
+// Explain returns what the entry host of a call knows of it.
+func (w *World) Explain(c *Call) (core.Record, bool) {
+	return core.Explain(w.hosts[c.Host].state, c.Request)
+}
