--- a/fleet/limit/admit.go
+++ b/fleet/limit/admit.go
@@ -37,11 +37,11 @@
 }
 
 const (
-	// dryMin is the time without asks for an account after peers lacked tokens.
-	// It doubles with each failure and halves with each success.
-	dryMin = 100 * time.Millisecond
-	dryMax = 6400 * time.Millisecond
-	// dryDoublings is log2 of dryMax/dryMin.
+	// dryBase is the time without asks for an account after peers lacked tokens.
+	// It doubles with each failure and a success takes one doubling back.
+	dryBase = 100 * time.Millisecond
+	dryMax  = 6400 * time.Millisecond
+	// dryDoublings is log2 of dryMax/dryBase.
 	dryDoublings = 6
 	// probeStreak is the number of failures after which a request asks at most
 	// probePeers peers.
@@ -265,7 +265,7 @@
 	within := !r.reachable || len(r.asked) > 0
 	d := s.dry[r.account]
 	if !now.Before(d.until) {
-		d.until = now.Add(dryMin << min(d.streak, dryDoublings))
+		d.until = now.Add(dryBase << min(d.streak, dryDoublings))
 		d.streak = min(d.streak+1, dryDoublings)
 	}
 	d.withinRate = within
@@ -276,7 +276,7 @@
 // retryAfter estimates when the tokens will be there: at the rate of the whole
 // account, but not before the account may ask again.
 func (s *State) retryAfter(now time.Time, r *request) time.Duration {
-	wait := max(s.dry[r.account].until.Sub(now), dryMin)
+	wait := max(s.dry[r.account].until.Sub(now), dryBase)
 	if rate := s.budgets[r.account].Rate; rate > 0 {
 		missing := r.tokens - s.free(now, r, s.sources(now, r.account))
 		refill := time.Duration(float64(missing) / float64(rate) * float64(time.Second))
@@ -288,7 +288,7 @@
 // noteSuccess shortens the next pause after an ask that got its tokens.
 func (s *State) noteSuccess(account id.Account) {
 	if d, ok := s.dry[account]; ok {
-		d.streak /= 2
+		d.streak = max(d.streak-1, 0)
 		s.dry[account] = d
 	}
 }
--- a/fleet/limit/check.go
+++ b/fleet/limit/check.go
@@ -7,12 +7,11 @@
 	"ragwortshunt.example/fleet/id"
 )
 
-// Check returns an error if an invariant does not hold.
+// Check returns an error if an invariant does not hold. Its cost grows with the
+// number of buckets and requests, and after SetBudgets with that of accounts.
 func Check(s *State) error {
-	for _, account := range s.sortedAccounts() {
-		if err := s.checkSplit(account); err != nil {
-			return err
-		}
+	if err := s.checkSplits(); err != nil {
+		return err
 	}
 	for _, g := range s.groups {
 		if err := s.checkGroup(g); err != nil {
@@ -22,6 +21,19 @@
 	return s.checkRequests()
 }
 
+func (s *State) checkSplits() error {
+	if s.splitOK {
+		return nil
+	}
+	for _, account := range s.sortedAccounts() {
+		if err := s.checkSplit(account); err != nil {
+			return err
+		}
+	}
+	s.splitOK = true
+	return nil
+}
+
 // checkSplit checks that the slots of all zones sum exactly to the budget.
 func (s *State) checkSplit(account id.Account) error {
 	want := s.budgets[account]
--- a/fleet/limit/lease.go
+++ b/fleet/limit/lease.go
@@ -16,8 +16,8 @@
 	// handoverGrace is the time after handoverDelay in which a live holder is
 	// expected to have released a group.
 	handoverGrace = time.Second
-	// retryMin and the pooled lease bound the delay before a failed call is repeated.
-	retryMin = 100 * time.Millisecond
+	// retryBase and the pooled lease bound the delay before a failed call is repeated.
+	retryBase = 100 * time.Millisecond
 	// retryDoublings limits the growth of the delay.
 	retryDoublings = 10
 )
@@ -418,7 +418,7 @@
 }
 
 func (g *group) backOff(cfg Config, now time.Time) {
-	d := min(retryMin<<min(g.failures, retryDoublings), max(cfg.PooledLease/4, retryMin))
+	d := min(retryBase<<min(g.failures, retryDoublings), max(cfg.PooledLease/4, retryBase))
 	g.failures++
 	spread := d / 32 * time.Duration(g.index%32)
 	g.notBefore = now.Add(d + spread/2)
--- a/fleet/limit/limit.go
+++ b/fleet/limit/limit.go
@@ -94,12 +94,13 @@
 	holders  map[id.Zone][]id.Host // preferred holder by group, computed on demand
 	groups   []*group              // own zone
 	draining bool
+	splitOK  bool // Check has verified the split of the budgets
 
 	requests  map[id.Request]*request
 	pending   map[id.Request]*request
 	earmarked map[id.Account]int64 // local tokens that pending requests count on
 	dry       map[id.Account]dryness
-	dryPeers  map[peerAccount]time.Time
+	askedAt   map[peerAccount]time.Time // last ask
 
 	given      map[uint64]given // gifts to peers, by charge
 	received   map[receipt]time.Time
@@ -113,7 +114,7 @@
 	// maxTokens limits rates and bursts, so that levels in nanotokens fit an int64.
 	maxTokens = int64(4_000_000_000)
 	// sweepInterval is the time between removals of expired records.
-	sweepInterval = time.Second
+	sweepInterval = 10 * time.Second
 )
 
 // DefaultConfig returns the defaults of everything but the names of host and
@@ -124,7 +125,7 @@
 		SlotRate:     20_000,
 		ReserveShare: 0.5,
 		PooledLease:  20 * time.Second,
-		ReserveLease: 10 * time.Minute,
+		ReserveLease: 20 * time.Minute,
 		Margin:       250 * time.Millisecond,
 		AskTimeout:   150 * time.Millisecond,
 	}
@@ -147,7 +148,7 @@
 		pending:    map[id.Request]*request{},
 		earmarked:  map[id.Account]int64{},
 		dry:        map[id.Account]dryness{},
-		dryPeers:   map[peerAccount]time.Time{},
+		askedAt:    map[peerAccount]time.Time{},
 		given:      map[uint64]given{},
 		received:   map[receipt]time.Time{},
 		lastCharge: chargeBase(cfg),
@@ -164,6 +165,7 @@
 func SetBudgets(s *State, now time.Time, budgets map[id.Account]Budget) {
 	s.budgets = make(map[id.Account]Budget, len(budgets))
 	s.shares = make([][]share, s.cfg.Groups)
+	s.splitOK = false
 	accounts := make([]id.Account, 0, len(budgets))
 	for account := range budgets {
 		accounts = append(accounts, account)
@@ -212,9 +214,9 @@
 			delete(s.dry, account)
 		}
 	}
-	for p, until := range s.dryPeers {
-		if !now.Before(until) {
-			delete(s.dryPeers, p)
+	for p, at := range s.askedAt {
+		if now.Sub(at) > askLife {
+			delete(s.askedAt, p)
 		}
 	}
 }
--- a/fleet/limit/transfer.go
+++ b/fleet/limit/transfer.go
@@ -19,8 +19,8 @@
 	// roundsPerTimeout sets how long a request waits for answers before it asks
 	// further peers: AskTimeout divided by this.
 	roundsPerTimeout = 4
-	// peerDry is the time for which a peer that lacked tokens is asked last.
-	peerDry = 100 * time.Millisecond
+	// askLife is the time for which the last ask to a peer is remembered.
+	askLife = 10 * time.Second
 	// receiptLife is the time for which a repeated TokenGive is recognised. It
 	// outlasts the record at the giver, so a repeat cannot be returned.
 	receiptLife = chargeLife + time.Minute
@@ -28,8 +28,7 @@
 
 // askOf is one ask that has not been answered.
 type askOf struct {
-	at     time.Time
-	tokens int64
+	at time.Time
 }
 
 // gift is a number of tokens received from a peer.
@@ -128,9 +127,6 @@
 		return nil, g.giveBack(m.Account, m.Tokens)
 	}
 	delete(r.asked, from)
-	if m.Tokens < ask.tokens {
-		s.dryPeers[peerAccount{peer: from, account: m.Account}] = now.Add(peerDry)
-	}
 	if m.Tokens > 0 {
 		g.notAfter = ask.at.Add(m.Valid)
 		r.gifts = append(r.gifts, g)
@@ -193,16 +189,14 @@
 	}
 	peers := s.likelyHolders(r)
 	slices.SortStableFunc(peers, func(a, b id.Host) int {
-		return s.dryRank(now, a, r.account) - s.dryRank(now, b, r.account)
+		return s.lastAsked(a, r.account).Compare(s.lastAsked(b, r.account))
 	})
 	r.peers = peers[:min(len(peers), limit)]
 }
 
-func (s *State) dryRank(now time.Time, peer id.Host, account id.Account) int {
-	if now.Before(s.dryPeers[peerAccount{peer: peer, account: account}]) {
-		return 1
-	}
-	return 0
+// lastAsked returns when a peer was last asked for tokens of the account.
+func (s *State) lastAsked(peer id.Host, account id.Account) time.Time {
+	return s.askedAt[peerAccount{peer: peer, account: account}]
 }
 
 // localReachable reports whether every slot of the account for which this host
@@ -287,13 +281,15 @@
 	s.setEarmark(r, local)
 	want := r.tokens - got - local
 	n := asksPerRound
-	if len(r.asked) == 0 && r.nextRound.IsZero() {
+	if r.nextRound.IsZero() {
 		n = 1
+		want = r.tokens
 	}
 	n = min(n, len(r.peers))
 	var actions []Action
 	for _, peer := range r.peers[:n] {
-		r.asked[peer] = askOf{at: now, tokens: want}
+		r.asked[peer] = askOf{at: now}
+		s.askedAt[peerAccount{peer: peer, account: r.account}] = now
 		m := message.TokenAsk{Request: r.id, Account: r.account, Tokens: want}
 		actions = append(actions, Send{To: peer, Message: m})
 	}
--- a/fleet/limit/world_test.go
+++ b/fleet/limit/world_test.go
@@ -46,6 +46,7 @@
 	wakeAt time.Duration // paused until then
 	offset time.Duration // of the host's clock
 	stop   bool          // draining
+	gave   int           // answers with tokens
 }
 
 // usage is an admitted request; tokens falls from the charge to the use.
@@ -273,6 +274,9 @@
 
 func (w *world) send(from *host, a limit.Send) {
 	w.sent++
+	if m, ok := a.Message.(message.TokenGive); ok && m.Tokens > 0 {
+		from.gave++
+	}
 	i := slices.IndexFunc(w.hosts, func(h *host) bool { return h.name == a.To })
 	to := w.hosts[i]
 	copies := 1
