--- a/fleet/schedule/endpoint.go
+++ b/fleet/schedule/endpoint.go
@@ -189,8 +189,14 @@
 
 func (c *Cell) failed(name id.Endpoint) {
 	ep, ok := c.endpoints[name]
-	if !ok || c.now < ep.backOffUntil {
-		return // several requests report the same failure
+	if !ok {
+		return
+	}
+	ep.probe = nil
+	if c.now < ep.backOffUntil {
+		// Several requests report one failure, which must not count as several.
+		ep.backOffUntil = max(ep.backOffUntil, c.now+c.cfg.BackOff)
+		return
 	}
 	pause := min(c.cfg.BackOff<<min(ep.fails, 16), c.cfg.BackOffMost)
 	ep.fails++
--- a/fleet/schedule/run.go
+++ b/fleet/schedule/run.go
@@ -75,10 +75,10 @@
 	return c.cost(e.prompt, min(e.tokens, e.output))
 }
 
-// works ends the failures of ep after a success of an attempt that was granted
-// on it since, or that was already running.
+// works ends the failures of ep after a success of the attempt that tries it.
+// Other attempts prove nothing: their messages may be older than the failure.
 func works(ep *endpoint, e *entry) {
-	if ep != nil && ep.fails > 0 && (ep.probe == nil || ep.probe == e) {
+	if ep != nil && ep.probe == e {
 		ep.works()
 	}
 }
@@ -132,6 +132,9 @@
 			return nil
 		}
 		if e.attempt == m.Attempt && e.lane == nil {
+			if e.phase == message.PhaseDecode {
+				works(e.decode, e) // the host still waits for its tokens
+			}
 			c.progress(e, m.Phase)
 			return c.grantQueued(nil)
 		}
