--- /dev/null
+++ b/fleet/schedule/bench_test.go
@@ -0,0 +1,77 @@
+package schedule_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/message"
+	"ragwortshunt.example/fleet/schedule"
+)
+
+// BenchmarkRequest measures one request from ask to end, with its updates, at a
+// steady queue length; a Tick is due every ten requests, as at 1,000 asks/s.
+func BenchmarkRequest(b *testing.B) {
+	for _, queue := range []int{10, 100, 1000} {
+		for _, n := range []int{4, 16, 64} {
+			b.Run(fmt.Sprintf("queue=%d/endpoints=%d", queue, n), func(b *testing.B) {
+				b.ReportAllocs()
+				benchmarkRequest(b, queue, n)
+			})
+		}
+	}
+}
+
+func benchmarkRequest(b *testing.B, queue, n int) {
+	cfg := schedule.DefaultConfig()
+	cfg.HoldLapse = 1000 * time.Hour // the benchmark sends no holds
+	c := schedule.New(cfg, "m", t0, false)
+	schedule.SetEndpoints(c, t0, endpoints(n/4, n-n/4))
+	asks := make([]message.SlotAsk, b.N+queue+20*n)
+	for i := range asks {
+		asks[i] = ask(fmt.Sprintf("r%08d", i), account(id.Account(fmt.Sprintf("a%d", i%50))), target(time.Hour))
+		asks[i].Prefix = uint64(i % 500)
+	}
+	var running []id.Request
+	note := func(acts []schedule.Action) {
+		for _, a := range acts {
+			if s, ok := a.(schedule.Send); ok {
+				if g, ok := s.Message.(message.SlotGrant); ok {
+					running = append(running, g.Request)
+				}
+			}
+		}
+	}
+	tell := func(now time.Time, r id.Request, p message.Phase) {
+		note(schedule.HandleUpdate(c, now, "h", message.SlotUpdate{Request: r, Attempt: 1, Phase: p, Tokens: 50}))
+	}
+	now := t0
+	started := 0
+	next := 0
+	step := func() {
+		now = now.Add(time.Millisecond)
+		note(schedule.HandleAsk(c, now, "h", asks[next]))
+		next++
+		for ; started < len(running); started++ {
+			tell(now, running[started], message.PhaseDecode)
+		}
+		if next%10 == 0 {
+			note(schedule.Tick(c, now))
+		}
+	}
+	for schedule.Load(c, now).Queued < queue {
+		step()
+	}
+	head := 0
+	b.ResetTimer()
+	for range b.N {
+		tell(now, running[head], message.PhaseDone)
+		head++
+		step()
+	}
+	b.StopTimer()
+	if q := schedule.Load(c, now).Queued; q < queue-1 || q > queue+1 {
+		b.Fatalf("the queue has %d requests", q)
+	}
+}
--- a/fleet/schedule/config.go
+++ b/fleet/schedule/config.go
@@ -16,14 +16,13 @@
 // Policy switches mechanisms off, so that a benchmark can measure what each
 // contributes. The zero value has all of them on.
 type Policy struct {
-	Placement       Placement
-	NoClasses       bool // interactive and deferrable requests share one queue
-	NoFairQueue     bool // order by latest start only, whatever the account
-	NoAffinity      bool // ignore prefix caches
-	NoEarlyRefusal  bool // keep requests that will miss their first-token target
-	NoLargeLimit    bool // let large prompts take every prefill endpoint
-	NoPin           bool // never drain a decode endpoint for a request that needs much memory
-	NoDeferrableCap bool // let deferrable requests take every decode slot
+	Placement      Placement
+	NoClasses      bool // interactive and deferrable requests share one queue
+	NoFairQueue    bool // order by latest start only, whatever the account
+	NoAffinity     bool // ignore prefix caches
+	NoEarlyRefusal bool // keep requests that will miss their first-token target
+	NoLargeLimit   bool // let large prompts take every prefill endpoint
+	NoPin          bool // never drain a decode endpoint for a request that needs much memory
 }
 
 // Config holds the limits of a cell.
@@ -55,9 +54,9 @@
 	FairQuantum          time.Duration // accounts whose virtual times differ by less are ordered by latest start
 	DeferrableShare      int64         // percent of the endpoint time that deferrable requests get at least
 	DebtMost             time.Duration // bound of the endpoint time owed to deferrable requests
-	DeferrableSlots      int64         // percent of the decode slots that deferrable requests may hold
 	LargePrefill         time.Duration // a prompt whose prefill takes longer is large
-	SmallMemory          time.Duration // large prompts leave one endpoint free for this long after a small one
+	LargeWait            time.Duration // longest wait of small prompts for a prefill endpoint that large ones leave
+	SmallMemory          time.Duration // large prompts respect LargeWait for this long after a small one
 	PinAfter             time.Duration // an interactive request that lacks memory for this long gets an endpoint drained
 	PinDeferrableAfter   time.Duration // the same for deferrable requests
 	AffinityBonus        time.Duration // backlog that a cached prefix outweighs
@@ -72,7 +71,7 @@
 	return Config{
 		KVSurvival:         800 * time.Millisecond,
 		KVMargin:           200 * time.Millisecond,
-		MaxBacklog:         40 * time.Millisecond,
+		MaxBacklog:         20 * time.Millisecond,
 		GrantValid:         250 * time.Millisecond,
 		HoldTimeout:        1500 * time.Millisecond,
 		HoldLapse:          3500 * time.Millisecond,
@@ -89,12 +88,12 @@
 		FirstTokenMargin:   50 * time.Millisecond,
 		TokenTime:          40 * time.Millisecond,
 		FairQuantum:        100 * time.Millisecond,
-		DeferrableShare:    10,
+		DeferrableShare:    20,
 		DebtMost:           time.Second,
-		DeferrableSlots:    90,
 		LargePrefill:       250 * time.Millisecond,
+		LargeWait:          250 * time.Millisecond,
 		SmallMemory:        5 * time.Second,
-		PinAfter:           300 * time.Millisecond,
+		PinAfter:           time.Second,
 		PinDeferrableAfter: 5 * time.Second,
 		AffinityBonus:      50 * time.Millisecond,
 		CachedPrefixes:     4096,
--- a/fleet/schedule/endpoint.go
+++ b/fleet/schedule/endpoint.go
@@ -50,9 +50,8 @@
 type capacity struct {
 	promptCost  time.Duration // endpoint time of one prompt token
 	outputCost  time.Duration // endpoint time of one output token
-	decodeSlots int64
-	prefillRate int64 // of the fastest endpoint
-	linkRate    int64 // of the fastest prefill endpoint
+	prefillRate int64         // of the fastest endpoint
+	linkRate    int64         // of the fastest prefill endpoint
 }
 
 // SetEndpoints replaces the endpoints of the cell. Reservations on endpoints
@@ -126,7 +125,6 @@
 	for _, ep := range c.decodes {
 		slots += ep.Slots
 	}
-	c.capacity.decodeSlots = slots
 	if rate > 0 {
 		c.capacity.promptCost = time.Second * time.Duration(len(c.prefills)) / time.Duration(rate)
 		c.capacity.prefillRate = fastest
--- a/fleet/schedule/grant.go
+++ b/fleet/schedule/grant.go
@@ -87,9 +87,6 @@
 func (c *Cell) nextLane() *lane {
 	high := c.classes[interactive].lanes
 	low := c.classes[deferrable].lanes
-	if len(low) > 0 && c.deferrableFull() {
-		low = nil
-	}
 	if len(low) > 0 && (c.debt > 0 || len(high) == 0) {
 		return low[0]
 	}
@@ -133,9 +130,6 @@
 	c.addLinks(e)
 	pl.prefill.try(e)
 	pl.decode.try(e)
-	if c.classIndex(e.class) == deferrable {
-		c.deferrableSlots++
-	}
 	return Send{To: e.host, Message: c.grantMessage(e, c.cfg.GrantValid)}
 }
 
--- a/fleet/schedule/place.go
+++ b/fleet/schedule/place.go
@@ -30,9 +30,6 @@
 }
 
 func (c *Cell) place(e *entry) (placement, obstacle) {
-	if c.classIndex(e.class) == deferrable && c.deferrableFull() {
-		return placement{}, obstacleOther
-	}
 	p, why := c.choosePrefill(e)
 	if p == nil {
 		return placement{}, why
@@ -97,28 +94,20 @@
 	return c.cfg.AffinityBonus
 }
 
-// largeLimited tells whether large prompts must leave the remaining prefill
-// endpoint to small ones, which would otherwise wait for a long prefill.
+// largeLimited tells whether a large prompt must wait, because small ones would
+// then find no prefill endpoint that is free soon. Besides the endpoint that the
+// large prompt takes, another one must be free within LargeWait.
 func (c *Cell) largeLimited() bool {
 	if c.cfg.Policy.NoLargeLimit || !c.smallEver || c.now-c.smallSeen > c.cfg.SmallMemory {
 		return false
 	}
-	busy := 0
+	soon := 0
 	for _, ep := range c.prefills {
-		if ep.hasLarge() {
-			busy++
+		if c.backlog(ep) <= c.cfg.LargeWait && c.now >= ep.backOffUntil {
+			soon++
 		}
 	}
-	return len(c.prefills) > 1 && busy >= len(c.prefills)-1
-}
-
-func (ep *endpoint) hasLarge() bool {
-	for _, e := range ep.queue {
-		if e.large {
-			return true
-		}
-	}
-	return false
+	return len(c.prefills) > 1 && soon < 2
 }
 
 // chooseDecode completes the placement with the decode endpoint that has the
@@ -182,16 +171,6 @@
 	return true
 }
 
-// deferrableFull tells whether deferrable requests hold as many decode slots as
-// they may; the others stay free for interactive bursts.
-func (c *Cell) deferrableFull() bool {
-	if c.cfg.Policy.NoDeferrableCap {
-		return false
-	}
-	most := max(1, c.capacity.decodeSlots*c.cfg.DeferrableSlots/100)
-	return c.deferrableSlots >= most
-}
-
 // drainFor pins a decode endpoint for a request that has lacked memory for long.
 func (c *Cell) drainFor(e *entry) {
 	after := c.cfg.PinAfter
--- a/fleet/schedule/run.go
+++ b/fleet/schedule/run.go
@@ -236,9 +236,6 @@
 		c.releases.count++
 		c.dropUnused(d)
 	}
-	if e.own && c.classIndex(e.class) == deferrable {
-		c.deferrableSlots--
-	}
 	last := len(c.runs) - 1
 	c.runs[e.runIndex] = c.runs[last]
 	c.runs[e.runIndex].runIndex = e.runIndex
--- a/fleet/schedule/schedule.go
+++ b/fleet/schedule/schedule.go
@@ -82,13 +82,12 @@
 	runs    []*entry              // holding
 	ended   endedLog
 
-	pin             pin
-	deferrableSlots int64         // decode slots granted to deferrable requests
-	smallSeen       time.Duration // last ask for a small interactive prompt
-	smallEver       bool
-	releases        releaseRate
-	turn            int     // round-robin position
-	aside           []*lane // scratch space of grantQueued
+	pin       pin
+	smallSeen time.Duration // last ask for a small interactive prompt
+	smallEver bool
+	releases  releaseRate
+	turn      int     // round-robin position
+	aside     []*lane // scratch space of grantQueued
 }
 
 // New returns a cell without endpoints. With rebuild set, a predecessor may
