--- a/fleet/schedule/bench_test.go
+++ b/fleet/schedule/bench_test.go
@@ -8,27 +8,37 @@
 	"ragwortshunt.example/fleet/id"
 	"ragwortshunt.example/fleet/message"
 	"ragwortshunt.example/fleet/schedule"
+	"ragwortshunt.example/fleet/table"
 )
 
 // BenchmarkRequest measures one request from ask to end, with its updates, at a
-// steady queue length; a Tick is due every ten requests, as at 1,000 asks/s.
+// steady queue length, while decode slots or memory are short; a Tick is due every ten requests, as at 1,000 asks/s.
 func BenchmarkRequest(b *testing.B) {
-	for _, queue := range []int{10, 100, 1000} {
-		for _, n := range []int{4, 16, 64} {
-			b.Run(fmt.Sprintf("queue=%d/endpoints=%d", queue, n), func(b *testing.B) {
-				b.ReportAllocs()
-				benchmarkRequest(b, queue, n)
-			})
+	for _, short := range []string{"slots", "memory"} {
+		for _, queue := range []int{10, 100, 1000} {
+			for _, n := range []int{4, 16, 64} {
+				b.Run(fmt.Sprintf("short=%s/queue=%d/endpoints=%d", short, queue, n), func(b *testing.B) {
+					b.ReportAllocs()
+					eps := endpoints(n/4, n-n/4)
+					for i := range eps {
+						if eps[i].Role == table.RoleDecode && short == "memory" {
+							eps[i].Slots = 40
+							eps[i].Blocks = 20
+						}
+					}
+					benchmarkRequest(b, queue, eps)
+				})
+			}
 		}
 	}
 }
 
-func benchmarkRequest(b *testing.B, queue, n int) {
+func benchmarkRequest(b *testing.B, queue int, eps []schedule.Endpoint) {
 	cfg := schedule.DefaultConfig()
 	cfg.HoldLapse = 1000 * time.Hour // the benchmark sends no holds
 	c := schedule.New(cfg, "m", t0, false)
-	schedule.SetEndpoints(c, t0, endpoints(n/4, n-n/4))
-	asks := make([]message.SlotAsk, b.N+queue+20*n)
+	schedule.SetEndpoints(c, t0, eps)
+	asks := make([]message.SlotAsk, b.N+queue+20*len(eps))
 	for i := range asks {
 		asks[i] = ask(fmt.Sprintf("r%08d", i), account(id.Account(fmt.Sprintf("a%d", i%50))), target(time.Hour))
 		asks[i].Prefix = uint64(i % 500)
--- a/fleet/schedule/grant.go
+++ b/fleet/schedule/grant.go
@@ -20,19 +20,18 @@
 	if c.queued() == 0 || len(c.prefills) == 0 || len(c.decodes) == 0 {
 		return acts
 	}
-	var r round
 	if e := c.pin.entry; e != nil {
 		if pl, why := c.place(e); why == obstacleNone {
 			acts = append(acts, c.grant(e, pl))
 		}
 	}
+	var r round
 	for r.scanned < c.cfg.ScanLimit {
-		l := c.nextLane()
-		if l == nil {
+		e := c.next(&r)
+		if e == nil {
 			break
 		}
-		e := r.pick(l, c.cfg.ScanLane)
-		pl, why := c.placeInRound(&r, e)
+		pl, why := c.place(e)
 		if why == obstacleNone {
 			acts = append(acts, c.grant(e, pl))
 			continue
@@ -41,58 +40,71 @@
 			break
 		}
 		r.scanned++
-		if why == obstacleMemory && r.pick(l, c.cfg.ScanLane) != e {
-			continue
-		}
-		c.setAside(l)
+		c.pass(&r, e, why)
 	}
 	c.bringBack()
 	return acts
 }
 
-// pick returns the head of a lane or, if memory is short for it, one of the next
-// requests that need less.
-func (r *round) pick(l *lane, most int) *entry {
-	for _, e := range l.heap[:min(len(l.heap), most)] {
-		if r.noTokens == 0 || e.prompt+e.output < r.noTokens {
-			return e
-		}
+// pass notes why e gets no grant in this round.
+func (c *Cell) pass(r *round, e *entry, why obstacle) {
+	switch {
+	case why == obstacleLarge:
+		r.noLarge = true
+	case why == obstacleMemory && e.avoid == "":
+		r.noTokens = e.prompt + e.output
+		c.drainFor(e)
+	default:
+		c.setAside(e.lane)
 	}
-	return l.heap[0]
 }
 
-func (c *Cell) placeInRound(r *round, e *entry) (placement, obstacle) {
-	tokens := e.prompt + e.output
-	if e.large && r.noLarge {
-		return placement{}, obstacleLarge
+// next returns the request that is to be tried next: interactive before
+// deferrable, unless deferrable requests are owed their share.
+func (c *Cell) next(r *round) *entry {
+	first, second := &c.classes[interactive], &c.classes[deferrable]
+	if c.debt > 0 {
+		first, second = second, first
 	}
-	if r.noTokens > 0 && tokens >= r.noTokens {
-		return placement{}, obstacleMemory
+	if e := c.nextOf(r, first); e != nil {
+		return e
 	}
-	pl, why := c.place(e)
-	switch why {
-	case obstacleLarge:
-		r.noLarge = true
-	case obstacleMemory:
-		if e.avoid == "" {
-			r.noTokens = tokens
+	return c.nextOf(r, second)
+}
+
+// nextOf returns the first request of a class that no known obstacle concerns.
+// Once there is an obstacle it looks only at the front of the queue.
+func (c *Cell) nextOf(r *round, q *classQueue) *entry {
+	if len(q.lanes) == 0 {
+		return nil
+	}
+	if !r.noLarge && r.noTokens == 0 {
+		return q.lanes[0].heap[0]
+	}
+	var best *entry
+	for i, l := range q.lanes[:min(len(q.lanes), c.cfg.ScanLimit)] {
+		if best != nil && !q.lanes.Less(i, best.lane.index) {
+			continue
+		}
+		if e := c.pick(r, l); e != nil {
+			best = e
 		}
-		c.drainFor(e)
 	}
-	return pl, why
+	return best
 }
 
-// nextLane returns the lane whose head is next: interactive before deferrable,
-// unless deferrable requests are owed their share.
-func (c *Cell) nextLane() *lane {
-	high := c.classes[interactive].lanes
-	low := c.classes[deferrable].lanes
-	if len(low) > 0 && (c.debt > 0 || len(high) == 0) {
-		return low[0]
+// pick returns the head of a lane or, if memory is short for it, one of the next
+// requests that need less.
+func (c *Cell) pick(r *round, l *lane) *entry {
+	if r.noLarge && l.heap[0].large {
+		return nil
 	}
-	if len(high) > 0 {
-		return high[0]
+	for _, e := range l.heap[:min(len(l.heap), c.cfg.ScanLane)] {
+		if r.noTokens == 0 || e.prompt+e.output < r.noTokens {
+			return e
+		}
 	}
+	c.drainFor(l.heap[0])
 	return nil
 }
 
