--- a/fleet/schedule/endpoint.go
+++ b/fleet/schedule/endpoint.go
@@ -50,9 +50,8 @@
 type capacity struct {
 	promptCost  time.Duration // endpoint time of one prompt token
 	outputCost  time.Duration // endpoint time of one output token
-	decodeSlots int64
-	prefillRate int64 // of the fastest endpoint
-	linkRate    int64 // of the fastest prefill endpoint
+	prefillRate int64         // of the fastest endpoint
+	linkRate    int64         // of the fastest prefill endpoint
 }
 
 // SetEndpoints replaces the endpoints of the cell. Reservations on endpoints
@@ -126,7 +125,6 @@
 	for _, ep := range c.decodes {
 		slots += ep.Slots
 	}
-	c.capacity.decodeSlots = slots
 	if rate > 0 {
 		c.capacity.promptCost = time.Second * time.Duration(len(c.prefills)) / time.Duration(rate)
 		c.capacity.prefillRate = fastest
@@ -189,8 +187,14 @@
 
 func (c *Cell) failed(name id.Endpoint) {
 	ep, ok := c.endpoints[name]
-	if !ok || c.now < ep.backOffUntil {
-		return // several requests report the same failure
+	if !ok {
+		return
+	}
+	ep.probe = nil
+	if c.now < ep.backOffUntil {
+		// Several requests report one failure, which must not count as several.
+		ep.backOffUntil = max(ep.backOffUntil, c.now+c.cfg.BackOff)
+		return
 	}
 	pause := min(c.cfg.BackOff<<min(ep.fails, 16), c.cfg.BackOffMost)
 	ep.fails++
