--- /dev/null
+++ b/ctl/cmd/ragwortctl/main.go
@@ -0,0 +1,17 @@
+// Command ragwortctl is the operators' tool for the table and the routers.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+
+	"ragwortshunt.example/ctl/internal/operator"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	code := operator.Run(ctx, os.Args, operator.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr})
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/ctl/internal/platform/client.go
@@ -0,0 +1,261 @@
+// Package platform speaks to the platform's object API on behalf of operators.
+//
+// Client makes single calls and repeats them while the platform refuses or does
+// not answer. Load reads the stored table, Apply replaces it.
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"ragwortshunt.example/fleet/object"
+)
+
+// The faults of calls to the platform.
+var (
+	// ErrNotReachable tells that the platform did not answer within the time.
+	ErrNotReachable = errors.New("the platform cannot be reached")
+	// ErrReply tells that the platform answered against its protocol.
+	ErrReply = errors.New("unexpected reply from the platform")
+)
+
+// ConflictError tells that a conditional call found another version.
+type ConflictError struct {
+	Current object.Object // version 0 if the object does not exist
+}
+
+// Error names the object and its version.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("%s %q has version %d now", e.Current.Kind, e.Current.Name, e.Current.Version)
+}
+
+const (
+	callTimeout  = 5 * time.Second        // for one call without an answer
+	firstBackoff = 100 * time.Millisecond // doubles with each repetition
+	maxBackoff   = 2 * time.Second
+	maxReply     = 256 << 20 // bytes of one reply
+	badReplies   = 3         // replies against the protocol before a call fails
+)
+
+// Client calls the object API. It is safe for concurrent use.
+type Client struct {
+	base string // URL without trailing slash
+	http *http.Client
+}
+
+// New returns a client for the platform at the base URL.
+func New(base string) *Client {
+	return &Client{base: base, http: &http.Client{}}
+}
+
+// Get returns an object, or one with version 0 if it does not exist.
+func (c *Client) Get(ctx context.Context, kind, name string) (object.Object, error) {
+	r := request{method: http.MethodGet, path: objectPath(kind, name)}
+	var out object.Object
+	err := c.repeat(ctx, r, func(reply reply) error {
+		if reply.status == http.StatusNotFound {
+			out = object.Object{Kind: kind, Name: name}
+			return nil
+		}
+		var err error
+		out, err = decodeObject(reply, kind, name)
+		return err
+	})
+	return out, err
+}
+
+// List returns all objects of a kind.
+func (c *Client) List(ctx context.Context, kind string) ([]object.Object, error) {
+	r := request{method: http.MethodGet, path: "/objects/" + url.PathEscape(kind)}
+	var out object.List
+	err := c.repeat(ctx, r, func(reply reply) error {
+		if reply.status == http.StatusNotFound {
+			return nil
+		}
+		return decode(reply, &out)
+	})
+	return out.Objects, err
+}
+
+// Put writes an object if it still has the given version, and returns its new
+// version. It repeats the call when the outcome is unknown; an earlier attempt
+// that took effect counts as success. The error can be a *ConflictError, which
+// after a lost reply can stem from a write that followed this one.
+func (c *Client) Put(ctx context.Context, kind, name string, ifVersion uint64, value []byte) (uint64, error) {
+	r := request{
+		method: http.MethodPut,
+		path:   objectPath(kind, name) + "?if-version=" + strconv.FormatUint(ifVersion, 10),
+		body:   value,
+	}
+	var version uint64
+	err := c.repeat(ctx, r, func(reply reply) error {
+		o, err := decodePut(reply, kind, name, ifVersion)
+		var conflict *ConflictError
+		if errors.As(err, &conflict) && o.Version > ifVersion && bytes.Equal(o.Value, value) {
+			err = nil
+		}
+		version = o.Version
+		return err
+	})
+	return version, err
+}
+
+// Delete removes an object if it still has the given version. An object that is
+// already gone counts as removed.
+func (c *Client) Delete(ctx context.Context, kind, name string, ifVersion uint64) error {
+	r := request{
+		method: http.MethodDelete,
+		path:   objectPath(kind, name) + "?if-version=" + strconv.FormatUint(ifVersion, 10),
+	}
+	return c.repeat(ctx, r, func(reply reply) error {
+		switch reply.status {
+		case http.StatusOK, http.StatusNoContent, http.StatusNotFound:
+			return nil
+		case http.StatusConflict:
+			return &ConflictError{Current: object.Object{Kind: kind, Name: name}}
+		}
+		return replyError(reply)
+	})
+}
+
+func objectPath(kind, name string) string {
+	return "/objects/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
+}
+
+func decodeObject(r reply, kind, name string) (object.Object, error) {
+	var o object.Object
+	if err := decode(r, &o); err != nil {
+		return object.Object{}, err
+	}
+	if o.Kind != kind || o.Name != name || o.Version == 0 {
+		return object.Object{}, fmt.Errorf("%w: object %s/%s version %d, want %s/%s", ErrReply, o.Kind, o.Name, o.Version, kind, name)
+	}
+	return o, nil
+}
+
+// decodePut returns the new object, or the current one with a *ConflictError.
+func decodePut(r reply, kind, name string, ifVersion uint64) (object.Object, error) {
+	if r.status != http.StatusConflict {
+		o, err := decodeObject(r, kind, name)
+		if err == nil && o.Version <= ifVersion {
+			err = fmt.Errorf("%w: version %d after a write over version %d", ErrReply, o.Version, ifVersion)
+		}
+		return o, err
+	}
+	var o object.Object
+	if err := json.Unmarshal(r.body, &o); err != nil {
+		return o, fmt.Errorf("%w: conflict: %w", ErrReply, err)
+	}
+	if o.Version == ifVersion {
+		return o, fmt.Errorf("%w: conflict with the expected version %d", ErrReply, ifVersion)
+	}
+	o.Kind, o.Name = kind, name
+	return o, &ConflictError{Current: o}
+}
+
+func decode(r reply, out any) error {
+	if r.status != http.StatusOK && r.status != http.StatusCreated {
+		return replyError(r)
+	}
+	if err := json.Unmarshal(r.body, out); err != nil {
+		return fmt.Errorf("%w: %w", ErrReply, err)
+	}
+	return nil
+}
+
+func replyError(r reply) error { return fmt.Errorf("%w: status %d", ErrReply, r.status) }
+
+// request is one call; it can be repeated.
+type request struct {
+	method, path string
+	body         []byte
+}
+
+// reply is a complete answer.
+type reply struct {
+	status int
+	body   []byte
+	after  time.Duration // from Retry-After; 0 if absent
+}
+
+// repeat makes a call until the accept function settles it. It goes on without
+// limit while the platform refuses (429, 5xx) or does not answer, and gives up
+// after a few replies that accept rejects with ErrReply.
+func (c *Client) repeat(ctx context.Context, r request, accept func(reply) error) error {
+	backoff := firstBackoff
+	bad := 0
+	for {
+		reply, err := c.call(ctx, r)
+		if err == nil && !refused(reply.status) {
+			err = accept(reply)
+			if !errors.Is(err, ErrReply) {
+				return err
+			}
+			bad++
+			if bad == badReplies {
+				return err
+			}
+		}
+		if err == nil {
+			err = fmt.Errorf("status %d", reply.status)
+		}
+		if pause(ctx, max(backoff, reply.after)) != nil {
+			return fmt.Errorf("%w: %s %s: %w", ErrNotReachable, r.method, r.path, err)
+		}
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+// pause waits for a time between 50% and 100% of d, so that operators that were
+// refused together do not return together.
+func pause(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d/2 + rand.N(d/2+1))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return ctx.Err()
+	}
+}
+
+func refused(status int) bool {
+	return status == http.StatusTooManyRequests || status >= http.StatusInternalServerError
+}
+
+func (c *Client) call(ctx context.Context, r request) (reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, r.method, c.base+r.path, bytes.NewReader(r.body))
+	if err != nil {
+		return reply{}, fmt.Errorf("make the request: %w", err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return reply{}, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	if err != nil {
+		return reply{}, fmt.Errorf("read the reply: %w", err)
+	}
+	return reply{status: resp.StatusCode, body: body, after: retryAfter(resp.Header)}, nil
+}
+
+// retryAfter returns the wait that the platform asks for, at most maxBackoff.
+func retryAfter(h http.Header) time.Duration {
+	s, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil || s < 0 {
+		return 0
+	}
+	return min(time.Duration(min(s, 60))*time.Second, maxBackoff)
+}
--- a/fleet/table/diff.go
+++ b/fleet/table/diff.go
@@ -36,7 +36,7 @@
 // kind and name. A nil snapshot stands for an empty table.
 func Diff(from, to *Snapshot) []Change {
 	before, after := byName(Rows(from)), byName(Rows(to))
-	var out []Change
+	out := []Change{}
 	for name, row := range before {
 		if _, ok := after[name]; !ok {
 			out = append(out, change(OpRemove, row, Row{Kind: row.Kind, Name: row.Name}))
--- a/fleet/table/manifest.go
+++ b/fleet/table/manifest.go
@@ -23,11 +23,12 @@
 	History  []History `json:"history,omitempty"` // previous versions, newest first
 }
 
-// History tells which segments a previous version was the last to use.
+// History tells how a previous version differs from the one that followed it.
 type History struct {
 	Version uint64   `json:"version"`
 	Digest  string   `json:"digest"`
-	Retired []string `json:"retired"`
+	Retired []string `json:"retired"` // segments that the following version dropped
+	Added   []string `json:"added"`   // segments that the following version added
 }
 
 // ErrManifest tells that the bytes are no manifest that this program reads.
@@ -74,17 +75,48 @@
 // After returns m with the history of the previous manifest, which covers at
 // most the given number of versions.
 func (m Manifest) After(previous Manifest, versions int) Manifest {
-	last := History{Version: previous.Version, Digest: previous.Digest}
-	for _, name := range previous.Segments {
-		if !slices.Contains(m.Segments, name) {
-			last.Retired = append(last.Retired, name)
-		}
+	last := History{
+		Version: previous.Version,
+		Digest:  previous.Digest,
+		Retired: without(previous.Segments, m.Segments),
+		Added:   without(m.Segments, previous.Segments),
 	}
 	m.History = append([]History{last}, previous.History...)
 	m.History = m.History[:min(len(m.History), versions)]
 	return m
 }
 
+// Previous returns the manifest of a version in the history of m, itself without
+// history. It reports false for other versions and for an inconsistent history.
+func (m Manifest) Previous(version uint64) (Manifest, bool) {
+	segments := m.Segments
+	for _, h := range m.History {
+		segments = append(without(segments, h.Added), h.Retired...)
+		slices.Sort(segments)
+		if h.Version != version {
+			continue
+		}
+		out := Manifest{Format: m.Format, Version: h.Version, Digest: h.Digest, Segments: segments}
+		return out, contentDigest(segments) == h.Digest
+	}
+	return Manifest{}, false
+}
+
+// without returns the names that are not in the other list, in their order.
+func without(names, other []string) []string {
+	drop := make(map[string]bool, len(other))
+	for _, name := range other {
+		drop[name] = true
+	}
+	var out []string
+	for _, name := range names {
+		if !drop[name] {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // Uses returns the names of the segments of m and of the versions in its history.
 func (m Manifest) Uses() map[string]bool {
 	out := map[string]bool{}
--- a/fleet/table/row.go
+++ b/fleet/table/row.go
@@ -53,8 +53,8 @@
 
 // RowName identifies a row.
 type RowName struct {
-	Kind Kind
-	Name string
+	Kind Kind   `json:"kind"`
+	Name string `json:"name"`
 }
 
 // Rows returns the rows of s, ordered by kind and name. A nil snapshot has none.
--- a/fleet/table/segment_test.go
+++ b/fleet/table/segment_test.go
@@ -214,5 +214,10 @@
 		kept := !slices.ContainsFunc(m.Segments, func(name string) bool { return !uses[name] })
 		assert.Equal(t, kept, i >= 2, "version %d", m.Version)
 		assert.Equal(t, last.Contains(m), i >= 2, "version %d", m.Version)
+		previous, ok := last.Previous(m.Version)
+		assert.Equal(t, ok, i >= 2 && i < 7, "version %d", m.Version)
+		if ok {
+			assert.DeepEqual(t, previous.Segments, m.Segments)
+		}
 	}
 }
--- a/fleet/table/warning.go
+++ b/fleet/table/warning.go
@@ -26,7 +26,7 @@
 // bursts that cannot cover the largest output limit of a route, pools without
 // active endpoints, and zones that can prefill or decode a model but not both.
 func Warnings(s *Snapshot) []Warning {
-	var out []Warning
+	out := []Warning{}
 	for _, name := range slices.Sorted(maps.Keys(s.Accounts)) {
 		out = append(out, burstWarnings(s, s.Accounts[name])...)
 	}
