--- a/standin/internal/process/listener.go
+++ b/standin/internal/process/listener.go
@@ -47,6 +47,8 @@
 		ErrorLog:          zap.NewStdLog(l.log),
 	}
 	l.server = server
+	// A port chosen by the system stays the same when the listener opens again.
+	l.address = socket.Addr().String()
 	go func() {
 		if err := server.Serve(socket); !errors.Is(err, http.ErrServerClosed) {
 			l.log.Error("standin: listener failed.", zap.String("name", l.name), zap.Error(err))
@@ -55,6 +57,13 @@
 	return nil
 }
 
+// current returns the ip:port at which the listener listens or last listened.
+func (l *listener) current() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.address
+}
+
 // close closes the listener and cuts all its connections.
 func (l *listener) close() {
 	l.mu.Lock()
--- a/standin/internal/process/process.go
+++ b/standin/internal/process/process.go
@@ -74,6 +74,16 @@
 	})
 }
 
+// Address returns the ip:port at which the stand-in name listens, or nothing.
+func (p *Process) Address(name string) string {
+	for _, l := range p.listeners {
+		if l.name == name {
+			return l.current()
+		}
+	}
+	return ""
+}
+
 // Close closes all listeners and stops the engines.
 func (p *Process) Close() {
 	for _, l := range p.listeners {
--- /dev/null
+++ b/standin/internal/process/process_test.go
@@ -0,0 +1,147 @@
+package process_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"ragwortshunt.example/standin/internal/process"
+	"ragwortshunt.example/standin/internal/record"
+	"ragwortshunt.example/standin/internal/settings"
+)
+
+const config = `
+[control]
+address = 127.0.0.1:0
+
+[engine e1]
+address = 127.0.0.1:0
+
+[service s1]
+address = 127.0.0.1:0
+`
+
+type world struct {
+	t *testing.T
+	p *process.Process
+}
+
+func start(t *testing.T) world {
+	cfg, err := settings.Parse("test.ini", []byte(config))
+	assert.NilError(t, err)
+	p, err := process.Start(cfg, zap.NewNop())
+	assert.NilError(t, err)
+	t.Cleanup(p.Close)
+	return world{t, p}
+}
+
+// call makes a call with a secret header and an idempotency key.
+func (w world) call(method, name, path, body string) (*http.Response, string, error) {
+	url := "http://" + w.p.Address(name) + path
+	req, err := http.NewRequestWithContext(context.Background(), method, url, strings.NewReader(body))
+	assert.NilError(w.t, err)
+	// The transport must not repeat a request that has an idempotency key.
+	req.GetBody = nil
+	req.Header.Set("Idempotency-Key", "key-1")
+	req.Header.Set("X-Secret", "rws-abc")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return resp, string(data), err
+}
+
+func (w world) fault(text string, status int) {
+	w.t.Helper()
+	resp, body, err := w.call("POST", "control", "/fault", text)
+	assert.NilError(w.t, err)
+	assert.Equal(w.t, resp.StatusCode, status, body)
+}
+
+func (w world) get(path string, v any) {
+	w.t.Helper()
+	_, body, err := w.call("GET", "control", path, "")
+	assert.NilError(w.t, err)
+	assert.NilError(w.t, json.Unmarshal([]byte(body), v))
+}
+
+// Guards against services that execute refused calls, or do not record calls
+// whose reply is lost.
+func TestServiceRecords(t *testing.T) {
+	w := start(t)
+	w.fault(`{"target":"s1","kind":"refuse","count":1}`, 204)
+	resp, _, err := w.call("POST", "s1", "/release/7", "crate")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.Header.Get("Not-Run"), "true")
+	w.fault(`{"target":"s1","kind":"drop-reply","value":1,"count":1}`, 204)
+	_, _, err = w.call("POST", "s1", "/release/7", "crate")
+	assert.Assert(t, err != nil)
+	_, body, err := w.call("POST", "s1", "/release/7", "crate")
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(body, `"serial":2`), body)
+	var got []record.Execution
+	w.get("/record/executions", &got)
+	assert.Equal(t, len(got), 2)
+	assert.Equal(t, got[0].IdempotencyKey, "key-1")
+	assert.Equal(t, got[0].Path, "/release/7")
+}
+
+// Guards against secrets that the record does not show.
+func TestSearch(t *testing.T) {
+	w := start(t)
+	_, _, err := w.call("POST", "s1", "/release?in=url", "in-body")
+	assert.NilError(t, err)
+	for _, text := range []string{"rws-abc", "in-body", "in%3Durl"} {
+		var got record.SearchResult
+		w.get("/record/search?text="+text, &got)
+		assert.Equal(t, got.Total, 1, text)
+		assert.Equal(t, got.Matches[0].Endpoint, "s1")
+	}
+	var got record.SearchResult
+	w.get("/record/search?text=elsewhere", &got)
+	assert.Equal(t, got.Total, 0)
+	assert.Equal(t, got.Searched, 1)
+}
+
+// Guards against an engine that survives its death or does not come back.
+func TestDie(t *testing.T) {
+	w := start(t)
+	load := func() error {
+		_, _, err := w.call("GET", "e1", "/v1/load", "")
+		return err
+	}
+	assert.NilError(t, load())
+	w.fault(`{"target":"e1","kind":"die"}`, 204)
+	assert.Assert(t, load() != nil)
+	w.fault(`{"target":"e1","kind":"die","duration-ms":1}`, 204)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if err := load(); err != nil {
+			return poll.Continue("%v", err)
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(time.Minute))
+}
+
+// Guards against misspelt faults that silently do nothing.
+func TestBadFaults(t *testing.T) {
+	w := start(t)
+	for _, text := range []string{
+		`{"target":"e2","kind":"die"}`,
+		`{"target":"e1","kind":"outage"}`,
+		`{"target":"s1","kind":"drop-reply","value":2}`,
+		`{"target":"e1","kind":"die","duration":5}`,
+		`{`,
+	} {
+		w.fault(text, 400)
+	}
+}
