--- /dev/null
+++ b/load/internal/runner/command.go
@@ -0,0 +1,92 @@
+package runner
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"ragwortshunt.example/load/internal/stats"
+	"ragwortshunt.example/load/internal/workload"
+)
+
+// ErrWrong tells that an answer was wrong.
+var ErrWrong = errors.New("answers were wrong")
+
+// Arguments are the arguments of the subcommand run.
+type Arguments struct {
+	Options
+	Path          string        // of the workload
+	JSON          string        // path of the report; empty for none
+	FirstToken    time.Duration // target of all flows in place of the workload's; 0 keeps them
+	BetweenTokens time.Duration // target of all flows in place of the workload's; 0 keeps them
+	Table         io.Writer
+}
+
+// Command runs a workload and writes the report. It returns ErrWrong if an
+// answer was wrong.
+func Command(ctx context.Context, args Arguments) error {
+	w, err := workload.Load(args.Path)
+	if err != nil {
+		return err
+	}
+	for i := range w.Flows {
+		setTargets(&w.Flows[i].Targets, args)
+	}
+	if args.Routers, err = checkRouters(args.Routers); err != nil {
+		return err
+	}
+	args.Workload = w
+	args.Run = fmt.Sprintf("load-%d-%d", args.Seed, time.Now().UnixMilli())
+	report := Run(ctx, args.Options)
+	if err := report.WriteTable(args.Table); err != nil {
+		return err
+	}
+	if err := writeReport(args.JSON, report); err != nil {
+		return err
+	}
+	if report.Total.Wrong > 0 {
+		return fmt.Errorf("%w: %d", ErrWrong, report.Total.Wrong)
+	}
+	return nil
+}
+
+func setTargets(t *workload.Targets, args Arguments) {
+	if args.FirstToken > 0 {
+		t.FirstToken = args.FirstToken
+	}
+	if args.BetweenTokens > 0 {
+		t.BetweenTokens = args.BetweenTokens
+	}
+}
+
+func checkRouters(routers []string) ([]string, error) {
+	var out []string
+	for _, text := range routers {
+		u, err := url.Parse(text)
+		if err != nil || u.Scheme != "http" || u.Host == "" {
+			return nil, fmt.Errorf("--router %s: want http://ip:port", text)
+		}
+		out = append(out, strings.TrimSuffix(text, "/"))
+	}
+	return out, nil
+}
+
+func writeReport(path string, report stats.Report) error {
+	if path == "" {
+		return nil
+	}
+	data, err := json.MarshalIndent(report, "", "  ")
+	if err != nil {
+		return fmt.Errorf("encode report: %w", err)
+	}
+	if err := os.WriteFile(path, append(data, '\n'), 0o644); err != nil {
+		return fmt.Errorf("write report: %w", err)
+	}
+	return nil
+}
