--- a/load/internal/caller/service.go
+++ b/load/internal/caller/service.go
@@ -42,7 +42,8 @@
 	first.Repeats = 1
 	if second.Status == Wrong || second.Status == Whole && again != reply {
 		first.Status = Wrong
-		first.Detail = fmt.Sprintf("repeat replied %+v (%s), first reply %+v", again, second.Detail, reply)
+		first.Detail = fmt.Sprintf("call %s ran as %s/%d, its repeat as %s/%d %s",
+			r.IdempotencyKey, reply.Service, reply.Serial, again.Service, again.Serial, second.Detail)
 	}
 	return first
 }
