Let holds lapse after three missed refreshes

The scheduler's default lapse (3.5 s) was shorter than the refresh of the entry host (5 s), so that long answers were cancelled and started again.

--- a/fleet/core/core.go
+++ b/fleet/core/core.go
@@ -84,6 +84,9 @@
 		ZoneCrossing:    50 * time.Millisecond,
 		FinishedRecords: 1000,
 	}
+	// The death of an entry host is noticed by membership; the lapse of holds only
+	// repairs lost messages, so that few refreshes are enough.
+	cfg.Schedule.HoldLapse = 3 * cfg.HoldRefresh
 	cfg.Limit.Host = host
 	cfg.Limit.Incarnation = inc
 	cfg.Limit.Zone = zone
