--- a/Makefile
+++ b/Makefile
@@ -36,5 +36,8 @@
 test:
 	@set -e; for m in $(MODULES); do (cd $$m && go test -count=1 ./...) || exit 1; done
 
+demo: build
+	demo/run.sh
+
 clean:
 	rm -rf bin out
