--- a/fleet/limit/limit_test.go
+++ b/fleet/limit/limit_test.go
@@ -89,25 +89,36 @@
 	})
 }
 
+// boundBudgets holds an account whose burst lasts far longer than a lease and
+// one whose buckets fill up within the time of a message.
+func boundBudgets() map[id.Account]limit.Budget {
+	return map[id.Account]limit.Budget{"slow": {Rate: 9, Burst: 601}, "fast": {Rate: 2000, Burst: 900}}
+}
+
 // TestBoundUnderFaults guards against any sequence of host, network and
 // platform faults that lets an account exceed its rate and burst in a window.
+// Floods around the faults spend every token that some host believes it has.
 func TestBoundUnderFaults(t *testing.T) {
 	const end = 40 * time.Second
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(testConfig(), 2, testBudgets(), rapid.Uint64().Draw(t, "seed"))
+		cfg := testConfig()
+		cfg.Zones = cfg.Zones[:rapid.IntRange(2, 3).Draw(t, "zones")]
+		cfg.Groups = rapid.IntRange(1, 2).Draw(t, "groups")
+		w := newWorld(cfg, 2, boundBudgets(), rapid.Uint64().Draw(t, "seed"))
 		w.faulty = rapid.Bool().Draw(t, "faulty")
 		w.flap = rapid.Bool().Draw(t, "flap")
+		waste := rapid.IntRange(0, 3).Draw(t, "waste-in")
 		for _, f := range drawFaults(t, end) {
 			w.inject(f)
+			for _, at := range []time.Duration{f.at - time.Second, f.at, f.at + f.length, f.at + f.length + cfg.PooledLease} {
+				if w.rnd.IntN(2) == 0 {
+					w.floodAt(max(at, 0), waste)
+				}
+			}
 		}
-		load := time.Duration(rapid.IntRange(30, 300).Draw(t, "load-percent"))
-		large := traffic{account: "large", every: 250 * time.Millisecond * 100 / load, most: 150, hold: 4 * time.Second, wasteIn: 1, hosts: w.hosts}
-		small := traffic{account: "small", every: 400 * time.Millisecond * 100 / load, most: 40, hold: 4 * time.Second, wasteIn: 1, hosts: w.hosts}
-		if rapid.Bool().Draw(t, "bursts") {
-			large.pause, small.pause = 5*time.Second, 4*time.Second
+		for at := 2 * time.Second; at < end; at += 7 * time.Second {
+			w.floodAt(at, waste)
 		}
-		w.drive(large)
-		w.drive(small)
 		for at := time.Second; at <= end; at += time.Second {
 			w.run(at)
 			assert.NilError(t, w.err)
@@ -116,6 +127,43 @@
 	})
 }
 
+// floodAt lets both accounts of boundBudgets flood all hosts for a while.
+func (w *world) floodAt(at time.Duration, wasteIn int) {
+	at += time.Duration(w.rnd.IntN(300)) * time.Millisecond
+	length := time.Duration(50+w.rnd.IntN(250)) * time.Millisecond
+	for _, account := range []id.Account{"fast", "slow"} {
+		t := traffic{account: account, most: w.budgets[account].Burst / 12, hold: 3 * time.Second, wasteIn: wasteIn}
+		for _, h := range w.hosts {
+			for d := time.Duration(0); d < length; d += 12 * time.Millisecond {
+				w.after(at+d, func() { w.arrive(t, h) })
+			}
+		}
+	}
+}
+
+// TestBoundUnderRefunds guards against refunds and late gifts that let an
+// account exceed its rate and burst. Long requests of all sizes leave random
+// parts unused while buckets refill, and messages take long against the refill.
+func TestBoundUnderRefunds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := testConfig()
+		cfg.Zones = cfg.Zones[:2]
+		cfg.Groups = 1
+		cfg.ReserveShare = 0
+		budgets := map[id.Account]limit.Budget{"slow": {Rate: 20, Burst: 60}, "fast": {Rate: 3000, Burst: 400}}
+		w := newWorld(cfg, 1, budgets, rapid.Uint64().Draw(t, "seed"))
+		w.faulty = rapid.Bool().Draw(t, "faulty")
+		w.run(4 * time.Second)
+		load := time.Duration(rapid.IntRange(20, 200).Draw(t, "load-percent"))
+		most := rapid.Int64Range(10, 40).Draw(t, "largest")
+		w.drive(traffic{account: "slow", every: time.Second * 100 / load, most: most, hold: 4 * time.Second, wasteIn: 1, hosts: w.hosts})
+		w.drive(traffic{account: "fast", every: 25 * time.Millisecond * 100 / load, most: 5 * most, hold: 100 * time.Millisecond, wasteIn: 3, hosts: w.hosts})
+		w.run(34 * time.Second)
+		assert.NilError(t, w.err)
+		assert.NilError(t, w.checkWindows())
+	})
+}
+
 // TestSkewedLoad guards against refusals of an account that is well within its
 // rate, but sends all of its requests to one host.
 func TestSkewedLoad(t *testing.T) {
--- /dev/null
+++ b/fleet/limit/single_test.go
@@ -0,0 +1,161 @@
+package limit_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/limit"
+	"ragwortshunt.example/fleet/message"
+)
+
+var epoch = time.Unix(0, 0)
+
+func sec(s float64) time.Time { return epoch.Add(time.Duration(s * float64(time.Second))) }
+
+func singleConfig() limit.Config {
+	cfg := testConfig()
+	cfg.Host, cfg.Zone, cfg.Zones = "h1", "z1", []id.Zone{"z1"}
+	cfg.Groups, cfg.ReserveShare = 1, 0
+	cfg.PooledLease, cfg.ReserveLease = time.Minute, time.Hour
+	return cfg
+}
+
+// reading returns a host that reads its only group at -1 s.
+func reading(t *testing.T, cfg limit.Config, b limit.Budget) *limit.State {
+	s := limit.New(cfg)
+	limit.SetBudgets(s, sec(-2), map[id.Account]limit.Budget{"a": b})
+	limit.SetHosts(s, sec(-2), map[id.Zone][]id.Host{"z1": {"h1"}})
+	_, actions := limit.Tick(s, sec(-1))
+	assert.DeepEqual(t, actions, []limit.Action{limit.ReadLease{Group: "z1.0"}})
+	return s
+}
+
+// holding returns the only host of the only group at 0 s, with a full bucket.
+// Its lease was written at -1 s.
+func holding(t *testing.T, b limit.Budget) *limit.State {
+	s := reading(t, singleConfig(), b)
+	actions := limit.HandleRead(s, sec(-1), limit.LeaseRead{Group: "z1.0"})
+	assert.Equal(t, len(actions), 1)
+	limit.HandleWrite(s, sec(0), limit.LeaseWrite{Group: "z1.0", Version: 1, Outcome: limit.WriteDone})
+	return s
+}
+
+// admit reports whether the host admits tokens at once.
+func admit(t *testing.T, s *limit.State, at float64, req id.Request, tokens int64) bool {
+	d, _ := limit.Admit(s, sec(at), req, "a", tokens)
+	assert.NilError(t, limit.Check(s))
+	_, ok := d.(limit.Admitted)
+	return ok
+}
+
+// TestRefundAfterRefill guards against a refund of a charge whose tokens the
+// refill has replaced and a later request has spent.
+func TestRefundAfterRefill(t *testing.T) {
+	s := holding(t, limit.Budget{Rate: 10, Burst: 100})
+	assert.Assert(t, admit(t, s, 0, "first", 100))
+	assert.Assert(t, admit(t, s, 10, "second", 100))
+	limit.Settle(s, sec(10), "first", 0)
+	assert.Assert(t, !admit(t, s, 10, "third", 1))
+}
+
+// TestOverlappingRefunds guards against two refunds that each use the same room
+// below the burst.
+func TestOverlappingRefunds(t *testing.T) {
+	s := holding(t, limit.Budget{Rate: 10, Burst: 100})
+	assert.Assert(t, admit(t, s, 0, "first", 50))
+	assert.Assert(t, admit(t, s, 0, "second", 50))
+	assert.Assert(t, admit(t, s, 5, "third", 50))
+	limit.Settle(s, sec(5), "first", 0)
+	limit.Settle(s, sec(5), "second", 0)
+	assert.Assert(t, admit(t, s, 5, "fourth", 50))
+	assert.Assert(t, !admit(t, s, 5, "fifth", 1))
+}
+
+// TestRefundOfLateCharge guards against a cap that counts heights before the
+// charge, which would deny refunds that break no bound.
+func TestRefundOfLateCharge(t *testing.T) {
+	s := holding(t, limit.Budget{Rate: 10, Burst: 100})
+	assert.Assert(t, admit(t, s, 0, "first", 100))
+	limit.Settle(s, sec(2), "first", 20)
+	assert.Assert(t, admit(t, s, 2, "second", 100))
+}
+
+func ask(t *testing.T, s *limit.State, at float64, tokens int64) message.TokenGive {
+	m := message.TokenAsk{Request: "remote", Account: "a", Tokens: tokens}
+	actions := limit.HandleAsk(s, sec(at), "h2", m)
+	assert.Equal(t, len(actions), 1)
+	return actions[0].(limit.Send).Message.(message.TokenGive)
+}
+
+// TestGiftCountsAgainstBurst guards against a bucket that fills up again while
+// a peer may still be about to spend a gift.
+func TestGiftCountsAgainstBurst(t *testing.T) {
+	s := holding(t, limit.Budget{Rate: 2000, Burst: 100})
+	assert.Equal(t, ask(t, s, 0, 60).Tokens, int64(60))
+	assert.Assert(t, !admit(t, s, 0.1, "during", 41))
+	assert.Assert(t, admit(t, s, 0.3, "after", 100))
+}
+
+// TestGiftReturnedOnce guards against a repeated TokenReturn that creates tokens.
+func TestGiftReturnedOnce(t *testing.T) {
+	s := holding(t, limit.Budget{Rate: 1, Burst: 100})
+	give := ask(t, s, 0, 100)
+	back := message.TokenReturn{Account: "a", Tokens: 40, Charge: give.Charge}
+	limit.HandleReturn(s, sec(0.01), back)
+	limit.HandleReturn(s, sec(0.01), back)
+	assert.Assert(t, !admit(t, s, 0.01, "large", 41))
+	assert.Assert(t, admit(t, s, 0.01, "small", 40))
+}
+
+// TestLeaseCountsFromSend guards against use of a lease after another host may
+// have taken it, when the reply to the write came late.
+func TestLeaseCountsFromSend(t *testing.T) {
+	s := holding(t, limit.Budget{Rate: 10, Burst: 100})
+	assert.Assert(t, admit(t, s, 58.9, "before", 1))
+	assert.Assert(t, !admit(t, s, 58.95, "after", 1))
+}
+
+// TestBudgetChange guards against tokens that appear when a budget is raised,
+// stay when it is lowered, or come back with an account that was removed.
+func TestBudgetChange(t *testing.T) {
+	s := holding(t, limit.Budget{Rate: 1, Burst: 100})
+	set := func(b map[id.Account]limit.Budget) { limit.SetBudgets(s, sec(0), b) }
+	set(map[id.Account]limit.Budget{"a": {Rate: 1, Burst: 200}})
+	assert.Assert(t, !admit(t, s, 0, "raised", 101))
+	set(map[id.Account]limit.Budget{"a": {Rate: 1, Burst: 30}})
+	set(map[id.Account]limit.Budget{"a": {Rate: 1, Burst: 100}})
+	assert.Assert(t, !admit(t, s, 0, "lowered", 31))
+	assert.Assert(t, admit(t, s, 0, "rest", 10))
+	set(nil)
+	set(map[id.Account]limit.Budget{"a": {Rate: 1, Burst: 100}})
+	assert.Assert(t, !admit(t, s, 0, "removed", 1))
+}
+
+// TestTakeoverKeepsReserve guards against a take-over of the pooled part that
+// shortens the wait for the reserve part of the previous holder.
+func TestTakeoverKeepsReserve(t *testing.T) {
+	cfg := singleConfig()
+	s := reading(t, cfg, limit.Budget{Rate: 10, Burst: 100})
+	value := `{"writer":"h9","pooled":{"holder":"h9","wait-ns":60000000000},"reserve":{"holder":"h9","wait-ns":3600000000000}}`
+	actions := limit.HandleRead(s, sec(0), limit.LeaseRead{Group: "z1.0", Version: 4, Value: []byte(value)})
+	assert.Equal(t, len(actions), 0)
+	_, actions = limit.Tick(s, sec(60))
+	assert.Equal(t, len(actions), 0, "taken before the margin has passed")
+	_, actions = limit.Tick(s, sec(61))
+	write := actions[0].(limit.WriteLease)
+	assert.Equal(t, write.IfVersion, uint64(4))
+	var v struct {
+		Pooled, Reserve struct {
+			Holder string
+			Wait   time.Duration `json:"wait-ns"`
+		}
+	}
+	assert.NilError(t, json.Unmarshal(write.Value, &v))
+	assert.Equal(t, v.Pooled.Holder, "h1")
+	assert.Equal(t, v.Reserve.Holder, "h9")
+	assert.Equal(t, v.Reserve.Wait, 3539*time.Second)
+}
--- a/fleet/limit/traffic_test.go
+++ b/fleet/limit/traffic_test.go
@@ -14,7 +14,6 @@
 	every   time.Duration // mean time between requests
 	most    int64         // tokens of the largest request
 	hold    time.Duration // longest time to the end of a request
-	pause   time.Duration // 0, or the mean of pauses after every 50th request or so
 	wasteIn int           // one request in wasteIn uses only a random part; 0: none
 	hosts   []*host
 }
@@ -26,11 +25,7 @@
 }
 
 func (w *world) drive(t traffic) {
-	mean := t.every
-	if t.pause > 0 && w.rnd.IntN(50) == 0 {
-		mean = t.pause
-	}
-	w.after(time.Duration(w.rnd.ExpFloat64()*float64(mean)), func() {
+	w.after(time.Duration(w.rnd.ExpFloat64()*float64(t.every)), func() {
 		w.arrive(t, t.hosts[w.rnd.IntN(len(t.hosts))])
 		w.drive(t)
 	})
--- a/fleet/limit/world_test.go
+++ b/fleet/limit/world_test.go
@@ -215,6 +215,9 @@
 
 func (w *world) lag() time.Duration {
 	d := time.Duration(1+w.rnd.IntN(6)) * time.Millisecond
+	if w.faulty && w.rnd.IntN(4) == 0 {
+		d += time.Duration(w.rnd.IntN(60)) * time.Millisecond
+	}
 	if w.faulty && w.rnd.IntN(25) == 0 {
 		d += time.Duration(w.rnd.IntN(5000)) * time.Millisecond
 	}
