--- a/fleet/limit/single_test.go
+++ b/fleet/limit/single_test.go
@@ -117,6 +117,27 @@
 	s := holding(t, limit.Budget{Rate: 10, Burst: 100})
 	assert.Assert(t, admit(t, s, 58.9, "before", 1))
 	assert.Assert(t, !admit(t, s, 58.95, "after", 1))
+	_, actions := limit.Tick(s, sec(58.95))
+	assert.Equal(t, len(actions), 1)
+	limit.HandleWrite(s, sec(70), limit.LeaseWrite{Group: "z1.0", Version: 2, Outcome: limit.WriteDone})
+	assert.Assert(t, admit(t, s, 118.8, "renewed", 1))
+	assert.Assert(t, !admit(t, s, 118.9, "lapsed", 1))
+}
+
+// TestReleaseFreezes guards against use of tokens whose level has been written
+// into a released lease, even if the write seems to have failed.
+func TestReleaseFreezes(t *testing.T) {
+	s := holding(t, limit.Budget{Rate: 0, Burst: 100})
+	limit.Drain(s, sec(0))
+	assert.Assert(t, admit(t, s, 0.1, "before", 10))
+	_, actions := limit.Tick(s, sec(0.2))
+	assert.Equal(t, len(actions), 1)
+	assert.Assert(t, !admit(t, s, 0.2, "frozen", 1))
+	limit.HandleWrite(s, sec(0.3), limit.LeaseWrite{Group: "z1.0", Outcome: limit.WriteUnknown})
+	assert.Assert(t, !admit(t, s, 0.4, "unknown", 1))
+	assert.Assert(t, !limit.Drained(s))
+	_, actions = limit.Tick(s, sec(0.5))
+	assert.DeepEqual(t, actions, []limit.Action{limit.ReadLease{Group: "z1.0"}})
 }
 
 // TestBudgetChange guards against tokens that appear when a budget is raised,
