--- a/fleet/limit/limit_test.go
+++ b/fleet/limit/limit_test.go
@@ -99,6 +99,7 @@
 // platform faults that lets an account exceed its rate and burst in a window.
 // Floods around the faults spend every token that some host believes it has.
 func TestBoundUnderFaults(t *testing.T) {
+	t.Parallel()
 	const end = 40 * time.Second
 	rapid.Check(t, func(t *rapid.T) {
 		cfg := testConfig()
@@ -145,6 +146,7 @@
 // account exceed its rate and burst. Long requests of all sizes leave random
 // parts unused while buckets refill, and messages take long against the refill.
 func TestBoundUnderRefunds(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		cfg := testConfig()
 		cfg.Zones = cfg.Zones[:2]
--- a/fleet/limit/split_test.go
+++ b/fleet/limit/split_test.go
@@ -13,6 +13,7 @@
 // must cost few refusals, and a long outage must leave the reserve in use. The
 // figures are recorded in docs/decisions/0001-lease-split.md.
 func TestLeaseSplit(t *testing.T) {
+	t.Parallel()
 	settings := []struct {
 		share           float64
 		pooled, reserve time.Duration
