--- a/fleet/schedule/grant.go
+++ b/fleet/schedule/grant.go
@@ -51,7 +51,7 @@
 	switch {
 	case why == obstacleLarge:
 		r.noLarge = true
-	case why == obstacleMemory && e.avoid == "":
+	case why == obstacleMemory:
 		r.noTokens = e.prompt + e.output
 		c.drainFor(e)
 	default:
@@ -176,9 +176,10 @@
 
 func (c *Cell) blindChoice(e *entry, eps []*endpoint) *endpoint {
 	var best *endpoint
+	avoid := c.avoids(e, eps)
 	for i := range eps {
 		ep := eps[(c.turn+i)%len(eps)]
-		if !c.open(ep, e, c.avoids(e, eps)) {
+		if !c.open(ep) || (avoid && ep.Name == e.avoid) {
 			continue
 		}
 		if best == nil {
--- a/fleet/schedule/place.go
+++ b/fleet/schedule/place.go
@@ -40,14 +40,12 @@
 	return pl, why
 }
 
-// open tells whether the endpoint may be granted to e.
-func (c *Cell) open(ep *endpoint, e *entry, avoid bool) bool {
+// open tells whether the endpoint may get a grant, as far as its failures and
+// the rebuilding go.
+func (c *Cell) open(ep *endpoint) bool {
 	if c.now < ep.backOffUntil || (ep.fails > 0 && ep.probe != nil) {
 		return false
 	}
-	if avoid && ep.Name == e.avoid {
-		return false
-	}
 	return !c.rebuilding() || ep.ownSlots < max(1, ep.Slots*c.cfg.RebuildPercent/100)
 }
 
@@ -69,7 +67,7 @@
 	why := obstaclePrefill
 	for _, ep := range c.prefills {
 		backlog := c.backlog(ep)
-		if backlog > c.cfg.MaxBacklog || ep.freeSlots() < 1 || !c.open(ep, e, false) {
+		if backlog > c.cfg.MaxBacklog || ep.freeSlots() < 1 || !c.open(ep) {
 			continue
 		}
 		if ep.freeBlocks() < ep.blocksFor(e.prompt) || (avoid && ep.Name == e.avoid) {
@@ -119,11 +117,11 @@
 	var best *endpoint
 	for _, ep := range c.decodes {
 		free := ep.freeSlots()
-		if free < 1 || c.pinned(ep, e) {
+		if free < 1 || c.pinned(ep, e) || !c.open(ep) {
 			continue
 		}
-		if !c.open(ep, e, avoid) {
-			why = max(why, obstacleOther)
+		if avoid && ep.Name == e.avoid {
+			why = obstacleOther
 			continue
 		}
 		if ep.freeBlocks() < ep.blocksFor(e.prompt+e.output) {
@@ -183,7 +181,7 @@
 	avoid := c.avoids(e, c.decodes)
 	var best *endpoint
 	for _, ep := range c.decodes {
-		if !c.open(ep, e, avoid) || ep.Blocks < ep.blocksFor(e.prompt+e.output) {
+		if !c.open(ep) || (avoid && ep.Name == e.avoid) || ep.Blocks < ep.blocksFor(e.prompt+e.output) {
 			continue
 		}
 		if best == nil || ep.freeBlocks() > best.freeBlocks() {
--- a/fleet/schedule/policy_test.go
+++ b/fleet/schedule/policy_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"gotest.tools/v3/assert"
 
 	"ragwortshunt.example/fleet/id"
@@ -162,3 +163,16 @@
 	t.Logf("deferrable share %.1f%%", 100*share)
 	assert.Assert(t, share > 0.18 && share < 0.22, "share %v", share)
 }
+
+// The same input must give the same actions, or runs cannot be replayed.
+func TestDeterministic(t *testing.T) {
+	var digests []uint64
+	for range 3 {
+		s := newSim(schedule.DefaultConfig(), nil, endpoints(8, 4), endpoints(8, 4))
+		s.digest = xxhash.New()
+		s.run(30*time.Second, evening())
+		digests = append(digests, s.digest.Sum64())
+	}
+	assert.Equal(t, digests[0], digests[1])
+	assert.Equal(t, digests[0], digests[2])
+}
--- a/fleet/schedule/random_test.go
+++ b/fleet/schedule/random_test.go
@@ -69,7 +69,9 @@
 	w.cfg.MaxQueue = 12
 	w.cfg.MaxDeferrableWait = 20 * time.Second
 	for i := range 3 {
-		w.eps = append(w.eps, prefill(fmt.Sprintf("p%d", i)), decode(fmt.Sprintf("d%d", i), int64(1+i), int64(4+4*i)))
+		p := prefill(fmt.Sprintf("p%d", i))
+		p.Blocks = 5
+		w.eps = append(w.eps, p, decode(fmt.Sprintf("d%d", i), int64(1+i), int64(4+4*i)))
 	}
 	for i := range 2 {
 		s := &side{
--- a/fleet/schedule/run.go
+++ b/fleet/schedule/run.go
@@ -36,7 +36,9 @@
 	case message.PhaseDone, message.PhaseCancelled:
 		c.end(e, m.Phase)
 	default:
-		c.progress(e, m.Phase)
+		if !c.progress(e, m.Phase) && m.Failed == "" {
+			return acts
+		}
 	}
 	return c.grantQueued(acts)
 }
@@ -83,19 +85,22 @@
 	}
 }
 
-// progress refreshes the reservation of e and moves it to a later phase.
-func (c *Cell) progress(e *entry, phase message.Phase) {
+// progress refreshes the reservation of e and moves it to a later phase. It
+// tells whether that freed the prefill endpoint.
+func (c *Cell) progress(e *entry, phase message.Phase) bool {
 	if e.lane != nil {
-		return // its hold will tell the endpoints
+		return false // its hold will tell the endpoints
 	}
 	e.state = stateRunning
 	e.deadline = c.now + c.cfg.HoldLapse
-	if phase == message.PhaseDecode && e.phase != message.PhaseDecode {
-		c.startDecode(e)
-	}
 	if e.tokens > 0 {
 		works(e.decode, e)
 	}
+	if phase != message.PhaseDecode || e.phase == message.PhaseDecode {
+		return false
+	}
+	c.startDecode(e)
+	return true
 }
 
 // startDecode frees the prefill endpoint; the transfer takes the links from now.
@@ -135,7 +140,9 @@
 			if e.phase == message.PhaseDecode {
 				works(e.decode, e) // the host still waits for its tokens
 			}
-			c.progress(e, m.Phase)
+			if !c.progress(e, m.Phase) {
+				return nil
+			}
 			return c.grantQueued(nil)
 		}
 		acts = c.displace(acts, e, m.Attempt)
--- a/fleet/schedule/schedule_test.go
+++ b/fleet/schedule/schedule_test.go
@@ -355,6 +355,18 @@
 	mustCheck(t, c)
 }
 
+// A decode endpoint that works again must get more than one request at a time
+// before the first one ends.
+func TestBackOffEndsByHold(t *testing.T) {
+	c := cell(nil, prefill("p"), decode("d", 20, 100))
+	schedule.EndpointFailed(c, t0, "d")
+	schedule.HandleAsk(c, at(500*ms), "h", ask("r1"))
+	start(c, at(520*ms), "r1")
+	assert.Equal(t, len(schedule.HandleAsk(c, at(530*ms), "h", ask("r2", target(time.Minute)))), 0)
+	schedule.HandleHold(c, at(1000*ms), "h", message.SlotHold{Request: "r1", Attempt: 1, Decode: "d", Phase: message.PhaseDecode})
+	assert.DeepEqual(t, names(schedule.Tick(c, at(1010*ms))), []id.Request{"r2"})
+}
+
 // Lost, doubled and reordered messages must not reserve twice or for ever.
 func TestRepeatedMessages(t *testing.T) {
 	c := cell(nil, prefill("p"), decode("d", 20, 100))
@@ -409,6 +421,9 @@
 	r.Runs = []schedule.Run{{Request: "y", Attempt: 1}}
 	schedule.HandleReport(c, at(5100*ms), r)
 	assert.Equal(t, schedule.Load(c, at(5100*ms)).FreeSlots, 1)
+	schedule.HandleUpdate(c, at(5200*ms), "h", update("y", message.PhaseDone, 1))
+	schedule.HandleReport(c, at(5300*ms), r) // the report is older than the end
+	assert.Equal(t, schedule.Load(c, at(5300*ms)).FreeSlots, 2)
 	mustCheck(t, c)
 }
 
--- a/fleet/schedule/sim_test.go
+++ b/fleet/schedule/sim_test.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"ragwortshunt.example/fleet/id"
 	"ragwortshunt.example/fleet/message"
 	"ragwortshunt.example/fleet/schedule"
@@ -96,9 +98,10 @@
 	order        []*engine
 	jobs         map[id.Request]*job
 	tallies      map[string]*tally
-	prefilled    int64 // prompt tokens
-	wasted       int64 // prompt tokens whose KV cache expired
-	capacityWait int   // decodes that found their endpoint full
+	prefilled    int64          // prompt tokens
+	wasted       int64          // prompt tokens whose KV cache expired
+	capacityWait int            // decodes that found their endpoint full
+	digest       *xxhash.Digest // of all actions; nil is off
 	n            int
 }
 
@@ -189,6 +192,9 @@
 
 func (s *sim) act(acts []schedule.Action) {
 	for _, a := range acts {
+		if s.digest != nil {
+			fmt.Fprintln(s.digest, s.now, a)
+		}
 		send, ok := a.(schedule.Send)
 		if !ok {
 			panic(fmt.Sprintf("cancel in a run without faults: %+v", a))
