--- /dev/null
+++ b/fleet/claim/claim_test.go
@@ -0,0 +1,458 @@
+package claim_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"ragwortshunt.example/fleet/claim"
+	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/message"
+)
+
+const step = 5 * time.Millisecond
+
+var start = time.Unix(1_700_000_000, 0)
+
+// TestMain fixes the seed, so that each run gives the same verdict. Flags override it.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "150", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+// faults are probabilities of one message or call, in percent.
+type faults struct {
+	drop, repeat, lostReply, falseConflict, refuse int
+	maxDelay                                       time.Duration
+}
+
+// event is something that happens at a time.
+type event struct {
+	at  time.Time
+	run func()
+}
+
+// object is a stored object of the simulated platform.
+type object struct {
+	version uint64
+	value   []byte
+}
+
+// run is one dispatch of a request.
+type run struct {
+	nonce, digest string
+	done, notRun  bool
+}
+
+// host is one simulated router process.
+type host struct {
+	name    id.Host
+	state   *claim.State
+	down    bool
+	results map[id.Request]claim.Result
+	claims  map[id.Request]message.Claim
+}
+
+// world is a set of hosts with a platform and a network.
+type world struct {
+	tb      rapid.TB
+	rng     *rand.Rand
+	now     time.Time
+	cfg     claim.Config
+	faults  faults
+	hosts   []*host
+	events  []event
+	objects map[string]object
+	runs    map[string][]*run // by key
+	next    int
+	writes  int
+}
+
+func newWorld(tb rapid.TB, hosts int, seed uint64) *world {
+	w := &world{
+		tb: tb, rng: rand.New(rand.NewPCG(seed, 1)), now: start, cfg: claim.DefaultConfig(),
+		objects: map[string]object{}, runs: map[string][]*run{},
+	}
+	w.faults.maxDelay = step
+	for i := range hosts {
+		w.hosts = append(w.hosts, &host{name: id.Host(fmt.Sprintf("host-%d", i))})
+		w.restart(w.hosts[i])
+	}
+	return w
+}
+
+// restart starts a new process; the work of the one before is lost.
+func (w *world) restart(h *host) {
+	cfg := w.cfg
+	cfg.Host = h.name
+	*h = host{name: h.name, state: claim.New(cfg), results: map[id.Request]claim.Result{}, claims: map[id.Request]message.Claim{}}
+}
+
+func (w *world) chance(percent int) bool { return w.rng.IntN(100) < percent }
+
+func (w *world) delay() time.Duration {
+	return time.Duration(w.rng.Int64N(int64(w.faults.maxDelay) + 1))
+}
+
+func (w *world) after(d time.Duration, run func()) {
+	w.events = append(w.events, event{at: w.now.Add(d), run: run})
+}
+
+// run advances the clock step by step.
+func (w *world) run(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(step) {
+		for _, h := range w.hosts {
+			if !h.down {
+				w.do(h, claim.Tick(h.state, w.now))
+			}
+		}
+		due := w.events
+		w.events = nil
+		sort.SliceStable(due, func(i, j int) bool { return due[i].at.Before(due[j].at) })
+		for _, e := range due {
+			if e.at.After(w.now) {
+				w.events = append(w.events, e)
+				continue
+			}
+			e.run()
+		}
+	}
+}
+
+// to has a process handle something, unless it is gone by then.
+func (w *world) to(h *host, d time.Duration, handle func() []claim.Action) {
+	state := h.state
+	w.after(d, func() {
+		if !h.down && h.state == state {
+			w.do(h, handle())
+		}
+	})
+}
+
+func (w *world) do(h *host, actions []claim.Action) {
+	assert.NilError(w.tb, claim.Check(h.state))
+	for _, a := range actions {
+		switch a := a.(type) {
+		case claim.Read:
+			w.read(h, a)
+		case claim.Write:
+			w.write(h, a)
+		case claim.Send:
+			w.send(h, a)
+		case claim.Result:
+			w.result(h, a)
+		}
+	}
+}
+
+func (w *world) read(h *host, a claim.Read) {
+	reply := claim.ObjectRead{Name: a.Name, Failed: w.chance(w.faults.refuse)}
+	w.after(w.delay(), func() {
+		reply.Version, reply.Value = w.objects[a.Name].version, w.objects[a.Name].value
+		w.to(h, w.delay(), func() []claim.Action { return claim.HandleRead(h.state, w.now, reply) })
+	})
+}
+
+// write may take effect after its reply was given up for lost.
+func (w *world) write(h *host, a claim.Write) {
+	w.writes++
+	assert.Assert(w.tb, len(a.Value) <= 1<<20)
+	reply := func(out claim.WriteOutcome, version uint64) {
+		w.to(h, w.delay(), func() []claim.Action {
+			return claim.HandleWrite(h.state, w.now, claim.ObjectWritten{Name: a.Name, Version: version, Outcome: out})
+		})
+	}
+	if w.chance(w.faults.refuse) {
+		reply(claim.WriteFailed, 0)
+		return
+	}
+	lost, falseConflict := w.chance(w.faults.lostReply), w.chance(w.faults.falseConflict)
+	if lost {
+		reply(claim.WriteUnknown, 0)
+	}
+	w.after(w.delay(), func() {
+		o := w.objects[a.Name]
+		ok := o.version == a.IfVersion
+		if ok {
+			w.objects[a.Name] = object{version: o.version + 1, value: a.Value}
+		}
+		switch {
+		case lost:
+		case ok && !falseConflict:
+			reply(claim.WriteDone, o.version+1)
+		default:
+			reply(claim.WriteConflict, 0)
+		}
+	})
+}
+
+func (w *world) send(from *host, a claim.Send) {
+	copies := 1
+	if w.chance(w.faults.drop) {
+		copies = 0
+	} else if w.chance(w.faults.repeat) {
+		copies = 2
+	}
+	for _, h := range w.hosts {
+		for i := 0; h.name == a.To && i < copies; i++ {
+			w.to(h, w.delay(), func() []claim.Action { return w.receive(h, from.name, a.Message) })
+		}
+	}
+}
+
+func (w *world) receive(h *host, from id.Host, m message.Message) []claim.Action {
+	switch m := m.(type) {
+	case message.ClaimAsk:
+		return claim.HandleAsk(h.state, w.now, from, m, w.now)
+	case message.ClaimReply:
+		return claim.HandleReply(h.state, w.now, m)
+	case message.ClaimSettle:
+		return claim.Settle(h.state, w.now, m, h.name)
+	}
+	return nil
+}
+
+// result checks what must hold for each dispatch, and dispatches.
+func (w *world) result(h *host, r claim.Result) {
+	c, known := h.claims[r.Request]
+	_, repeated := h.results[r.Request]
+	assert.Assert(w.tb, known && !repeated, "%s: result %v for unknown or ended request", h.name, r)
+	h.results[r.Request] = r
+	if !r.Won {
+		return
+	}
+	assert.Assert(w.tb, !r.Mismatch && !r.Unavailable && !r.Expired)
+	for _, old := range w.runs[c.Key] {
+		assert.Assert(w.tb, old.notRun, "key %s runs twice: %s and %s", c.Key, old.nonce, c.Nonce)
+		assert.Equal(w.tb, old.digest, c.Digest)
+	}
+	this := &run{nonce: c.Nonce, digest: c.Digest}
+	w.runs[c.Key] = append(w.runs[c.Key], this)
+	kind := w.rng.IntN(3)
+	if kind == 0 {
+		return
+	}
+	w.to(h, 4*w.delay(), func() []claim.Action {
+		m := message.ClaimSettle{Claim: c, State: message.ClaimDone, Outcome: []byte(c.Nonce)}
+		if kind == 1 {
+			m.State, m.Outcome = message.ClaimNotRun, nil
+		}
+		this.done, this.notRun = kind == 2, kind == 1
+		return claim.Settle(h.state, w.now, m, w.owner())
+	})
+}
+
+// owner is the owner of a shard in the view of some host; views differ.
+func (w *world) owner() id.Host {
+	if i := w.rng.IntN(len(w.hosts) + 1); i > 0 && w.faults.drop > 0 {
+		return w.hosts[i-1].name
+	}
+	return w.hosts[0].name
+}
+
+func (w *world) claim(h *host, key, digest string) id.Request {
+	w.next++
+	req := id.Request(fmt.Sprintf("r%d", w.next))
+	h.claims[req] = message.Claim{Account: "acct", Key: key, Nonce: fmt.Sprintf("n%d", w.next), Digest: digest}
+	w.do(h, claim.Claim(h.state, w.now, req, h.claims[req], w.owner(), w.now))
+	return req
+}
+
+// Guards against two runs of one key, a claim without an end, and a key that
+// stays blocked although no attempt has run.
+func TestAtMostOnce(t *testing.T) {
+	wins, blocked := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, rapid.IntRange(1, 4).Draw(t, "hosts"), rapid.Uint64().Draw(t, "seed"))
+		w.cfg.Shards = rapid.IntRange(1, 3).Draw(t, "shards")
+		for _, h := range w.hosts {
+			w.restart(h)
+		}
+		percent := rapid.SampledFrom([]int{0, 5, 30, 60})
+		w.faults = faults{
+			drop: percent.Draw(t, "drop"), repeat: percent.Draw(t, "repeat"), lostReply: percent.Draw(t, "lost"),
+			falseConflict: percent.Draw(t, "conflict"), refuse: percent.Draw(t, "refuse"),
+			maxDelay: time.Duration(rapid.SampledFrom([]int{10, 100, 1000, 3000}).Draw(t, "delay")) * time.Millisecond,
+		}
+		killed := map[string]bool{} // keys with an attempt of a killed host
+		digests := map[string]string{}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			w.random(killed, digests)
+			w.run(time.Duration(w.rng.IntN(300)) * time.Millisecond)
+		}
+		refuse := w.faults.refuse
+		w.faults = faults{maxDelay: step, refuse: 100}
+		w.run(time.Duration(refuse) * 100 * time.Millisecond)
+		w.faults.refuse = 0
+		w.run(20 * time.Second)
+		b, n := w.finish(killed, digests)
+		blocked, wins = blocked+b, wins+n
+	})
+	t.Logf("%d keys won after recovery, %d held or done", wins, blocked)
+	assert.Assert(t, wins > 100 && blocked > 100)
+}
+
+// random does one random thing.
+func (w *world) random(killed map[string]bool, digests map[string]string) {
+	h := w.hosts[w.rng.IntN(len(w.hosts))]
+	switch n := w.rng.IntN(20); {
+	case n == 0:
+		for _, c := range h.claims {
+			killed[c.Key] = true
+		}
+		w.restart(h)
+	case n < 3:
+		for i := w.next; i > 0; i-- {
+			req := id.Request(fmt.Sprintf("r%d", i))
+			if _, open := h.claims[req]; open {
+				claim.Abandon(h.state, req)
+				return
+			}
+		}
+	default:
+		key, digest := fmt.Sprintf("key-%d", w.rng.IntN(3)), "a"
+		if w.chance(10) {
+			digest = "b"
+		}
+		digests[key] += digest
+		w.claim(h, key, digest)
+	}
+}
+
+// finish claims each key once more, when all faults are over.
+func (w *world) finish(killed map[string]bool, digests map[string]string) (blocked, wins int) {
+	h := w.hosts[len(w.hosts)-1]
+	for i := range 3 {
+		key := fmt.Sprintf("key-%d", i)
+		var last *run
+		for _, r := range w.runs[key] {
+			if !r.notRun {
+				last = r
+			}
+		}
+		req := w.claim(h, key, "a")
+		w.run(3 * time.Second)
+		res := h.results[req]
+		mixed := strings.Contains(digests[key], "b")
+		switch {
+		case last != nil:
+			blocked++
+			assert.Assert(w.tb, !res.Won && !res.Unavailable && (res.State == message.ClaimHeld || res.State == message.ClaimDone))
+			if last.done && !killed[key] && !res.Mismatch {
+				assert.Equal(w.tb, string(res.Outcome), last.nonce)
+			}
+		case !killed[key] && !mixed:
+			wins++
+			assert.Assert(w.tb, res.Won, "key %s is blocked: %+v", key, res)
+		}
+	}
+	for _, h := range w.hosts {
+		assert.Equal(w.tb, len(h.results), len(h.claims))
+	}
+	return blocked, wins
+}
+
+// Guards against results that do not tell apart what is recorded.
+func TestResults(t *testing.T) {
+	w := newWorld(t, 2, 1)
+	h := w.hosts[1]
+	result := func(key, digest string) claim.Result {
+		req := w.claim(h, key, digest)
+		w.run(3 * time.Second)
+		r := h.results[req]
+		r.Request = ""
+		return r
+	}
+	old := fmt.Sprintf("%08x-%04x-7000-8000-000000000000", start.Add(-25*time.Hour).UnixMilli()>>16, start.Add(-25*time.Hour).UnixMilli()&0xffff)
+	assert.DeepEqual(t, result(old, "a"), claim.Result{Expired: true})
+	assert.DeepEqual(t, result("key\xff", "a"), claim.Result{Unavailable: true})
+	var first claim.Result
+	for len(w.runs["k"]) == 0 || !w.runs["k"][0].done {
+		w.runs["k"] = nil
+		w.objects = map[string]object{}
+		for _, h := range w.hosts {
+			w.restart(h)
+		}
+		first = result("k", "a")
+	}
+	assert.DeepEqual(t, first, claim.Result{Won: true, State: message.ClaimHeld})
+	outcome := []byte(w.runs["k"][0].nonce)
+	assert.DeepEqual(t, result("k", "a"), claim.Result{State: message.ClaimDone, Outcome: outcome})
+	assert.DeepEqual(t, result("k", "b"), claim.Result{State: message.ClaimDone, Mismatch: true})
+	w.faults.refuse = 100
+	assert.DeepEqual(t, result("other", "a"), claim.Result{Unavailable: true})
+	w.faults.refuse = 0
+	w.run(3 * time.Second)
+	w.now = w.now.Add(31 * time.Hour)
+	delete(w.runs, "k")
+	assert.Assert(t, result("k", "b").Won, "forgotten after retention and margin")
+}
+
+// Guards against a shard that outgrows the platform's limit or drops claims.
+func TestFullShard(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.cfg.Shards = 1
+	h := w.hosts[0]
+	w.restart(h)
+	wins := 0
+	for batch := range 10 {
+		for i := range 500 {
+			w.claim(h, fmt.Sprintf("key-%d-%d-%s", batch, i, strings.Repeat("x", 200)), "a")
+		}
+		w.run(300 * time.Millisecond)
+	}
+	w.run(5 * time.Second)
+	for _, r := range h.results {
+		if r.Won {
+			wins++
+		}
+	}
+	assert.Equal(t, len(h.results), 10*500)
+	assert.Assert(t, wins > 2000 && wins < 4000, "%d claims", wins)
+	var held string
+	for key, runs := range w.runs {
+		if !runs[0].notRun && (held == "" || key < held) {
+			held = key
+		}
+	}
+	req := w.claim(h, held, "a")
+	w.run(time.Second)
+	assert.Assert(t, !h.results[req].Unavailable && !h.results[req].Won)
+}
+
+// Guards against more platform writes per claim than grouping should cause.
+// Calls take 10 ms, and each claim is settled.
+func TestWritesPerClaim(t *testing.T) {
+	for _, shards := range []int{16, 256} {
+		for _, rate := range []int{10, 100, 1000, 5000} {
+			w := newWorld(t, 1, 1)
+			w.cfg.Shards = shards
+			w.faults.maxDelay = 10 * time.Millisecond
+			w.restart(w.hosts[0])
+			total, seconds := 0, 2
+			for ms := 0; ms < seconds*1000; ms += 10 {
+				for ; total < rate*ms/1000; total++ {
+					w.claim(w.hosts[0], fmt.Sprintf("key-%d", total), "a")
+				}
+				w.run(10 * time.Millisecond)
+			}
+			w.run(time.Second)
+			perClaim := float64(w.writes) / float64(total)
+			t.Logf("%d shards, %d claims/s: %.2f writes a claim, %.0f writes/s", shards, rate, perClaim, float64(w.writes)/float64(seconds))
+			assert.Assert(t, perClaim <= 2)
+		}
+	}
+}
