--- a/fleet/core/run.go
+++ b/fleet/core/run.go
@@ -41,6 +41,7 @@
 	r.timeout = s.prefillTimeout(r)
 	r.held = s.now
 	r.note(s.now, "attempt %d: prefill on %s, decode slot on %s", r.attempt, r.prefill, r.decode)
+	s.send(r.host, message.SlotUpdate{Request: r.Request, Attempt: r.attempt, Phase: message.PhasePrefill})
 	s.emit(Observe{Name: MetricQueueTime, Account: r.account, Value: s.now.Sub(r.arrived)})
 	s.emit(StartPrefill{
 		Request: r.Request, Attempt: r.attempt, Model: r.route.Model,
