Keep schedulers from cancelling each other's runs

A host that schedules a cell only because the owner was unreachable for a moment, or that has just been frozen, took runs registered with the owner for abandoned ones and cancelled them on the engines. Only the owner of a cell now looks at the runs in load reports, and a frozen host forgets its cells.

--- a/fleet/core/cell.go
+++ b/fleet/core/cell.go
@@ -191,6 +191,15 @@
 	}
 }
 
+// dropCells forgets all cells after a pause of the process. Another host may have
+// scheduled them meanwhile, so that reservations which seem to have lapsed here
+// may be in use. The hosts ask again and register what runs.
+func (s *step) dropCells() {
+	for _, k := range sortedCells(s.scheduler.cells) {
+		s.dropCell(k)
+	}
+}
+
 func (s *step) dropCell(k cellKey) {
 	delete(s.scheduler.cells, k)
 	for req, rk := range s.scheduler.requests {
@@ -230,9 +239,16 @@
 func (s *step) loadReported(ev LoadReported) {
 	for _, k := range sortedCells(s.scheduler.cells) {
 		c := s.scheduler.cells[k]
-		if c.members[ev.Report.Endpoint] {
-			s.cellActions(k, schedule.HandleReport(c.cell, s.now, ev.Report))
+		if !c.members[ev.Report.Endpoint] {
+			continue
+		}
+		report := ev.Report
+		if s.schedulerOf(k) != s.cfg.Host {
+			// The runs are registered with the owner of the cell. To this host
+			// they would look abandoned.
+			report.Runs = nil
 		}
+		s.cellActions(k, schedule.HandleReport(c.cell, s.now, report))
 	}
 }
 
--- a/fleet/core/core.go
+++ b/fleet/core/core.go
@@ -130,7 +130,8 @@
 	avoid     map[id.Endpoint]time.Time // service endpoints passed over until
 	calls     map[id.Endpoint]int       // outstanding service calls of this host
 	hostsRead time.Time
-	heard     bool // a peer has told its table version
+	ticked    time.Time // last tick
+	heard     bool      // a peer has told its table version
 	draining  bool
 	stopped   bool
 }
--- a/fleet/core/run.go
+++ b/fleet/core/run.go
@@ -8,9 +8,6 @@
 	"ragwortshunt.example/fleet/message"
 )
 
-// partRun is the log prefix of this part.
-const partRun = "run"
-
 // Engine priorities. 0 is the highest.
 const (
 	priorityInteractive = 0
--- a/fleet/core/slot.go
+++ b/fleet/core/slot.go
@@ -13,9 +13,6 @@
 	"ragwortshunt.example/fleet/table"
 )
 
-// partSlot is the log prefix of this part.
-const partSlot = "slot"
-
 const (
 	viewLife       = 2 * time.Second // a reported wait is believed so long
 	spillWait      = 100 * time.Millisecond
--- a/fleet/core/tick.go
+++ b/fleet/core/tick.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"ragwortshunt.example/fleet/claim"
 	"ragwortshunt.example/fleet/id"
@@ -11,7 +12,16 @@
 	"ragwortshunt.example/fleet/order"
 )
 
+// frozenAfter is the gap between two ticks from which the process counts as
+// having been frozen.
+const frozenAfter = time.Second
+
 func (s *step) tick() {
+	if !s.ticked.IsZero() && s.now.Sub(s.ticked) > frozenAfter {
+		s.log(LogWarn, partPeer, "Process was frozen.")
+		s.dropCells()
+	}
+	s.ticked = s.now
 	s.tickHosts()
 	s.tickMembers()
 	s.tickTable()
--- a/fleet/fake/engine.go
+++ b/fleet/fake/engine.go
@@ -39,9 +39,6 @@
 
 	PrefillTokens int64 // computed
 	Wasted        int64 // computed, but never decoded
-	Leaked        int   // runs that were cancelled by nobody
-	started       time.Time
-	lastStart     time.Time
 }
 
 type prefillJob struct {
