--- a/fleet/core/objects.go
+++ b/fleet/core/objects.go
@@ -134,7 +134,7 @@
 }
 
 func (s *step) orderAnswered(ev OrderAnswered) {
-	s.orderActions(order.HandleResult(s.orders, s.now, order.OrderResult{
+	s.orderActions(order.HandleResult(s.orders, s.now, order.Result{
 		Endpoint: ev.Endpoint, Fence: ev.Fence, Done: ev.Done, Stale: ev.Stale,
 	}))
 }
--- a/fleet/order/order.go
+++ b/fleet/order/order.go
@@ -113,9 +113,9 @@
 	Outcome WriteOutcome
 }
 
-// OrderResult is the answer to a SendOrder. Without Done and Stale the order has
+// Result is the answer to a SendOrder. Without Done and Stale the order has
 // failed, was not sent or got no answer.
-type OrderResult struct {
+type Result struct {
 	Endpoint id.Endpoint
 	Fence    uint64 // of the order
 	Done     bool   // the endpoint has carried out the order
@@ -212,7 +212,7 @@
 
 // HandleResult takes over the result of an order. An order that may still be under
 // way is not followed by another one before Config.MaxInFlight has passed.
-func HandleResult(s *State, now time.Time, r OrderResult) []Action {
+func HandleResult(s *State, now time.Time, r Result) []Action {
 	t, ok := s.targets[r.Endpoint]
 	if !ok || !t.sending || t.fence != r.Fence {
 		return nil
--- a/fleet/order/order_test.go
+++ b/fleet/order/order_test.go
@@ -197,7 +197,7 @@
 
 // dispatch sends an order in the way of a shell: not after its time.
 func (w *world) dispatch(h *host, a order.SendOrder) {
-	r := order.OrderResult{Endpoint: a.Endpoint, Fence: a.Order.Fence}
+	r := order.Result{Endpoint: a.Endpoint, Fence: a.Order.Fence}
 	if w.clock(h).After(a.NotAfter) || w.chance(w.lost) {
 		w.at(h.cfg.MaxInFlight, h, func() { w.do(h, order.HandleResult(h.state, w.clock(h), r)) })
 		return
@@ -214,7 +214,7 @@
 
 // apply has an endpoint carry out an order. No endpoint may apply one with a
 // lower number after one with a higher number.
-func (w *world) apply(a order.SendOrder, r *order.OrderResult) {
+func (w *world) apply(a order.SendOrder, r *order.Result) {
 	e := w.endpoints[a.Endpoint]
 	if e.want.Fencing == table.FencingChecked && a.Order.Fence < e.fence {
 		r.Stale = true
