--- a/fleet/claim/claim.go
+++ b/fleet/claim/claim.go
@@ -285,7 +285,13 @@
 	if !v.won && !v.mismatch && v.state != message.ClaimHeld && v.state != message.ClaimDone {
 		return fallBack(s, now, a)
 	}
-	return finish(s, now, a, v)
+	actions := finish(s, now, a, v)
+	if v.won || !a.written {
+		return actions
+	}
+	// A write of this host may still be under way.
+	lost := message.ClaimSettle{Claim: a.claim, State: message.ClaimNotRun}
+	return append(actions, enqueueSettle(s, now, lost)...)
 }
 
 // takeSettled ends a settlement that its owner reports as recorded.
@@ -408,31 +414,28 @@
 		return actions
 	}
 	m := message.ClaimSettle{Claim: a.claim, State: message.ClaimNotRun}
+	if a.written {
+		// The own write may still be under way when the owner looks.
+		return append(actions, enqueueSettle(s, now, m)...)
+	}
 	return append(actions, Settle(s, now, m, a.owner)...)
 }
 
 // finish ends an attempt with what is recorded. A nonce that has not won is dead:
-// if a late message claims for it, this host gets a reply and settles it. A write
-// of this host can still be under way when the owner has answered.
+// if a late message claims for it, this host gets a reply and settles it.
 func finish(s *State, now time.Time, a *ask, v verdict) []Action {
 	delete(s.asks, a.claim.Nonce)
 	dequeue(s, a)
-	actions := []Action{Result{
+	if !v.won {
+		s.dead[a.claim.Nonce] = dead{claim: a.claim, since: now}
+	}
+	return []Action{Result{
 		Request:  a.request,
 		Won:      v.won,
 		State:    v.state,
 		Mismatch: v.mismatch,
 		Outcome:  v.outcome,
 	}}
-	if v.won {
-		return actions
-	}
-	s.dead[a.claim.Nonce] = dead{claim: a.claim, since: now}
-	if !a.written {
-		return actions
-	}
-	m := message.ClaimSettle{Claim: a.claim, State: message.ClaimNotRun}
-	return append(actions, enqueueSettle(s, now, m)...)
 }
 
 // Check returns an error if the state breaks an invariant of the package.
--- a/fleet/claim/plan.go
+++ b/fleet/claim/plan.go
@@ -24,12 +24,13 @@
 	stale   bool // an answer needs a newer copy
 	claims  []decision
 	settles []settlement
+	notRun  map[string]bool // nonces that settles end as not run
 }
 
 // makePlan applies all pending work to the copy of a shard. Settlements go first,
 // so that an asker is told of its own settlement.
 func makePlan(s *State, now time.Time, sh *shard) *plan {
-	p := &plan{}
+	p := &plan{notRun: map[string]bool{}}
 	p.list = unexpired(s, now, sh.list)
 	p.changed = len(p.list) < len(sh.list)
 	p.index = indexOf(p.list)
@@ -39,6 +40,7 @@
 			p.stale = true
 		}
 		p.settles = append(p.settles, st)
+		p.notRun[st.settle.Claim.Nonce] = st.settle.State == message.ClaimNotRun
 	}
 	for _, c := range sh.claims {
 		v := p.claim(c)
@@ -105,6 +107,10 @@
 			return verdict{state: e.state}
 		}
 	}
+	if p.notRun[c.claim.Nonce] {
+		// A settlement that found another nonce must still end this one.
+		return verdict{state: message.ClaimNotRun}
+	}
 	held, err := newEntry(c.claim, message.ClaimHeld, c.wall, nil, endedOf(e))
 	if err != nil || p.bytes+len(held.raw) > maxClaimBytes {
 		return verdict{full: true}
@@ -225,5 +231,11 @@
 		delete(s.asks, p.claim.Nonce)
 		return giveUp(s, now, a)
 	}
-	return finish(s, now, a, v)
+	actions := finish(s, now, a, v)
+	if v.won || !a.sent {
+		return actions
+	}
+	// The owner may still record the claim.
+	lost := message.ClaimSettle{Claim: a.claim, State: message.ClaimNotRun}
+	return append(actions, Settle(s, now, lost, a.owner)...)
 }
--- a/fleet/member/member_test.go
+++ b/fleet/member/member_test.go
@@ -375,3 +375,22 @@
 	t.Logf("%.1f heartbeats/s sent, without the first announcement", rate)
 	assert.Assert(t, rate < 50)
 }
+
+// Guards against a false report of a death that outweighs fresh evidence, and
+// against a host that does not contradict the report of its own death.
+func TestFalseReport(t *testing.T) {
+	c := newCluster(t, 1, 30)
+	c.run(2 * time.Second)
+	n, wrong := c.nodes["host-0-000"], c.nodes["host-0-001"]
+	near, _ := member.Tick(n.state, c.now.Add(time.Second))
+	victim := near[0]
+	member.HandleHeartbeat(n.state, c.now, victim, 1, message.Heartbeat{Zone: "z0"})
+	report := message.Heartbeat{Zone: "z0", Reports: []message.HostReport{{Host: victim, Incarnation: 1, State: message.HostDead}}}
+	assert.Equal(t, len(member.HandleHeartbeat(n.state, c.now, wrong.host, 1, report)), 0)
+	assert.Assert(t, member.Usable(n.state, victim))
+	c.now = c.now.Add(400 * time.Millisecond)
+	member.Tick(c.nodes[victim].state, c.now)
+	member.HandleHeartbeat(c.nodes[victim].state, c.now, wrong.host, 1, report)
+	beats, _ := member.Tick(c.nodes[victim].state, c.now.Add(time.Millisecond))
+	assert.Equal(t, len(beats), 29)
+}
--- a/fleet/order/order.go
+++ b/fleet/order/order.go
@@ -115,6 +115,8 @@
 
 // OrderResult is the answer to a SendOrder. Without Done and Stale the order has
 // failed, was not sent or got no answer.
+//
+//revive:disable-next-line:exported The name tells it apart from the results of the other packages.
 type OrderResult struct {
 	Endpoint id.Endpoint
 	Fence    uint64 // of the order
