--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -199,7 +199,7 @@
 	defer cancel()
 	for _, s := range servers {
 		if err := s.http.Shutdown(ctx); err != nil {
-			s.http.Close()
+			_ = s.http.Close()
 		}
 	}
 	if err := r.metrics.Close(); err != nil {
