--- a/fleet/core/cell.go
+++ b/fleet/core/cell.go
@@ -237,6 +237,7 @@
 }
 
 func (s *step) loadReported(ev LoadReported) {
+	s.endpointUp(ev.Report.Endpoint)
 	for _, k := range sortedCells(s.scheduler.cells) {
 		c := s.scheduler.cells[k]
 		if !c.members[ev.Report.Endpoint] {
--- a/fleet/core/core.go
+++ b/fleet/core/core.go
@@ -129,6 +129,7 @@
 	suspects  map[id.Host]time.Time     // passed over until
 	avoid     map[id.Endpoint]time.Time // service endpoints passed over until
 	calls     map[id.Endpoint]int       // outstanding service calls of this host
+	down      map[id.Endpoint]bool      // could not be reached by the last call
 	hostsRead time.Time
 	ticked    time.Time // last tick
 	heard     bool      // a peer has told its table version
@@ -151,6 +152,7 @@
 		suspects:  make(map[id.Host]time.Time),
 		avoid:     make(map[id.Endpoint]time.Time),
 		calls:     make(map[id.Endpoint]int),
+		down:      make(map[id.Endpoint]bool),
 		finished:  make([]Record, 0, cfg.FinishedRecords),
 	}
 }
--- a/fleet/core/objects.go
+++ b/fleet/core/objects.go
@@ -2,6 +2,7 @@
 
 import (
 	"ragwortshunt.example/fleet/claim"
+	"ragwortshunt.example/fleet/id"
 	"ragwortshunt.example/fleet/limit"
 	"ragwortshunt.example/fleet/object"
 	"ragwortshunt.example/fleet/order"
@@ -138,3 +139,18 @@
 		Endpoint: ev.Endpoint, Fence: ev.Fence, Done: ev.Done, Stale: ev.Stale,
 	}))
 }
+
+// endpointDown notes that an endpoint could not be reached. It may come back as a
+// new process that has lost its orders.
+func (s *step) endpointDown(ep id.Endpoint) {
+	s.down[ep] = true
+}
+
+// endpointUp repeats the orders of an endpoint that has come back.
+func (s *step) endpointUp(ep id.Endpoint) {
+	if !s.down[ep] {
+		return
+	}
+	delete(s.down, ep)
+	s.orderActions(order.HandleRestart(s.orders, s.now, ep))
+}
--- a/fleet/core/peers.go
+++ b/fleet/core/peers.go
@@ -27,6 +27,10 @@
 }
 
 func (s *step) peerMessage(ev PeerMessage) {
+	if member.Stale(s.member, ev.From, ev.Incarnation) {
+		s.emit(Log{Level: LogWarn, Part: partPeer, Text: "Message of an old incarnation was ignored.", Host: ev.From})
+		return
+	}
 	changes := member.Heard(s.member, s.now, ev.From, ev.Incarnation)
 	delete(s.suspects, ev.From)
 	if hb, ok := ev.Message.(message.Heartbeat); ok {
@@ -34,10 +38,6 @@
 		s.peerVersion(ev.From, hb.TableVersion, hb.ConfirmedAge, hb.ConfirmedAge > 0)
 	}
 	s.memberChanges(changes)
-	if p, ok := member.PeerOf(s.member, ev.From); ok && p.Incarnation > ev.Incarnation {
-		s.log(LogWarn, partPeer, "Message of an old incarnation was ignored.")
-		return
-	}
 	s.dispatch(ev.From, ev.Message)
 }
 
--- a/fleet/core/run.go
+++ b/fleet/core/run.go
@@ -175,6 +175,9 @@
 }
 
 func (s *step) runFailed(ev RunFailed) {
+	if ev.Down {
+		s.endpointDown(ev.Endpoint)
+	}
 	r, ok := s.requests[ev.Request]
 	if !ok || r.attempt != ev.Attempt {
 		return
--- a/fleet/core/slot.go
+++ b/fleet/core/slot.go
@@ -158,6 +158,7 @@
 		return
 	}
 	r.note(s.now, "attempt %d asks %s for %s", r.attempt, r.host, r.cell)
+	member.Contacted(s.member, s.now, r.host)
 	s.send(r.host, message.SlotAsk{
 		Request:      r.Request,
 		Attempt:      r.attempt,
--- a/router/internal/settings/field.go
+++ b/router/internal/settings/field.go
@@ -64,7 +64,7 @@
 	{"limit", "reserve-lease", "20m", "Long lease, 1s to 24h; the same on every host.", duration(
 		func(s *Settings) *time.Duration { return &s.ReserveLease }, time.Second, 24*time.Hour)},
 	{"schedule", "cell-endpoints", "16", "Most endpoints in one cell, 2 to 64; the same on every host.", setCellEndpoints},
-	{"claim", "shards", "64", "Claim objects in the platform, 1 to 4096; the same on every host and never changed while claims are kept.", setClaimShards},
+	{"claim", "shards", "256", "Claim objects in the platform, 1 to 4096; the same on every host and never changed while claims are kept.", setClaimShards},
 	{"claim", "retention", "24h", "How long claims of non-idempotent calls are kept, 1m to 720h.", duration(
 		func(s *Settings) *time.Duration { return &s.Retention }, time.Minute, 720*time.Hour)},
 }
