Prove the points that must always hold under directed faults

Adds doubled, late and lost chunks, stale reads and leaving endpoints to the fakes. A request that one cell refuses as too late is tried in another cell while its first-token target has not passed.

--- /dev/null
+++ b/fleet/core/proof_test.go
@@ -0,0 +1,285 @@
+package core_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ragwortshunt.example/fleet/core"
+	"ragwortshunt.example/fleet/fake"
+	"ragwortshunt.example/fleet/id"
+)
+
+func newWorld(t *testing.T, seed uint64) *fake.World {
+	t.Helper()
+	cfg := fake.Tallinn().Config(seed)
+	cfg.Tune = shortLeases
+	w, err := fake.New(cfg)
+	assert.NilError(t, err)
+	return w
+}
+
+func steady(account id.Account, route id.Route, rate float64) fake.Load {
+	return fake.Load{
+		Account: account, Route: route, Rate: rate, From: warmUp, To: 20 * time.Second,
+		PromptMin: 100, PromptMax: 4000, WantMin: 20, WantMax: 150, Limit: 200,
+	}
+}
+
+// TestCancelFreesMemory guards against engine memory that stays held after the
+// caller has gone, at every stage from the queue to the decode.
+func TestCancelFreesMemory(t *testing.T) {
+	w := newWorld(t, 11)
+	l := steady("large-1", fake.RouteInteractive, 40)
+	l.Cancel = 1
+	w.Generate(l)
+	const bound = 2 * time.Second
+	for at := warmUp; at < 24*time.Second; at += 500 * time.Millisecond {
+		w.At(at, func() {
+			for _, h := range w.HeldByEnded() {
+				ended := w.EndOf(h.Request)
+				assert.Assert(t, w.Elapsed()-ended < bound, "%s held for %s", h.Endpoint, h.Request)
+			}
+		})
+	}
+	assert.NilError(t, w.Run(25*time.Second))
+	assert.Equal(t, len(w.HeldByEnded()), 0)
+}
+
+// TestHostDeathFreesMemory guards against runs that nobody cancels when their
+// entry host dies: membership notices within 2 s and the scheduler cancels.
+func TestHostDeathFreesMemory(t *testing.T) {
+	w := newWorld(t, 12)
+	l := steady("large-1", fake.RouteInteractive, 10)
+	l.WantMin, l.WantMax, l.Limit = 1000, 1500, 2000
+	w.Generate(l)
+	killed := w.Hosts()[4]
+	w.At(12*time.Second, func() { w.Kill(killed) })
+	assert.NilError(t, w.Run(16*time.Second))
+	for _, h := range w.HeldByEnded() {
+		assert.Assert(t, w.CallOf(h.Request).Host != killed, "%s holds %s of the dead host", h.Endpoint, h.Request)
+	}
+}
+
+// TestWholeAnswers guards against lost, doubled and reordered parts of answers
+// under doubled, late and lost chunks and a decode engine that dies. The fake
+// caller checks every token.
+func TestWholeAnswers(t *testing.T) {
+	w := newWorld(t, 13)
+	w.Generate(steady("large-1", fake.RouteInteractive, 10))
+	w.Generate(steady("large-2", fake.RouteDeferrable, 4))
+	w.Inject(fake.Fault{Kind: fake.FaultChunks, At: 6 * time.Second, For: 14 * time.Second})
+	w.At(10*time.Second, func() { w.KillEndpoint("tallinn-a-decode-1") })
+	w.At(14*time.Second, func() { w.StartEndpoint("tallinn-a-decode-1") })
+	assert.NilError(t, w.Run(60*time.Second))
+	whole := 0
+	for _, c := range w.Calls() {
+		if c.Result == fake.ResultWhole {
+			whole++
+		}
+	}
+	assert.Assert(t, whole*10 >= len(w.Calls())*9, "only %d of %d answers are whole", whole, len(w.Calls()))
+}
+
+// TestWithdrawnKey guards against a withdrawn key that goes on working: its
+// streams end and new requests are refused on every host within the bound.
+func TestWithdrawnKey(t *testing.T) {
+	const bound = 5 * time.Second
+	w := newWorld(t, 14)
+	l := steady("large-1", fake.RouteInteractive, 20)
+	l.WantMin, l.WantMax, l.Limit = 500, 1000, 1000
+	w.Generate(l)
+	const at = 12 * time.Second
+	w.At(at, func() { w.WithdrawKey(fake.KeyOf("large-1")) })
+	assert.NilError(t, w.Run(30*time.Second))
+	ended := 0
+	for _, c := range w.Calls() {
+		last := c.Last.Sub(fake.Start)
+		assert.Assert(t, last < at+bound, "request %s got tokens at %s", c.Request, last)
+		if c.Code == core.CodeKeyWithdrawn {
+			ended++
+		}
+	}
+	assert.Assert(t, ended > 0)
+}
+
+// TestLeavingEndpoint guards against new work on a leaving endpoint later than
+// 2 s after the table was committed, while its running work goes on.
+func TestLeavingEndpoint(t *testing.T) {
+	w := newWorld(t, 15)
+	w.Generate(steady("large-1", fake.RouteInteractive, 15))
+	const at = 10 * time.Second
+	leaving := []id.Endpoint{"tallinn-a-decode-1", "tallinn-b-prefill-2"}
+	for _, ep := range leaving {
+		w.At(at, func() { w.MarkLeaving(ep) })
+	}
+	assert.NilError(t, w.Run(30*time.Second))
+	for _, ep := range leaving {
+		assert.Assert(t, w.LastStart(ep) > 5*time.Second, "%s was never used", ep)
+		assert.Assert(t, w.LastStart(ep) < at+2*time.Second, "%s got work at %s", ep, w.LastStart(ep))
+	}
+	for _, c := range w.Calls() {
+		assert.Equal(t, c.Result, fake.ResultWhole, "%s: %s", c.Request, c.Code)
+	}
+}
+
+// TestGracefulShutdown guards against requests that a rolling restart cuts. The
+// fake fails the run when a process stops with an open request.
+func TestGracefulShutdown(t *testing.T) {
+	w := newWorld(t, 16)
+	w.Generate(steady("large-1", fake.RouteInteractive, 20))
+	w.Generate(steady("large-2", fake.RouteDeferrable, 4))
+	for i, h := range w.Hosts() {
+		at := 6*time.Second + time.Duration(i)*2*time.Second
+		w.At(at, func() { w.Drain(h) })
+		w.At(at+8*time.Second, func() {
+			assert.Assert(t, !w.Alive(h), "%s has not stopped", h)
+			w.Restart(h)
+		})
+	}
+	assert.NilError(t, w.Run(60*time.Second))
+	for _, c := range w.Calls() {
+		assert.Assert(t, c.Result != fake.ResultBroken, "%s on %s was cut: %s", c.Request, c.Host, c.Code)
+		assert.Assert(t, c.Result != fake.ResultOpen, "%s on %s has no end", c.Request, c.Host)
+	}
+}
+
+// TestConfigurationEverywhere guards the promise that an accepted table is in
+// force on every reachable host within 9 s, also on hosts that are cut off from
+// the platform and hear of it from their peers.
+func TestConfigurationEverywhere(t *testing.T) {
+	w := newWorld(t, 17)
+	for i := range 5 {
+		at := 10*time.Second + time.Duration(i)*10*time.Second
+		w.At(at, func() {
+			w.CutPlatform(id.Zone("tallinn-b"), i%2 == 1)
+			w.WithdrawKey(fake.KeyOf(fake.Tallinn().Accounts[i].Name))
+		})
+		w.At(at+9*time.Second, func() {
+			for _, h := range w.Hosts() {
+				assert.Equal(t, w.Version(h), uint64(i+2), "%s, %s after the start", h, w.Elapsed())
+			}
+		})
+	}
+	assert.NilError(t, w.Run(65*time.Second))
+}
+
+// TestStaleRestart guards against a host that comes back against a stale read of
+// the platform and serves an older table than before.
+func TestStaleRestart(t *testing.T) {
+	w := newWorld(t, 18)
+	h := w.Hosts()[0]
+	w.At(8*time.Second, func() { w.WithdrawKey(fake.KeyOf("small-1")) })
+	w.At(12*time.Second, func() {
+		w.SetStaleReads(true)
+		w.Kill(h)
+		w.Restart(h)
+	})
+	for at := 12 * time.Second; at < 20*time.Second; at += 10 * time.Millisecond {
+		w.At(at, func() {
+			if w.Ready(h) {
+				assert.Equal(t, w.Version(h), uint64(2), "%s after the start", w.Elapsed())
+			}
+		})
+	}
+	assert.NilError(t, w.Run(20*time.Second))
+	assert.Assert(t, w.Ready(h))
+}
+
+// TestStartInOutage guards against a host that cannot start while the platform
+// is down although its peers have the table.
+func TestStartInOutage(t *testing.T) {
+	w := newWorld(t, 19)
+	h := w.Hosts()[0]
+	w.At(8*time.Second, func() { w.SetOutage(true) })
+	w.At(9*time.Second, func() {
+		w.Kill(h)
+		w.Restart(h)
+	})
+	assert.NilError(t, w.Run(15*time.Second))
+	assert.Assert(t, w.Ready(h), "version %d", w.Version(h))
+}
+
+// TestOutageServes guards service during a platform outage: model requests go on
+// under the reserve lease, non-idempotent calls are refused as not run.
+func TestOutageServes(t *testing.T) {
+	w := newWorld(t, 20)
+	w.At(8*time.Second, func() { w.SetOutage(true) })
+	var model, once []*fake.Call
+	for i := range 20 {
+		w.At(11*time.Second+time.Duration(i)*100*time.Millisecond, func() {
+			model = append(model, w.Send(fake.Spec{
+				Account: "large-1", KeyID: fake.KeyOf("large-1"), Route: fake.RouteInteractive,
+				Prompt: 100, Limit: 50, Want: 20,
+			}))
+			once = append(once, w.Send(fake.Spec{
+				Account: "small-1", KeyID: fake.KeyOf("small-1"), Route: fake.RouteOnce,
+				Prompt: 5, Key: fmt.Sprintf("outage-%d", i),
+			}))
+		})
+	}
+	assert.NilError(t, w.Run(30*time.Second))
+	for _, c := range model {
+		assert.Equal(t, c.Result, fake.ResultWhole, "%s: %s", c.Request, c.Code)
+	}
+	for _, c := range once {
+		assert.Equal(t, c.Code, core.CodeNoClaim)
+		assert.Assert(t, c.NotRun)
+		assert.Equal(t, w.Executions(c), 0)
+	}
+}
+
+// TestAtMostOnce guards non-idempotent calls whose hosts die and whose replies
+// are lost, repeated by the caller on other hosts.
+func TestAtMostOnce(t *testing.T) {
+	w := newWorld(t, 21)
+	l := steady("small-2", fake.RouteOnce, 30)
+	l.PromptMin, l.PromptMax, l.Repeat = 5, 20, 0.7
+	w.Generate(l)
+	w.SetLostServiceReplies(0.2)
+	w.SetLostReplies(0.2)
+	for i := range w.Hosts() {
+		at := 6*time.Second + time.Duration(i)*time.Second
+		w.Inject(fake.Fault{Kind: fake.FaultKillHost, Target: i, At: at, For: 500 * time.Millisecond})
+	}
+	assert.NilError(t, w.Run(40*time.Second))
+	assert.Equal(t, len(w.Repeated()), 0, "%v", w.Repeated())
+}
+
+// TestKeyDecidesAccount guards against requests that run for another client
+// account than that of their key, or without a key on a route that is not open.
+func TestKeyDecidesAccount(t *testing.T) {
+	tests := []struct {
+		name   string
+		spec   fake.Spec
+		code   string
+		ledger id.Account // charged account; empty when nothing may run
+	}{
+		{"key of another account", fake.Spec{Account: "small-1", KeyID: fake.KeyOf("large-1"), Route: fake.RouteStatus}, "", "large-1"},
+		{"no key", fake.Spec{Account: "small-1", Route: fake.RouteStatus}, core.CodeUnauthorized, ""},
+		{"unknown key", fake.Spec{Account: "small-1", KeyID: "key-9", Route: fake.RouteStatus}, core.CodeUnauthorized, ""},
+		{"withdrawn key", fake.Spec{Account: "small-1", KeyID: fake.KeyOf("small-1"), Route: fake.RouteStatus}, core.CodeKeyWithdrawn, ""},
+		{"open route", fake.Spec{Route: fake.RouteOpen}, "", "small-2"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWorld(t, 22)
+			var c *fake.Call
+			tt.spec.Prompt = 5
+			w.At(warmUp, func() { w.WithdrawKey(fake.KeyOf("small-1")) })
+			w.At(warmUp+5*time.Second, func() { c = w.Send(tt.spec) })
+			assert.NilError(t, w.Run(12*time.Second))
+			assert.Equal(t, c.Code, tt.code)
+			if tt.ledger == "" {
+				assert.Assert(t, c.NotRun)
+				assert.Equal(t, w.Executions(c), 0)
+				assert.Equal(t, len(w.Ledger()), 0)
+				return
+			}
+			assert.Equal(t, w.Executions(c), 1)
+			assert.Equal(t, w.Ledger()[0].Account, tt.ledger)
+		})
+	}
+}
--- a/fleet/core/slot.go
+++ b/fleet/core/slot.go
@@ -221,8 +221,8 @@
 	}
 }
 
-// slotRefused tries another cell when the refusal is about this cell only, and
-// refuses the request otherwise.
+// slotRefused tries another cell while the first-token target can still be met
+// there, and refuses the request otherwise.
 func (s *step) slotRefused(from id.Host, m message.SlotRefuse) {
 	r, ok := s.requests[m.Request]
 	if !ok || r.attempt != m.Attempt || r.stage != StageQueue {
@@ -231,7 +231,7 @@
 	s.noteWait(r, from, m.Wait)
 	r.refusals++
 	r.note(s.now, "cell %s refused: %s", r.cell, m.Reason)
-	late := m.Reason == schedule.ReasonTooLate
+	late := m.Reason == schedule.ReasonTooLate && s.now.Sub(r.arrived) >= r.route.FirstToken
 	if late || r.refusals >= maxRefusals || len(s.cellsOf(r.route.Model)) < 2 {
 		s.refuse(r, m.Reason, "no capacity within the route's target", max(m.Retry, refusalBackoff))
 		return
--- a/fleet/fake/caller.go
+++ b/fleet/fake/caller.go
@@ -33,12 +33,14 @@
 	Sent     time.Time
 	First    time.Time
 	Last     time.Time
+	Ended    time.Time
 	MaxGap   time.Duration
 	Received int64
 	Result   Result
 	Code     string
 	NotRun   bool
 	Recorded bool // the reply was the recorded one of an earlier call
+	arrived  bool // reached its entry host
 	ended    int  // how often an end was seen
 }
 
@@ -110,6 +112,7 @@
 		return
 	}
 	call.Result = ResultCanceled
+	call.Ended = w.now
 	h := w.hosts[call.Host]
 	inc := h.inc
 	w.after(w.cfg.LocalDelay, func() { w.deliver(h, inc, core.CallerGone{Request: call.Request}) })
@@ -119,6 +122,7 @@
 	for _, c := range w.calls {
 		if c.Host == name && c.Result == ResultOpen {
 			c.Result, c.Code = ResultBroken, "connection-lost"
+			c.Ended = w.now
 		}
 	}
 }
@@ -184,6 +188,7 @@
 func (w *World) ended(req id.Request, fn func(c *Call)) {
 	c := w.callers[req]
 	c.ended++
+	c.Ended = w.now
 	if c.ended > 1 {
 		w.fail("request %s was answered twice", req)
 	}
@@ -204,6 +209,12 @@
 	}
 }
 
+// CallOf returns the call of a request.
+func (w *World) CallOf(req id.Request) *Call { return w.callers[req] }
+
+// EndOf returns when a call ended, since the start of the run.
+func (w *World) EndOf(req id.Request) time.Duration { return w.callers[req].Ended.Sub(Start) }
+
 // Calls returns all calls in the order in which they were sent.
 func (w *World) Calls() []*Call { return w.calls }
 
--- a/fleet/fake/deploy.go
+++ b/fleet/fake/deploy.go
@@ -16,6 +16,7 @@
 	RouteDeferrable  id.Route = "deferrable"
 	RouteOnce        id.Route = "once"   // non-idempotent service
 	RouteStatus      id.Route = "status" // idempotent service
+	RouteOpen        id.Route = "open"   // idempotent service, needs no key
 )
 
 // DeploymentModel is the one model of a deployment.
@@ -150,5 +151,9 @@
 		RouteStatus: {
 			Name: RouteStatus, Pool: "service", Class: message.ClassInteractive, Idempotent: true,
 		},
+		RouteOpen: {
+			Name: RouteOpen, Pool: "service", Class: message.ClassInteractive, Idempotent: true,
+			Open: true, Account: "small-2",
+		},
 	}
 }
--- a/fleet/fake/engine.go
+++ b/fleet/fake/engine.go
@@ -37,8 +37,9 @@
 	linkEnd time.Time    // the link is busy until
 	cache   map[uint64]bool
 
-	PrefillTokens int64 // computed
-	Wasted        int64 // computed, but never decoded
+	PrefillTokens int64     // computed
+	Wasted        int64     // computed, but never decoded
+	lastStart     time.Time // of a prefill or decode that was taken on
 }
 
 type prefillJob struct {
@@ -208,6 +209,7 @@
 		w.failRun(h, inc, e.Request, e.Attempt, en.name, engine.CodeFull, true, false)
 		return
 	}
+	en.lastStart = w.now
 	j := &prefillJob{e: e, host: h, inc: inc}
 	at := sort.Search(len(en.queue), func(i int) bool { return en.queue[i].e.Priority > e.Priority })
 	en.queue = append(en.queue, nil)
@@ -266,6 +268,7 @@
 }
 
 func (w *World) startDecode(en *engineFake, h *host, inc id.Incarnation, e core.StartDecode) {
+	en.lastStart = w.now
 	r := &decodeRun{
 		key: runKey{e.Request, e.Attempt}, e: e, host: h, inc: inc, next: e.From, since: w.now,
 		blocks: blocksFor(e.Tokens+e.MaxTokens-e.From, en.pool.BlockTokens),
@@ -369,7 +372,7 @@
 		ev.End, ev.Finish = true, "stop"
 		r.ended = true
 	}
-	w.toHost(en, r, ev)
+	w.sendChunk(en, r, ev)
 	if r.ended {
 		w.release(en, r)
 		return
@@ -382,6 +385,25 @@
 	})
 }
 
+// sendChunk passes a chunk on, under chunk faults also doubled, late or not at
+// all. A lost chunk comes with a broken stream.
+func (w *World) sendChunk(en *engineFake, r *decodeRun, ev core.TokensArrived) {
+	if w.chunkFaults == 0 || w.rng.Float64() >= w.chunkFaults {
+		w.toHost(en, r, ev)
+		return
+	}
+	switch w.rng.IntN(3) {
+	case 0:
+		w.toHost(en, r, ev)
+		w.toHost(en, r, ev)
+	case 1:
+		w.after(3*w.cfg.TokenTime, func() { w.toHost(en, r, ev) })
+	default:
+		w.failRun(r.host, r.inc, r.e.Request, r.e.Attempt, en.name, "stream-broken", false, false)
+		r.broken = true
+	}
+}
+
 func token(i int64) string { return fmt.Sprintf(" t%d", i) }
 
 // toHost passes a chunk to the entry host. When the host is gone, the engine
@@ -407,6 +429,7 @@
 		return
 	}
 	r.broken = false
+	r.inc = inc
 	for i := e.From; i < r.next; i++ {
 		w.toHost(en, r, core.TokensArrived{
 			Request: e.Request, Attempt: e.Attempt, Offset: i, Tokens: []string{token(i)},
--- a/fleet/fake/fault.go
+++ b/fleet/fake/fault.go
@@ -24,6 +24,8 @@
 	FaultLoss
 	FaultKillEndpoint
 	FaultLostServiceReplies
+	FaultChunks
+	FaultStaleReads
 	FaultWithdrawKey
 	FaultKinds // number of kinds
 )
@@ -31,6 +33,9 @@
 // lossShare is the share of messages or replies that are lost under a fault.
 const lossShare = 0.3
 
+// chunkFaultShare is the share of chunks that are doubled, late or lost.
+const chunkFaultShare = 0.05
+
 // Fault is one fault with its time and target.
 type Fault struct {
 	Kind   FaultKind
@@ -43,7 +48,8 @@
 func (f Fault) String() string {
 	names := [...]string{
 		"kill-host", "pause-host", "drain-host", "cut-zones", "cut-platform", "outage",
-		"lost-replies", "loss", "kill-endpoint", "lost-service-replies", "withdraw-key",
+		"lost-replies", "loss", "kill-endpoint", "lost-service-replies",
+		"chunks", "stale-reads", "withdraw-key",
 	}
 	return fmt.Sprintf("%s target %d at %s for %s", names[f.Kind], f.Target, f.At, f.For)
 }
@@ -77,6 +83,10 @@
 		w.KillEndpoint(w.endpointAt(f.Target))
 	case FaultLostServiceReplies:
 		w.SetLostServiceReplies(lossShare)
+	case FaultChunks:
+		w.SetChunkFaults(chunkFaultShare)
+	case FaultStaleReads:
+		w.SetStaleReads(true)
 	case FaultWithdrawKey, FaultKinds:
 		w.withdrawKey(f.Target)
 	}
@@ -101,6 +111,10 @@
 		w.StartEndpoint(w.endpointAt(f.Target))
 	case FaultLostServiceReplies:
 		w.SetLostServiceReplies(0)
+	case FaultChunks:
+		w.SetChunkFaults(0)
+	case FaultStaleReads:
+		w.SetStaleReads(false)
 	case FaultPauseHost, FaultWithdrawKey, FaultKinds:
 	}
 }
@@ -200,3 +214,19 @@
 		w.after(time.Duration(w.rng.Int64N(int64(cancelWithin))), func() { w.Send(spec) })
 	}
 }
+
+// MarkLeaving commits a table in which an endpoint is leaving.
+func (w *World) MarkLeaving(name id.Endpoint) {
+	next := *w.cfg.Table
+	next.Endpoints = make(map[id.Endpoint]table.Endpoint, len(w.cfg.Table.Endpoints))
+	for n, ep := range w.cfg.Table.Endpoints {
+		next.Endpoints[n] = ep
+	}
+	ep := next.Endpoints[name]
+	ep.State = table.StateLeaving
+	next.Endpoints[name] = ep
+	w.cfg.Table = &next
+	if err := w.Apply(&next); err != nil {
+		w.fail("mark leaving: %w", err)
+	}
+}
--- a/fleet/fake/host.go
+++ b/fleet/fake/host.go
@@ -18,6 +18,7 @@
 	paused  bool
 	inbox   []func() // events that arrived while paused
 	checked int
+	version uint64 // table in force
 }
 
 func (w *World) addHost(name id.Host, zone id.Zone) {
@@ -32,6 +33,7 @@
 	h.inc++
 	h.alive, h.leaving, h.paused = true, false, false
 	h.inbox = nil
+	h.version = 0
 	cfg := core.DefaultConfig(h.name, h.inc, h.zone, w.cfg.Zones)
 	if w.cfg.Tune != nil {
 		w.cfg.Tune(&cfg)
@@ -56,6 +58,9 @@
 	if !h.alive || h.inc != inc {
 		return
 	}
+	if ev, ok := ev.(core.RequestArrived); ok {
+		w.callers[ev.Request].arrived = true
+	}
 	if h.paused {
 		h.inbox = append(h.inbox, func() { w.deliver(h, inc, ev) })
 		return
@@ -89,13 +94,33 @@
 		w.charged(e)
 	case core.Refunded:
 		w.refunded(e)
+	case core.TableInstalled:
+		w.installed(h, e)
 	case core.Stopped:
-		h.alive = false
+		w.stopped(h)
 	default:
 		w.callEndpoint(h, e)
 	}
 }
 
+func (w *World) installed(h *host, e core.TableInstalled) {
+	if e.Snapshot.Version <= h.version {
+		w.fail("host %s went from table %d to %d", h.name, h.version, e.Snapshot.Version)
+	}
+	h.version = e.Snapshot.Version
+}
+
+// stopped ends a process after its graceful shutdown, which must not cut calls.
+func (w *World) stopped(h *host) {
+	h.alive = false
+	for _, c := range w.calls {
+		if c.Host == h.name && c.Result == ResultOpen && c.arrived {
+			w.fail("host %s stopped with request %s open", h.name, c.Request)
+		}
+	}
+	w.breakCalls(h.name)
+}
+
 func (w *World) sendPeer(h *host, e core.SendPeer) {
 	to, ok := w.hosts[e.To]
 	if !ok {
@@ -172,3 +197,17 @@
 func (w *World) Explain(c *Call) (core.Record, bool) {
 	return core.Explain(w.hosts[c.Host].state, c.Request)
 }
+
+// Ready tells whether a host tells the balancer that it takes requests.
+func (w *World) Ready(name id.Host) bool {
+	h := w.hosts[name]
+	return h.alive && core.IsReady(h.state, w.now)
+}
+
+// LastStart returns when an engine last took on a prefill or decode.
+func (w *World) LastStart(name id.Endpoint) time.Duration {
+	return w.engines[name].lastStart.Sub(Start)
+}
+
+// Executions returns how often any service ran a request.
+func (w *World) Executions(c *Call) int { return w.executions(c.Request) }
--- a/fleet/fake/store.go
+++ b/fleet/fake/store.go
@@ -19,6 +19,8 @@
 	objects map[string]object.Object
 	down    bool
 	lost    float64 // share of writes whose reply is lost
+	stale   bool    // reads of the manifest return the version before
+	older   object.Object
 	reads   int
 	writes  int
 	waiting []func() // watches
@@ -32,6 +34,9 @@
 
 func (s *store) put(kind, name string, value []byte) uint64 {
 	key := objectKey(kind, name)
+	if kind == object.KindManifest {
+		s.older = s.objects[key]
+	}
 	v := s.objects[key].Version + 1
 	s.objects[key] = object.Object{Kind: kind, Name: name, Version: v, Value: value}
 	waiting := s.waiting
@@ -96,6 +101,9 @@
 		return
 	}
 	obj := w.store.objects[objectKey(e.Kind, e.Name)]
+	if w.store.stale && e.Kind == object.KindManifest {
+		obj = w.store.older
+	}
 	if e.Wait > 0 && obj.Version <= e.After {
 		w.watchStore(h, inc, sent, e)
 		return
--- a/fleet/fake/world.go
+++ b/fleet/fake/world.go
@@ -55,9 +55,12 @@
 	cutOff  map[id.Zone]bool    // zones that cannot reach the platform
 	loss    float64             // share of peer messages that are lost
 	serial  int
-	ledger  []Charge
-	open    map[id.Request]int // index of a request's last charge
-	err     error
+
+	chunkFaults float64 // share of chunks that are doubled, late or lost
+
+	ledger []Charge
+	open   map[id.Request]int // index of a request's last charge
+	err    error
 }
 
 type scheduled struct {
@@ -174,6 +177,13 @@
 // SetLoss sets the share of messages between hosts that are lost.
 func (w *World) SetLoss(share float64) { w.loss = share }
 
+// SetChunkFaults sets the share of chunks that are doubled, late or lost.
+func (w *World) SetChunkFaults(share float64) { w.chunkFaults = share }
+
+// SetStaleReads makes the platform answer reads of the manifest with the version
+// before the current one.
+func (w *World) SetStaleReads(stale bool) { w.store.stale = stale }
+
 // delay returns the one-way delay between two zones, and whether they can reach
 // each other.
 func (w *World) delay(a, b id.Zone) (time.Duration, bool) {
