Report hosts whose shared settings differ

Hosts that split rates into other shares can break the bound on a client account's rate. Heartbeats carry a digest of these settings; a difference is logged once and shown in status.

--- a/fleet/core/core.go
+++ b/fleet/core/core.go
@@ -11,6 +11,8 @@
 	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"ragwortshunt.example/fleet/claim"
 	"ragwortshunt.example/fleet/id"
 	"ragwortshunt.example/fleet/limit"
@@ -101,6 +103,16 @@
 	return cfg
 }
 
+// sharedDigest covers the parameters by which hosts split rates, cells and
+// claims. Hosts that differ in them can break the bound on an account's rate.
+func (c Config) sharedDigest() uint64 {
+	shared := fmt.Sprint(
+		c.Zones, c.Limit.Groups, c.Limit.SlotRate, c.Limit.ReserveShare,
+		c.Limit.PooledLease, c.Limit.ReserveLease, c.CellEndpoints, c.Claim.Shards,
+	)
+	return xxhash.Sum64String(shared)
+}
+
 // Input is one event with the time and the seed for its handling.
 type Input struct {
 	Now   time.Time // monotonic; taken directly before Reduce
@@ -126,6 +138,8 @@
 	finished  []Record // ring of the last finished requests
 	finishedN int
 
+	settings  uint64                    // digest of the settings that all hosts must share
+	differing map[id.Host]bool          // hosts whose shared settings differ
 	suspects  map[id.Host]time.Time     // passed over until
 	avoid     map[id.Endpoint]time.Time // service endpoints passed over until
 	calls     map[id.Endpoint]int       // outstanding service calls of this host
@@ -149,6 +163,8 @@
 		scheduler: newSchedulerState(),
 		cells:     make(map[cellKey]cellView),
 		requests:  make(map[id.Request]*request),
+		settings:  cfg.sharedDigest(),
+		differing: make(map[id.Host]bool),
 		suspects:  make(map[id.Host]time.Time),
 		avoid:     make(map[id.Endpoint]time.Time),
 		calls:     make(map[id.Endpoint]int),
--- a/fleet/core/explain.go
+++ b/fleet/core/explain.go
@@ -50,6 +50,7 @@
 	TableProblem  string         `json:"table-problem,omitempty"`
 	ConfirmedMS   int64          `json:"confirmed-age-ms"`
 	Requests      int            `json:"requests"`
+	Differing     []id.Host      `json:"differing-settings,omitempty"` // hosts whose shared settings differ
 	Peers         []PeerStatus   `json:"peers"`
 	Cells         []CellStatus   `json:"cells"`
 	UptimeSeconds int64          `json:"uptime-s"`
@@ -136,6 +137,10 @@
 			Cell: k.String(), Queued: l.Queued, FreeSlots: l.FreeSlots, WaitMS: l.Wait.Milliseconds(),
 		})
 	}
+	for h := range st.differing {
+		out.Differing = append(out.Differing, h)
+	}
+	sort.Slice(out.Differing, func(i, j int) bool { return out.Differing[i] < out.Differing[j] })
 	sort.Slice(out.Peers, func(i, j int) bool { return out.Peers[i].Host < out.Peers[j].Host })
 	return out
 }
--- a/fleet/core/peers.go
+++ b/fleet/core/peers.go
@@ -36,11 +36,24 @@
 	if hb, ok := ev.Message.(message.Heartbeat); ok {
 		changes = append(changes, member.HandleHeartbeat(s.member, s.now, ev.From, ev.Incarnation, hb)...)
 		s.peerVersion(ev.From, hb.TableVersion, hb.ConfirmedAge, hb.ConfirmedAge > 0)
+		s.compareSettings(ev.From, hb.Settings)
 	}
 	s.memberChanges(changes)
 	s.dispatch(ev.From, ev.Message)
 }
 
+// compareSettings reports a host whose shared settings differ from the own ones.
+func (s *step) compareSettings(from id.Host, digest uint64) {
+	if digest == 0 || digest == s.settings {
+		delete(s.differing, from)
+		return
+	}
+	if !s.differing[from] {
+		s.emit(Log{Level: LogError, Part: partPeer, Text: "Host has other shared settings.", Host: from})
+	}
+	s.differing[from] = true
+}
+
 func (s *step) dispatch(from id.Host, m message.Message) {
 	switch m := m.(type) {
 	case message.SlotAsk:
@@ -131,7 +144,7 @@
 	}
 	hb := message.Heartbeat{
 		Zone: s.cfg.Zone, TableVersion: s.version(), ConfirmedAge: s.confirmedAge(),
-		Reports: member.Reports(s.member),
+		Reports: member.Reports(s.member), Settings: s.settings,
 	}
 	if s.draining {
 		hb.State = message.HostLeaving
--- a/fleet/message/message.go
+++ b/fleet/message/message.go
@@ -67,6 +67,7 @@
 	ConfirmedAge time.Duration `cbor:"4,keyasint,omitempty"` // age of the last confirmation of the table by the platform
 	Reports      []HostReport  `cbor:"5,keyasint,omitempty"`
 	Cells        []CellLoad    `cbor:"6,keyasint,omitempty"`
+	Settings     uint64        `cbor:"7,keyasint,omitempty"` // digest of the settings that all hosts must share
 }
 
 // SlotAsk asks a scheduler for prefill, transfer and decode capacity.
