Give the fake engines a prefix cache and add switches for the benchmark

Affinity could not be measured, because the fake engines kept no prefixes and sent no cache events. The choice of cells and the token transfer between hosts get switches, so that a benchmark can measure what they contribute.

--- a/fleet/core/core.go
+++ b/fleet/core/core.go
@@ -53,6 +53,7 @@
 	MaxFailures     int           // attempts of one request that may fail
 	ZoneCrossing    time.Duration // penalty of a cell in another zone
 	FinishedRecords int           // finished requests kept for explain
+	Cells           CellChoice    // way in which cells are chosen
 }
 
 // DefaultConfig returns the default parameters of a host.
@@ -101,6 +102,17 @@
 	return cfg
 }
 
+// CellChoice is the way in which an entry host chooses between the cells of a
+// model. Only CellsByWait is meant for production.
+type CellChoice uint8
+
+// The choices of cells.
+const (
+	CellsByWait  CellChoice = iota // own zone first, then the shortest expected wait
+	CellsOwnZone                   // never another zone, unless the own one has no cell
+	CellsInTurn                    // all zones alike, as a balancer without reservations
+)
+
 // Input is one event with the time and the seed for its handling.
 type Input struct {
 	Now   time.Time // monotonic; taken directly before Reduce
--- a/fleet/core/slot.go
+++ b/fleet/core/slot.go
@@ -70,6 +70,9 @@
 	if len(keys) == 0 {
 		return cellKey{}, false
 	}
+	if s.cfg.Cells == CellsOwnZone {
+		keys = s.ownZone(keys)
+	}
 	best, bestWait := keys[0], time.Duration(-1)
 	h := xxhash.Sum64String(string(r.Request)) + uint64(r.attempt) + uint64(r.refusals)
 	own := s.ownWait(keys)
@@ -88,6 +91,9 @@
 
 // cellWait returns the expected wait in a cell as seen from this host.
 func (s *step) cellWait(k cellKey, own time.Duration, h uint64) time.Duration {
+	if s.cfg.Cells == CellsInTurn {
+		return 0
+	}
 	v, known := s.cells[k]
 	fresh := known && s.now.Sub(v.at) < viewLife
 	if k.Zone == s.cfg.Zone {
@@ -105,6 +111,20 @@
 	return own + s.cfg.ZoneCrossing
 }
 
+// ownZone returns the cells of the own zone, or all if it has none.
+func (s *step) ownZone(keys []cellKey) []cellKey {
+	var own []cellKey
+	for _, k := range keys {
+		if k.Zone == s.cfg.Zone {
+			own = append(own, k)
+		}
+	}
+	if len(own) == 0 {
+		return keys
+	}
+	return own
+}
+
 // ownWait returns the shortest known wait in the own zone.
 func (s *step) ownWait(keys []cellKey) time.Duration {
 	best := time.Duration(-1)
--- a/fleet/fake/caller.go
+++ b/fleet/fake/caller.go
@@ -30,6 +30,8 @@
 	Limit    int64 // output limit, tokens
 	Want     int64 // tokens that the model would generate
 	Key      string
+	Prefix   uint64 // 0 is none
+	Shared   int64  // leading prompt tokens that requests of one prefix share
 	Sent     time.Time
 	First    time.Time
 	Last     time.Time
@@ -58,6 +60,7 @@
 	Limit   int64
 	Want    int64
 	Prefix  uint64
+	Shared  int64   // leading prompt tokens that requests of one prefix share
 	Key     string  // idempotency key
 	Host    id.Host // empty lets the balancer choose
 }
@@ -68,7 +71,7 @@
 	w.serial++
 	call := &Call{
 		Request: id.Request(fmt.Sprintf("r-%06d", w.serial)), Host: spec.Host, Account: spec.Account,
-		Route: spec.Route, Prompt: spec.Prompt, Limit: spec.Limit, Want: spec.Want, Key: spec.Key, Sent: w.now,
+		Route: spec.Route, Prompt: spec.Prompt, Limit: spec.Limit, Want: spec.Want, Key: spec.Key, Prefix: spec.Prefix, Shared: spec.Shared, Sent: w.now,
 	}
 	if call.Host == "" {
 		call.Host = w.balance()
@@ -91,13 +94,19 @@
 	return call
 }
 
-func (w *World) balance() id.Host {
+// Ready returns the hosts that the balancer sends requests to.
+func (w *World) Ready() []id.Host {
 	var up []id.Host
 	for _, name := range w.order {
 		if h := w.hosts[name]; h.alive && !h.leaving {
 			up = append(up, name)
 		}
 	}
+	return up
+}
+
+func (w *World) balance() id.Host {
+	up := w.Ready()
 	if len(up) == 0 {
 		return ""
 	}
--- a/fleet/fake/engine.go
+++ b/fleet/fake/engine.go
@@ -35,7 +35,7 @@
 	runs    map[runKey]*decodeRun
 	imports []*decodeRun // wait for a slot
 	linkEnd time.Time    // the link is busy until
-	cache   map[uint64]bool
+	cache   prefixCache
 
 	PrefillTokens int64 // computed
 	Wasted        int64 // computed, but never decoded
@@ -49,6 +49,7 @@
 	host   *host
 	inc    id.Incarnation
 	cancel bool
+	cached int64 // leading tokens found in the prefix cache
 }
 
 type kvCache struct {
@@ -90,9 +91,8 @@
 func newEngineFake(name id.Endpoint, zone id.Zone, pool table.Pool) *engineFake {
 	return &engineFake{
 		name: name, zone: zone, pool: pool, alive: true,
-		kv:    make(map[string]*kvCache),
-		runs:  make(map[runKey]*decodeRun),
-		cache: make(map[uint64]bool),
+		kv:   make(map[string]*kvCache),
+		runs: make(map[runKey]*decodeRun),
 	}
 }
 
@@ -117,6 +117,7 @@
 		w.failRun(j.host, j.inc, j.e.Request, j.e.Attempt, name, "stream-broken", false, false)
 	}
 	e.queue, e.busy, e.imports = nil, nil, nil
+	e.cache.clear()
 	e.runs = make(map[runKey]*decodeRun)
 }
 
@@ -171,7 +172,7 @@
 	case core.CallService:
 		w.callService(h, e)
 	case core.PollLoad:
-		w.toEngine(h, "", 0, e.Endpoint, func(en *engineFake) { w.report(en, h, inc) })
+		w.toEngine(h, "", 0, e.Endpoint, func(en *engineFake) { w.report(en, h, inc, e.After) })
 	case core.SendOrder:
 		w.toEngine(h, "", 0, e.Endpoint, func(*engineFake) {
 			w.after(w.cfg.LocalDelay, func() {
@@ -227,13 +228,14 @@
 	en.queue = en.queue[1:]
 	en.busy = j
 	epoch := en.epoch
-	d := time.Duration(float64(j.e.Tokens) / float64(en.pool.PrefillRate) * float64(time.Second))
+	j.cached = w.cachedTokens(en, j)
+	d := time.Duration(float64(j.computed()) / float64(en.pool.PrefillRate) * float64(time.Second))
 	w.after(d, func() {
 		if en.epoch != epoch || en.busy != j {
 			return
 		}
 		en.busy = nil
-		en.PrefillTokens += j.e.Tokens
+		en.PrefillTokens += j.computed()
 		w.endPrefill(en, j)
 		w.nextPrefill(en)
 	})
@@ -241,12 +243,13 @@
 
 func (w *World) endPrefill(en *engineFake, j *prefillJob) {
 	if j.cancel {
-		en.Wasted += j.e.Tokens
+		en.Wasted += j.computed()
 		return
 	}
 	w.serial++
 	name := fmt.Sprintf("kv-%d", w.serial)
-	kv := &kvCache{tokens: j.e.Tokens}
+	en.cache.add(w.callers[j.e.Request].Prefix)
+	kv := &kvCache{tokens: j.computed()}
 	en.kv[name] = kv
 	w.after(w.cfg.KVSurvival, func() { w.expireKV(en, name, kv) })
 	d, reachable := w.delay(en.zone, j.host.zone)
@@ -254,7 +257,7 @@
 		return
 	}
 	w.after(d, func() {
-		w.deliver(j.host, j.inc, core.PrefillDone{Request: j.e.Request, Attempt: j.e.Attempt, KV: name})
+		w.deliver(j.host, j.inc, core.PrefillDone{Request: j.e.Request, Attempt: j.e.Attempt, KV: name, CachedTokens: j.cached})
 	})
 }
 
@@ -442,8 +445,9 @@
 	en.queue = rest
 }
 
-// report sends the load of an engine as it is now, after the reporting lag.
-func (w *World) report(en *engineFake, h *host, inc id.Incarnation) {
+// report sends the load of an engine as it is now, and the cache events after
+// one, with the reporting lag.
+func (w *World) report(en *engineFake, h *host, inc id.Incarnation, after uint64) {
 	slots, blocks := en.usage()
 	r := schedule.Report{
 		Endpoint: en.name, Running: int(slots), Slots: int(en.pool.Slots),
@@ -462,5 +466,11 @@
 	for _, run := range sortedRuns(en.runs) {
 		r.Runs = append(r.Runs, schedule.Run{Request: run.key.request, Attempt: run.key.attempt})
 	}
-	w.after(w.cfg.ReportLag, func() { w.deliver(h, inc, core.LoadReported{Report: r}) })
+	changes := en.cache.changesAfter(en.name, after)
+	w.after(w.cfg.ReportLag, func() {
+		w.deliver(h, inc, core.LoadReported{Report: r})
+		for _, ev := range changes {
+			w.deliver(h, inc, ev)
+		}
+	})
 }
--- a/fleet/limit/admit.go
+++ b/fleet/limit/admit.go
@@ -107,7 +107,9 @@
 	if d := s.dry[account]; now.Before(d.until) {
 		return Refused{RetryAfter: s.retryAfter(now, r), WithinRate: d.withinRate}, nil
 	}
-	s.planAsks(now, r)
+	if !s.cfg.NoTransfer {
+		s.planAsks(now, r)
+	}
 	if len(r.peers) == 0 {
 		return s.refusal(now, r), nil
 	}
--- a/fleet/limit/limit.go
+++ b/fleet/limit/limit.go
@@ -53,6 +53,7 @@
 	ReserveLease time.Duration // lease of the reserve part
 	Margin       time.Duration // allowance for clock drift over a lease
 	AskTimeout   time.Duration // longest wait for tokens of peers
+	NoTransfer   bool          // never ask peers; for measurements
 }
 
 // Budget is the rate and burst of one account over the whole fleet.
