--- a/load/cmd/ragwort-load/main.go
+++ b/load/cmd/ragwort-load/main.go
@@ -27,7 +27,7 @@
 	return &cli.Command{
 		Name:     "ragwort-load",
 		Usage:    "put load on routers and verify every answer",
-		Commands: []*cli.Command{runCommand()},
+		Commands: []*cli.Command{runCommand(), benchCommand()},
 	}
 }
 
