core: register long prefills before their grant lapses

Cause: a grant without a sign of life lapses after 1.5 s, and the entry host registered an attempt for the first time after 5 s. Every prefill of more than about 30,000 tokens was cancelled at its end and started again. Ruled out: the spill between zones and the early refusal, which made no difference when off.

Change: a prefill that runs for half the life of its grant is registered then. Shorter prefills send no further message.

--- a/fleet/core/run.go
+++ b/fleet/core/run.go
@@ -39,7 +39,7 @@
 	r.running = true
 	r.progress = s.now
 	r.timeout = s.prefillTimeout(r)
-	r.held = s.now
+	r.held = s.now.Add(-s.firstHold())
 	r.note(s.now, "attempt %d: prefill on %s, decode slot on %s", r.attempt, r.prefill, r.decode)
 	s.emit(Observe{Name: MetricQueueTime, Account: r.account, Value: s.now.Sub(r.arrived)})
 	s.emit(StartPrefill{
@@ -50,6 +50,13 @@
 	})
 }
 
+// firstHold returns by how much the first registration of an attempt is early.
+// A prefill that runs for half the life of its grant is registered then, because
+// the scheduler would otherwise take the grant for unused and cancel it.
+func (s *step) firstHold() time.Duration {
+	return max(0, s.cfg.HoldRefresh-s.cfg.Schedule.HoldTimeout/2)
+}
+
 // prefillTimeout allows three times the expected time of the prefill, and a
 // fixed time for the engine's own queue.
 func (s *step) prefillTimeout(r *request) time.Duration {
@@ -83,6 +90,7 @@
 	}
 	r.stage = StageDecode
 	r.progress = s.now
+	r.held = s.now
 	r.prefilled = true
 	r.note(s.now, "prefill done, %d tokens cached", ev.CachedTokens)
 	s.send(r.host, message.SlotUpdate{Request: r.Request, Attempt: r.attempt, Phase: message.PhaseDecode})
