--- a/load/cmd/ragwort-load/bench.go
+++ b/load/cmd/ragwort-load/bench.go
@@ -24,6 +24,7 @@
 			&cli.IntFlag{Name: "seeds", Usage: "number of seeds", Value: 1},
 			&cli.IntFlag{Name: "workers", Usage: "runs at the same time", Value: benchWorkers},
 			&cli.BoolFlag{Name: "quick", Usage: "only two traces and three rows, unless they are named"},
+			&cli.IntFlag{Name: "explain", Usage: "print the steps of `N` missed requests of each cause"},
 			&cli.StringFlag{Name: "out", Usage: "write the report and plots to `DIR`"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
@@ -32,6 +33,7 @@
 				Deployments: c.StringSlice("deployment"),
 				Variants:    c.StringSlice("variant"),
 				Workers:     c.Int("workers"),
+				Explain:     c.Int("explain"),
 				Out:         c.String("out"),
 				Table:       os.Stdout,
 			}
--- a/load/internal/bench/bench.go
+++ b/load/internal/bench/bench.go
@@ -26,6 +26,7 @@
 	Variants    []string
 	Seeds       []uint64
 	Workers     int
+	Explain     int    // missed requests of each cause that are explained
 	Out         string // directory of the JSON report and the plots; empty for none
 	Table       io.Writer
 }
@@ -60,6 +61,11 @@
 	if err := writeTables(args.Table, rows); err != nil {
 		return err
 	}
+	for _, r := range results {
+		for _, text := range r.Examples {
+			fmt.Fprintf(args.Table, "\n%s, %s, %s, seed %d: %s", r.Deployment, r.Trace, r.Variant, r.Seed, text)
+		}
+	}
 	if args.Out == "" {
 		return nil
 	}
@@ -106,7 +112,7 @@
 		for _, d := range deployments {
 			for _, v := range variants {
 				for _, seed := range a.Seeds {
-					out = append(out, Case{Trace: t, Deployment: d, Variant: v, Seed: seed})
+					out = append(out, Case{Trace: t, Deployment: d, Variant: v, Seed: seed, Explain: a.Explain})
 				}
 			}
 		}
--- a/load/internal/bench/measure.go
+++ b/load/internal/bench/measure.go
@@ -37,6 +37,7 @@
 	Missed        map[string]int `json:"missed"`           // requests in rate that are not good, by cause
 	Accounts      []Account      `json:"accounts"`
 	Bottleneck    string         `json:"bottleneck"`
+	Examples      []string       `json:"-"`
 }
 
 // Account holds the measures of one client account. Work is in units of the
--- a/load/internal/bench/run.go
+++ b/load/internal/bench/run.go
@@ -29,6 +29,7 @@
 	Deployment fake.Deployment
 	Variant    Variant
 	Seed       uint64
+	Explain    int // missed requests of each cause that are explained
 }
 
 // Run replays the trace and returns the measures.
@@ -44,6 +45,7 @@
 	if computed > 0 {
 		r.WastedPrefill = float64(wasted) / float64(computed)
 	}
+	r.Examples = c.explain(w)
 	return r, nil
 }
 
@@ -69,6 +71,31 @@
 	return w, w.CheckRates()
 }
 
+// explain returns what the entry hosts know of some missed requests of each
+// cause.
+func (c Case) explain(w *fake.World) []string {
+	routes := c.Deployment.Table().Routes
+	seen := map[string]int{}
+	var out []string
+	for _, call := range w.Calls() {
+		if good(*call, routes[call.Route]) {
+			continue
+		}
+		why := cause(*call, routes[call.Route])
+		rec, ok := w.Explain(call)
+		if seen[why] >= c.Explain || !ok {
+			continue
+		}
+		seen[why]++
+		text := fmt.Sprintf("%s %s: %s, %s, prompt %d, sent at %s\n", call.Request, why, call.Account, call.Host, call.Prompt, call.Sent.Sub(fake.Start)-warmUp)
+		for _, line := range rec.Trace {
+			text += fmt.Sprintf("  %s %s\n", line.After, line.Text)
+		}
+		out = append(out, text)
+	}
+	return out
+}
+
 func send(w *fake.World, a arrival) {
 	if up := w.Ready(); len(up) > 0 {
 		a.spec.Host = up[a.pick%uint64(len(up))]
