schedule: serve deferrable requests that missed their target last

Cause: a deferrable request had no place in the order but that of its arrival. Ruled out: fair queueing, whose absence makes it worse.

Change: the latest start of a deferrable request follows from its target. One that has missed it waits behind those of its account that can still meet theirs, within the same bound of the waiting time.

--- a/fleet/schedule/ask.go
+++ b/fleet/schedule/ask.go
@@ -95,7 +95,8 @@
 	e.arrived = c.now - waited
 	limit := e.limit(c)
 	e.latest, e.giveUp = limit, limit
-	if target <= 0 || c.classIndex(e.class) == deferrable {
+	waits := c.classIndex(e.class) == deferrable
+	if target <= 0 || (waits && c.cfg.Policy.NoLateLast) {
 		return
 	}
 	work := e.prefillTime + tokenTime(e.prompt, c.capacity.linkRate) + c.cfg.FirstTokenMargin
@@ -103,7 +104,7 @@
 	if target < work {
 		e.latest = e.arrived + target
 	}
-	if !c.cfg.Policy.NoEarlyRefusal {
+	if waits || !c.cfg.Policy.NoEarlyRefusal {
 		e.giveUp = e.latest
 	}
 }
@@ -160,7 +161,7 @@
 			acts = append(acts, c.refuse(e, ReasonWaitLimit))
 			continue
 		}
-		if !e.canWait {
+		if !e.canWait && c.classIndex(e.class) != deferrable {
 			acts = append(acts, c.refuse(e, ReasonTooLate))
 			continue
 		}
@@ -172,6 +173,8 @@
 // limit is the end of the longest queueing time.
 func (e *entry) limit(c *Cell) time.Duration { return e.arrived + c.cfg.MaxDeferrableWait }
 
+// demote lets a request wait behind all deferrable requests of its account that
+// can still meet their target.
 func (c *Cell) demote(e *entry) {
 	c.dequeue(e)
 	e.class = message.ClassDeferrable
--- a/fleet/schedule/config.go
+++ b/fleet/schedule/config.go
@@ -22,6 +22,7 @@
 	NoAffinity     bool // ignore prefix caches
 	NoEarlyRefusal bool // keep requests that will miss their first-token target
 	NoLargeLimit   bool // let large prompts take every prefill endpoint
+	NoLateLast     bool // deferrable requests that have missed their target keep their place
 	NoPin          bool // never drain a decode endpoint for a request that needs much memory
 }
 
--- /dev/null
+++ b/fleet/schedule/late_test.go
@@ -0,0 +1,29 @@
+package schedule_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/schedule"
+)
+
+// TestLateDeferrableGoesLast guards against the collapse in which every
+// deferrable request is served just after its target, because those that have
+// missed theirs stand before those that can still meet it.
+func TestLateDeferrableGoesLast(t *testing.T) {
+	c := cell(nil, prefill("p"), decode("d", 1, 100))
+	schedule.HandleAsk(c, t0, "h", ask("busy"))
+	start(c, t0, "busy")
+	schedule.HandleAsk(c, t0, "h", ask("old", later, target(time.Second)))
+	schedule.HandleAsk(c, at(500*ms), "h", ask("new", later, target(5*time.Second)))
+	schedule.Tick(c, at(1500*ms))
+	acts := finish(c, at(1600*ms), "busy", 100)
+	assert.DeepEqual(t, names(acts), []id.Request{"new"})
+	acts = finish(c, at(1700*ms), "new", 100)
+	assert.DeepEqual(t, names(acts), []id.Request{"old"})
+	assert.Equal(t, len(refusals(acts)), 0)
+	mustCheck(t, c)
+}
