schedule, core: send requests that cannot start in time to another cell at once

Cause: an interactive request waited in the cell it came to until its target was out of reach, even when every prefill endpoint there was busy for longer from the start. Then no cell could help. Ruled out: the order of the queue; in Wales the same requests were refused without fair queueing.

Change: a cell refuses such a request when it is asked, and the entry host tries the other cells while half of the target is left. It remembers all cells that have refused, not only the last.

--- a/fleet/core/request.go
+++ b/fleet/core/request.go
@@ -65,6 +65,7 @@
 	asked    time.Time
 	held     time.Time // last registration of the attempt
 	refusals int       // refusals by schedulers
+	tried    []cellKey // cells that have refused the request since its last grant
 
 	prefill  id.Endpoint
 	decode   id.Endpoint
--- a/fleet/core/slot.go
+++ b/fleet/core/slot.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -79,8 +80,8 @@
 	for i := range keys {
 		k := keys[(int(h%uint64(len(keys)))+i)%len(keys)]
 		w := s.cellWait(k, own, h)
-		if r.refusals > 0 && k == r.cell {
-			w += time.Hour // tried already
+		if slices.Contains(r.tried, k) {
+			w += time.Hour
 		}
 		if bestWait < 0 || w < bestWait {
 			best, bestWait = k, w
@@ -225,6 +226,7 @@
 	}
 	r.host = from
 	r.prefill, r.decode = m.Prefill, m.Decode
+	r.tried = nil
 	s.startPrefill(r, m.Valid)
 }
 
@@ -244,7 +246,8 @@
 }
 
 // slotRefused tries another cell when the refusal is about this cell only, and
-// refuses the request otherwise.
+// refuses the request otherwise. A request that is late in one cell may be in
+// time in another while half of its time is left.
 func (s *step) slotRefused(from id.Host, m message.SlotRefuse) {
 	r, ok := s.requests[m.Request]
 	if !ok || r.attempt != m.Attempt || r.stage != StageQueue {
@@ -252,8 +255,9 @@
 	}
 	s.noteWait(r, from, m.Wait)
 	r.refusals++
+	r.tried = append(r.tried, r.cell)
 	r.note(s.now, "cell %s refused: %s", r.cell, m.Reason)
-	late := m.Reason == schedule.ReasonTooLate
+	late := m.Reason == schedule.ReasonTooLate && s.now.Sub(r.arrived) > r.route.FirstToken/2
 	if late || r.refusals >= maxRefusals || len(s.cellsOf(r.route.Model)) < 2 {
 		s.refuse(r, m.Reason, "no capacity within the route's target", max(m.Retry, refusalBackoff))
 		return
--- a/fleet/schedule/ask.go
+++ b/fleet/schedule/ask.go
@@ -31,6 +31,9 @@
 	if c.cfg.Policy.Placement != PlacementReserve {
 		return append(acts, c.grantBlind(e))
 	}
+	if c.hopeless(e) {
+		return append(acts, c.refuse(e, ReasonTooLate))
+	}
 	acts, ok := c.makeRoom(acts, e)
 	if !ok {
 		return acts
@@ -120,6 +123,24 @@
 	return ""
 }
 
+// hopeless tells whether e must miss its first-token target in this cell: each
+// prefill endpoint is busy, or taken by interactive requests that wait already,
+// until it is too late. Its host can then try another cell while there is time.
+func (c *Cell) hopeless(e *entry) bool {
+	if c.cfg.Policy.NoRedirect || c.cfg.Policy.NoEarlyRefusal || e.canWait || c.classIndex(e.class) == deferrable {
+		return false
+	}
+	if e.giveUp >= e.limit(c) {
+		return false
+	}
+	free := c.backlog(c.prefills[0])
+	for _, ep := range c.prefills {
+		free = min(free, c.backlog(ep))
+	}
+	ahead := time.Duration(c.classes[interactive].prompt) * c.capacity.promptCost / time.Duration(len(c.prefills))
+	return c.now+free+ahead > e.latest
+}
+
 // refuseUnplaceable refuses queued requests after a loss of endpoints.
 func (c *Cell) refuseUnplaceable(acts []Action) []Action {
 	var lost []*entry
--- a/fleet/schedule/config.go
+++ b/fleet/schedule/config.go
@@ -21,6 +21,7 @@
 	NoFairQueue    bool // order by latest start only, whatever the account
 	NoAffinity     bool // ignore prefix caches
 	NoEarlyRefusal bool // keep requests that will miss their first-token target
+	NoRedirect     bool // queue requests that cannot start in time, in place of refusing them at once
 	NoLargeLimit   bool // let large prompts take every prefill endpoint
 	NoLateLast     bool // deferrable requests that have missed their target keep their place
 	NoPin          bool // never drain a decode endpoint for a request that needs much memory
