--- a/fleet/core/core.go
+++ b/fleet/core/core.go
@@ -141,8 +141,10 @@
 	suspects  map[id.Host]time.Time     // passed over until
 	avoid     map[id.Endpoint]time.Time // service endpoints passed over until
 	calls     map[id.Endpoint]int       // outstanding service calls of this host
+	down      map[id.Endpoint]bool      // could not be reached by the last call
 	hostsRead time.Time
-	heard     bool // a peer has told its table version
+	ticked    time.Time // last tick
+	heard     bool      // a peer has told its table version
 	draining  bool
 	stopped   bool
 }
@@ -162,6 +164,7 @@
 		suspects:  make(map[id.Host]time.Time),
 		avoid:     make(map[id.Endpoint]time.Time),
 		calls:     make(map[id.Endpoint]int),
+		down:      make(map[id.Endpoint]bool),
 		finished:  make([]Record, 0, cfg.FinishedRecords),
 	}
 }
--- a/fleet/core/run.go
+++ b/fleet/core/run.go
@@ -8,9 +8,6 @@
 	"ragwortshunt.example/fleet/message"
 )
 
-// partRun is the log prefix of this part.
-const partRun = "run"
-
 // Engine priorities. 0 is the highest.
 const (
 	priorityInteractive = 0
@@ -41,6 +38,7 @@
 	r.timeout = s.prefillTimeout(r)
 	r.held = s.now.Add(-s.firstHold())
 	r.note(s.now, "attempt %d: prefill on %s, decode slot on %s", r.attempt, r.prefill, r.decode)
+	s.send(r.host, message.SlotUpdate{Request: r.Request, Attempt: r.attempt, Phase: message.PhasePrefill})
 	s.emit(Observe{Name: MetricQueueTime, Account: r.account, Value: s.now.Sub(r.arrived)})
 	s.emit(StartPrefill{
 		Request: r.Request, Attempt: r.attempt, Model: r.route.Model,
@@ -185,6 +183,9 @@
 }
 
 func (s *step) runFailed(ev RunFailed) {
+	if ev.Down {
+		s.endpointDown(ev.Endpoint)
+	}
 	r, ok := s.requests[ev.Request]
 	if !ok || r.attempt != ev.Attempt {
 		return
