--- a/fleet/core/proof_test.go
+++ b/fleet/core/proof_test.go
@@ -180,13 +180,13 @@
 	w.At(16237*time.Millisecond, func() { w.Restart(h) })
 	for at := 16237 * time.Millisecond; at < 20*time.Second; at += 10 * time.Millisecond {
 		w.At(at, func() {
-			if w.Ready(h) {
+			if w.IsReady(h) {
 				assert.Equal(t, w.Version(h), uint64(2), "%s after the start", w.Elapsed())
 			}
 		})
 	}
 	assert.NilError(t, w.Run(20*time.Second))
-	assert.Assert(t, w.Ready(h))
+	assert.Assert(t, w.IsReady(h))
 }
 
 // TestStartInOutage guards against a host that cannot start while the platform
@@ -200,7 +200,7 @@
 		w.Restart(h)
 	})
 	assert.NilError(t, w.Run(15*time.Second))
-	assert.Assert(t, w.Ready(h), "version %d", w.Version(h))
+	assert.Assert(t, w.IsReady(h), "version %d", w.Version(h))
 }
 
 // TestOutageServes guards service during a platform outage: model requests go on
--- a/fleet/core/slot.go
+++ b/fleet/core/slot.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -67,14 +68,17 @@
 	if len(keys) == 0 {
 		return cellKey{}, false
 	}
+	if s.cfg.Cells == CellsOwnZone {
+		keys = s.ownZone(keys)
+	}
 	best, bestWait := keys[0], time.Duration(-1)
 	h := xxhash.Sum64String(string(r.Request)) + uint64(r.attempt) + uint64(r.refusals)
 	own := s.ownWait(keys)
 	for i := range keys {
 		k := keys[(int(h%uint64(len(keys)))+i)%len(keys)]
 		w := s.cellWait(k, own, h)
-		if r.refusals > 0 && k == r.cell {
-			w += time.Hour // tried already
+		if slices.Contains(r.tried, k) {
+			w += time.Hour
 		}
 		if bestWait < 0 || w < bestWait {
 			best, bestWait = k, w
@@ -85,6 +89,9 @@
 
 // cellWait returns the expected wait in a cell as seen from this host.
 func (s *step) cellWait(k cellKey, own time.Duration, h uint64) time.Duration {
+	if s.cfg.Cells == CellsInTurn {
+		return 0
+	}
 	v, known := s.cells[k]
 	fresh := known && s.now.Sub(v.at) < viewLife
 	if k.Zone == s.cfg.Zone {
@@ -102,6 +109,20 @@
 	return own + s.cfg.ZoneCrossing
 }
 
+// ownZone returns the cells of the own zone, or all if it has none.
+func (s *step) ownZone(keys []cellKey) []cellKey {
+	var own []cellKey
+	for _, k := range keys {
+		if k.Zone == s.cfg.Zone {
+			own = append(own, k)
+		}
+	}
+	if len(own) == 0 {
+		return keys
+	}
+	return own
+}
+
 // ownWait returns the shortest known wait in the own zone.
 func (s *step) ownWait(keys []cellKey) time.Duration {
 	best := time.Duration(-1)
@@ -203,6 +224,7 @@
 	}
 	r.host = from
 	r.prefill, r.decode = m.Prefill, m.Decode
+	r.tried = nil
 	s.startPrefill(r, m.Valid)
 }
 
@@ -221,8 +243,9 @@
 	}
 }
 
-// slotRefused tries another cell while the first-token target can still be met
-// there, and refuses the request otherwise.
+// slotRefused tries another cell when the refusal is about this cell only, and
+// refuses the request otherwise. A request that is late in one cell may be in
+// time in another while half of its time is left.
 func (s *step) slotRefused(from id.Host, m message.SlotRefuse) {
 	r, ok := s.requests[m.Request]
 	if !ok || r.attempt != m.Attempt || r.stage != StageQueue {
@@ -230,8 +253,9 @@
 	}
 	s.noteWait(r, from, m.Wait)
 	r.refusals++
+	r.tried = append(r.tried, r.cell)
 	r.note(s.now, "cell %s refused: %s", r.cell, m.Reason)
-	late := m.Reason == schedule.ReasonTooLate && s.now.Sub(r.arrived) >= r.route.FirstToken
+	late := m.Reason == schedule.ReasonTooLate && s.now.Sub(r.arrived) > r.route.FirstToken/2
 	if late || r.refusals >= maxRefusals || len(s.cellsOf(r.route.Model)) < 2 {
 		s.refuse(r, m.Reason, "no capacity within the route's target", max(m.Retry, refusalBackoff))
 		return
--- a/fleet/fake/host.go
+++ b/fleet/fake/host.go
@@ -198,12 +198,6 @@
 	return core.Explain(w.hosts[c.Host].state, c.Request)
 }
 
-// Ready tells whether a host tells the balancer that it takes requests.
-func (w *World) Ready(name id.Host) bool {
-	h := w.hosts[name]
-	return h.alive && core.IsReady(h.state, w.now)
-}
-
 // LastStart returns when an engine last took on a prefill or decode.
 func (w *World) LastStart(name id.Endpoint) time.Duration {
 	return w.engines[name].lastStart.Sub(Start)
@@ -211,3 +205,9 @@
 
 // Executions returns how often any service ran a request.
 func (w *World) Executions(c *Call) int { return w.executions(c.Request) }
+
+// IsReady tells whether a host tells the balancer that it takes requests.
+func (w *World) IsReady(name id.Host) bool {
+	h := w.hosts[name]
+	return h.alive && core.IsReady(h.state, w.now)
+}
--- a/fleet/schedule/ask.go
+++ b/fleet/schedule/ask.go
@@ -31,6 +31,9 @@
 	if c.cfg.Policy.Placement != PlacementReserve {
 		return append(acts, c.grantBlind(e))
 	}
+	if c.hopeless(e) {
+		return append(acts, c.refuse(e, ReasonTooLate))
+	}
 	acts, ok := c.makeRoom(acts, e)
 	if !ok {
 		return acts
@@ -95,7 +98,8 @@
 	e.arrived = c.now - waited
 	limit := e.limit(c)
 	e.latest, e.giveUp = limit, limit
-	if target <= 0 || c.classIndex(e.class) == deferrable {
+	waits := c.classIndex(e.class) == deferrable
+	if target <= 0 || (waits && c.cfg.Policy.NoLateLast) {
 		return
 	}
 	work := e.prefillTime + tokenTime(e.prompt, c.capacity.linkRate) + c.cfg.FirstTokenMargin
@@ -103,7 +107,7 @@
 	if target < work {
 		e.latest = e.arrived + target
 	}
-	if !c.cfg.Policy.NoEarlyRefusal {
+	if waits || !c.cfg.Policy.NoEarlyRefusal {
 		e.giveUp = e.latest
 	}
 }
@@ -119,6 +123,24 @@
 	return ""
 }
 
+// hopeless tells whether e must miss its first-token target in this cell: each
+// prefill endpoint is busy, or taken by interactive requests that wait already,
+// until it is too late. Its host can then try another cell while there is time.
+func (c *Cell) hopeless(e *entry) bool {
+	if c.cfg.Policy.NoRedirect || c.cfg.Policy.NoEarlyRefusal || e.canWait || c.classIndex(e.class) == deferrable {
+		return false
+	}
+	if e.giveUp >= e.limit(c) {
+		return false
+	}
+	free := c.backlog(c.prefills[0])
+	for _, ep := range c.prefills {
+		free = min(free, c.backlog(ep))
+	}
+	ahead := time.Duration(c.classes[interactive].prompt) * c.capacity.promptCost / time.Duration(len(c.prefills))
+	return c.now+free+ahead > e.latest
+}
+
 // refuseUnplaceable refuses queued requests after a loss of endpoints.
 func (c *Cell) refuseUnplaceable(acts []Action) []Action {
 	var lost []*entry
@@ -160,7 +182,7 @@
 			acts = append(acts, c.refuse(e, ReasonWaitLimit))
 			continue
 		}
-		if !e.canWait {
+		if !e.canWait && c.classIndex(e.class) != deferrable {
 			acts = append(acts, c.refuse(e, ReasonTooLate))
 			continue
 		}
@@ -172,6 +194,8 @@
 // limit is the end of the longest queueing time.
 func (e *entry) limit(c *Cell) time.Duration { return e.arrived + c.cfg.MaxDeferrableWait }
 
+// demote lets a request wait behind all deferrable requests of its account that
+// can still meet their target.
 func (c *Cell) demote(e *entry) {
 	c.dequeue(e)
 	e.class = message.ClassDeferrable
--- a/fleet/schedule/config.go
+++ b/fleet/schedule/config.go
@@ -21,7 +21,10 @@
 	NoFairQueue    bool // order by latest start only, whatever the account
 	NoAffinity     bool // ignore prefix caches
 	NoEarlyRefusal bool // keep requests that will miss their first-token target
+	NoRedirect     bool // queue requests that cannot start in time, in place of refusing them at once
 	NoLargeLimit   bool // let large prompts take every prefill endpoint
+	NoLateLast     bool // deferrable requests that have missed their target keep their place
+	NoReportedEnds bool // free reservations only when their host says so
 	NoPin          bool // never drain a decode endpoint for a request that needs much memory
 }
 
@@ -37,6 +40,7 @@
 	HoldTimeout   time.Duration // a grant without update or hold expires
 	HoldLapse     time.Duration // a running attempt without update or hold is cancelled
 	OrphanTime    time.Duration // a run that an engine reports and nobody registers is cancelled
+	ReportTrust   time.Duration // load reports need not list a decode run that is younger
 	SweepTime     time.Duration // between two searches for lapsed reservations
 	AccountMemory time.Duration // between two searches for idle accounts
 	EndedMemory   time.Duration // an ended attempt is remembered, against late messages
@@ -76,6 +80,7 @@
 		HoldTimeout:        1500 * time.Millisecond,
 		HoldLapse:          3500 * time.Millisecond,
 		OrphanTime:         5 * time.Second,
+		ReportTrust:        3 * time.Second,
 		SweepTime:          100 * time.Millisecond,
 		AccountMemory:      10 * time.Second,
 		EndedMemory:        5 * time.Second,
@@ -91,7 +96,7 @@
 		DeferrableShare:    20,
 		DebtMost:           time.Second,
 		LargePrefill:       250 * time.Millisecond,
-		LargeWait:          300 * time.Millisecond,
+		LargeWait:          1200 * time.Millisecond,
 		SmallMemory:        5 * time.Second,
 		PinAfter:           time.Second,
 		PinDeferrableAfter: 5 * time.Second,
