schedule: let large prompts start while another endpoint is free within 1.2 s

Cause: with small prompts about, large ones got only one of two prefill endpoints in each cell, so that half of the prefill capacity was idle in the evening.

Change: LargeWait 300 -> 1200 ms. Small prompts that cannot wait for it go to other cells now.

--- a/fleet/schedule/config.go
+++ b/fleet/schedule/config.go
@@ -93,7 +93,7 @@
 		DeferrableShare:    20,
 		DebtMost:           time.Second,
 		LargePrefill:       250 * time.Millisecond,
-		LargeWait:          300 * time.Millisecond,
+		LargeWait:          1200 * time.Millisecond,
 		SmallMemory:        5 * time.Second,
 		PinAfter:           time.Second,
 		PinDeferrableAfter: 5 * time.Second,
--- a/fleet/schedule/place.go
+++ b/fleet/schedule/place.go
@@ -96,7 +96,9 @@
 
 // largeLimited tells whether a large prompt must wait, because small ones would
 // then find no prefill endpoint that is free soon. Besides the endpoint that the
-// large prompt takes, another one must be free within LargeWait.
+// large prompt takes, another one must be free within LargeWait. That may be later
+// than small prompts can wait; they then go to other cells, and a whole endpoint
+// is not kept idle in each cell.
 func (c *Cell) largeLimited() bool {
 	if c.cfg.Policy.NoLargeLimit || !c.smallEver || c.now-c.smallSeen > c.cfg.SmallMemory {
 		return false
