schedule: count deferrable work that ran while no interactive request waited

Cause: an interactive grant owes deferrable requests a fifth of the endpoint time, but their grants paid only while an interactive request waited. Ruled out: too few free endpoints in the fleet; without the share for deferrable requests the refusals vanish.

Change: every deferrable grant pays, and the debt is bounded below too.

The share is still guaranteed while interactive requests take all endpoints (TestDeferrableProgress).

--- a/fleet/schedule/late_test.go
+++ b/fleet/schedule/late_test.go
@@ -27,3 +27,15 @@
 	assert.Equal(t, len(refusals(acts)), 0)
 	mustCheck(t, c)
 }
+
+// TestDeferrableWorkPays guards against deferrable requests that go before
+// waiting interactive ones although they have just had the endpoint.
+func TestDeferrableWorkPays(t *testing.T) {
+	c := cell(nil, prefill("p"), decode("d", 20, 100))
+	schedule.HandleAsk(c, t0, "h", ask("d1", later, prompt(5000)))
+	schedule.HandleAsk(c, t0, "h", ask("d2", later, prompt(5000)))
+	schedule.HandleAsk(c, at(10*ms), "h", ask("s1", target(5*time.Second)))
+	schedule.HandleAsk(c, at(20*ms), "h", ask("s2", target(5*time.Second)))
+	acts := start(c, at(500*ms), "d1")
+	assert.DeepEqual(t, names(acts), []id.Request{"s1", "s2", "d2"})
+}
--- a/fleet/schedule/queue.go
+++ b/fleet/schedule/queue.go
@@ -201,13 +201,12 @@
 }
 
 // settleDebt lets each interactive grant owe a part of its cost to deferrable
-// requests. A deferrable request goes first while the debt is positive. The
-// debt is bounded, so that a blocked deferrable queue cannot save up a burst.
+// requests, and each deferrable grant pay, whether interactive requests wait at
+// that moment or not. A deferrable request goes first while the debt is positive.
+// The debt is bounded on both sides, so that neither class can save up a burst.
 func (c *Cell) settleDebt(class int, cost time.Duration) {
 	if class == deferrable {
-		if c.classes[interactive].queued > 0 {
-			c.debt -= cost
-		}
+		c.debt = max(-c.cfg.DebtMost, c.debt-cost)
 		return
 	}
 	most := c.cfg.DebtMost
