schedule: free decode reservations that the engine no longer has

Cause: when a zone is cut off, the end of an attempt that a host of another zone runs does not reach the scheduler.

Change: an attempt that has decoded for 3 s or more and is absent from two load reports in a row has ended. Reports that do not list all their runs are ignored.

--- a/fleet/schedule/config.go
+++ b/fleet/schedule/config.go
@@ -24,6 +24,7 @@
 	NoRedirect     bool // queue requests that cannot start in time, in place of refusing them at once
 	NoLargeLimit   bool // let large prompts take every prefill endpoint
 	NoLateLast     bool // deferrable requests that have missed their target keep their place
+	NoReportedEnds bool // free reservations only when their host says so
 	NoPin          bool // never drain a decode endpoint for a request that needs much memory
 }
 
@@ -39,6 +40,7 @@
 	HoldTimeout   time.Duration // a grant without update or hold expires
 	HoldLapse     time.Duration // a running attempt without update or hold is cancelled
 	OrphanTime    time.Duration // a run that an engine reports and nobody registers is cancelled
+	ReportTrust   time.Duration // load reports need not list a decode run that is younger
 	SweepTime     time.Duration // between two searches for lapsed reservations
 	AccountMemory time.Duration // between two searches for idle accounts
 	EndedMemory   time.Duration // an ended attempt is remembered, against late messages
@@ -78,6 +80,7 @@
 		HoldTimeout:        1500 * time.Millisecond,
 		HoldLapse:          3500 * time.Millisecond,
 		OrphanTime:         5 * time.Second,
+		ReportTrust:        3 * time.Second,
 		SweepTime:          100 * time.Millisecond,
 		AccountMemory:      10 * time.Second,
 		EndedMemory:        5 * time.Second,
--- a/fleet/schedule/entry.go
+++ b/fleet/schedule/entry.go
@@ -51,6 +51,8 @@
 	sender                      *endpoint // prefill endpoint of a planned transfer
 	prefillBlocks, decodeBlocks int64
 	charge                      time.Duration // endpoint time charged to the account
+	decodeSince                 time.Duration
+	absent                      int           // load reports in a row without the decode run
 	deadline                    time.Duration // end of the reservation unless refreshed
 	prefillTime                 time.Duration
 	prefillStart, prefillEnd    time.Duration // planned
--- a/fleet/schedule/report.go
+++ b/fleet/schedule/report.go
@@ -6,9 +6,14 @@
 	"time"
 
 	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/message"
 	"ragwortshunt.example/fleet/table"
 )
 
+// absentReports is the number of load reports in a row without a run after which
+// it has ended.
+const absentReports = 2
+
 // Run names one attempt that holds memory on an engine.
 type Run struct {
 	Request id.Request
@@ -36,6 +41,7 @@
 	ep.reported = true
 	ep.running = int64(r.Running)
 	ep.waiting = max(r.Waiting, 0)
+	c.freeAbsent(ep, r)
 	c.countForeign(ep, r)
 	acts := c.cancelStray(nil, ep, r)
 	c.endRebuild()
@@ -47,6 +53,37 @@
 	return c.grantQueued(acts)
 }
 
+// freeAbsent ends the decode attempts that the engine no longer runs, although
+// no host has reported their end. The message may be lost, or the host may be cut
+// off. A report is older than it looks, so that young attempts are left out.
+func (c *Cell) freeAbsent(ep *endpoint, r Report) {
+	if c.cfg.Policy.NoReportedEnds || ep.Role != table.RoleDecode || len(r.Runs) != r.Running {
+		return
+	}
+	runs := make(map[Run]bool, len(r.Runs))
+	for _, run := range r.Runs {
+		runs[run] = true
+	}
+	var gone []*entry
+	for _, e := range c.runs {
+		if e.decode != ep || e.phase != message.PhaseDecode || c.now-e.decodeSince < c.cfg.ReportTrust {
+			continue
+		}
+		e.absent++
+		if runs[Run{Request: e.request, Attempt: e.attempt}] {
+			e.absent = 0
+		}
+		if e.absent >= absentReports {
+			gone = append(gone, e)
+		}
+	}
+	sortEntries(gone)
+	for _, e := range gone {
+		c.release(e)
+		c.forget(e, endedRecord{})
+	}
+}
+
 // countForeign estimates what unregistered runs occupy. A run that ended a
 // moment ago is left out, because reports lag.
 func (c *Cell) countForeign(ep *endpoint, r Report) {
--- a/fleet/schedule/run.go
+++ b/fleet/schedule/run.go
@@ -101,6 +101,7 @@
 // startDecode frees the prefill endpoint; the transfer takes the links from now.
 func (c *Cell) startDecode(e *entry) {
 	e.phase = message.PhaseDecode
+	e.decodeSince = c.now
 	length := e.sendEnd - e.sendStart
 	e.sendStart = c.now
 	e.sendEnd = c.now + length
@@ -158,17 +159,18 @@
 // register reserves what an attempt holds that this cell has not granted.
 func (c *Cell) register(from id.Host, m message.SlotHold) {
 	e := &entry{
-		request:   m.Request,
-		attempt:   m.Attempt,
-		host:      from,
-		state:     stateRunning,
-		phase:     m.Phase,
-		prompt:    clampTokens(m.PromptTokens),
-		output:    clampTokens(m.OutputTokens),
-		deadline:  c.now + c.cfg.HoldLapse,
-		laneIndex: -1,
-		lateIndex: -1,
-		runIndex:  -1,
+		request:     m.Request,
+		attempt:     m.Attempt,
+		host:        from,
+		state:       stateRunning,
+		phase:       m.Phase,
+		prompt:      clampTokens(m.PromptTokens),
+		output:      clampTokens(m.OutputTokens),
+		deadline:    c.now + c.cfg.HoldLapse,
+		decodeSince: c.now,
+		laneIndex:   -1,
+		lateIndex:   -1,
+		runIndex:    -1,
 	}
 	var p, d *endpoint
 	if m.Prefill != "" && m.Phase != message.PhaseDecode {
--- a/load/internal/bench/variant.go
+++ b/load/internal/bench/variant.go
@@ -36,6 +36,7 @@
 		policy("no-large-limit", func(p *schedule.Policy) { p.NoLargeLimit = true }),
 		policy("no-late-last", func(p *schedule.Policy) { p.NoLateLast = true }),
 		policy("no-redirect", func(p *schedule.Policy) { p.NoRedirect = true }),
+		policy("no-reported-ends", func(p *schedule.Policy) { p.NoReportedEnds = true }),
 		policy("no-pin", func(p *schedule.Policy) { p.NoPin = true }),
 		{Name: "no-transfer", Tune: func(cfg *core.Config) { cfg.Limit.NoTransfer = true }},
 		{Name: "no-spill", Tune: func(cfg *core.Config) { cfg.Cells = core.CellsOwnZone }},
