core: spill to another zone only when that saves 200 ms

Cause: near capacity the reported waits of the zones differ by little and change fast, so that many requests crossed zones for no gain. Each such stream breaks when a zone is cut off. Tried 50, 100, 200, 400 and 1000 ms.

Change: ZoneCrossing 50 -> 200 ms.

--- a/fleet/core/core.go
+++ b/fleet/core/core.go
@@ -82,7 +82,7 @@
 		Watchers:        2,
 		StartWait:       1500 * time.Millisecond,
 		MaxFailures:     3,
-		ZoneCrossing:    50 * time.Millisecond,
+		ZoneCrossing:    200 * time.Millisecond,
 		FinishedRecords: 1000,
 	}
 	// The death of an entry host is noticed by membership; the lapse of holds only
