--- a/Makefile
+++ b/Makefile
@@ -36,5 +36,14 @@
 test:
 	@set -e; for m in $(MODULES); do (cd $$m && go test -count=1 ./...) || exit 1; done
 
+# TRACE is the name or path of a trace, DEPLOYMENT a name; all when they are empty.
+SEED ?= 1
+SEEDS ?= 3
+
+bench:
+	cd load && go build -o ../bin/ ./cmd/ragwort-load
+	bin/ragwort-load bench --seed $(SEED) --seeds $(SEEDS) --out out \
+		$(if $(TRACE),--trace $(TRACE)) $(if $(DEPLOYMENT),--deployment $(DEPLOYMENT)) $(BENCHFLAGS)
+
 clean:
 	rm -rf bin out
