--- a/Makefile
+++ b/Makefile
@@ -45,5 +45,8 @@
 	bin/ragwort-load bench --seed $(SEED) --seeds $(SEEDS) --out out \
 		$(if $(TRACE),--trace $(TRACE)) $(if $(DEPLOYMENT),--deployment $(DEPLOYMENT)) $(BENCHFLAGS)
 
+demo: build
+	demo/run.sh
+
 clean:
 	rm -rf bin out
--- a/fleet/core/slot.go
+++ b/fleet/core/slot.go
@@ -14,9 +14,6 @@
 	"ragwortshunt.example/fleet/table"
 )
 
-// partSlot is the log prefix of this part.
-const partSlot = "slot"
-
 const (
 	viewLife       = 2 * time.Second // a reported wait is believed so long
 	spillWait      = 100 * time.Millisecond
@@ -182,6 +179,7 @@
 		return
 	}
 	r.note(s.now, "attempt %d asks %s for %s", r.attempt, r.host, r.cell)
+	member.Contacted(s.member, s.now, r.host)
 	s.send(r.host, message.SlotAsk{
 		Request:      r.Request,
 		Attempt:      r.attempt,
