--- a/fleet/fake/caller.go
+++ b/fleet/fake/caller.go
@@ -35,12 +35,14 @@
 	Sent     time.Time
 	First    time.Time
 	Last     time.Time
+	Ended    time.Time
 	MaxGap   time.Duration
 	Received int64
 	Result   Result
 	Code     string
 	NotRun   bool
 	Recorded bool // the reply was the recorded one of an earlier call
+	arrived  bool // reached its entry host
 	ended    int  // how often an end was seen
 }
 
@@ -94,8 +96,8 @@
 	return call
 }
 
-// Ready returns the hosts that the balancer sends requests to.
-func (w *World) Ready() []id.Host {
+// Candidates returns the hosts that the balancer chooses from.
+func (w *World) Candidates() []id.Host {
 	var up []id.Host
 	for _, name := range w.order {
 		if h := w.hosts[name]; h.alive && !h.leaving {
@@ -106,7 +108,7 @@
 }
 
 func (w *World) balance() id.Host {
-	up := w.Ready()
+	up := w.Candidates()
 	if len(up) == 0 {
 		return ""
 	}
@@ -119,6 +121,7 @@
 		return
 	}
 	call.Result = ResultCanceled
+	call.Ended = w.now
 	h := w.hosts[call.Host]
 	inc := h.inc
 	w.after(w.cfg.LocalDelay, func() { w.deliver(h, inc, core.CallerGone{Request: call.Request}) })
@@ -128,6 +131,7 @@
 	for _, c := range w.calls {
 		if c.Host == name && c.Result == ResultOpen {
 			c.Result, c.Code = ResultBroken, "connection-lost"
+			c.Ended = w.now
 		}
 	}
 }
@@ -193,6 +197,7 @@
 func (w *World) ended(req id.Request, fn func(c *Call)) {
 	c := w.callers[req]
 	c.ended++
+	c.Ended = w.now
 	if c.ended > 1 {
 		w.fail("request %s was answered twice", req)
 	}
@@ -213,6 +218,12 @@
 	}
 }
 
+// CallOf returns the call of a request.
+func (w *World) CallOf(req id.Request) *Call { return w.callers[req] }
+
+// EndOf returns when a call ended, since the start of the run.
+func (w *World) EndOf(req id.Request) time.Duration { return w.callers[req].Ended.Sub(Start) }
+
 // Calls returns all calls in the order in which they were sent.
 func (w *World) Calls() []*Call { return w.calls }
 
--- a/load/internal/bench/run.go
+++ b/load/internal/bench/run.go
@@ -97,7 +97,7 @@
 }
 
 func send(w *fake.World, a arrival) {
-	if up := w.Ready(); len(up) > 0 {
+	if up := w.Candidates(); len(up) > 0 {
 		a.spec.Host = up[a.pick%uint64(len(up))]
 	}
 	w.Send(a.spec)
