schedule: order accounts by their target unless they differ by 1 s of service

Cause: fair queueing with a quantum of 100 ms passed over requests close to their target for accounts that were a few requests behind. Ruled out: the weights; the small accounts offer less than their share.

Change: FairQuantum 100 ms -> 1 s.

--- a/fleet/schedule/config.go
+++ b/fleet/schedule/config.go
@@ -92,7 +92,7 @@
 		MaxDeferrableWait:  5 * time.Minute,
 		FirstTokenMargin:   50 * time.Millisecond,
 		TokenTime:          40 * time.Millisecond,
-		FairQuantum:        100 * time.Millisecond,
+		FairQuantum:        time.Second,
 		DeferrableShare:    20,
 		DebtMost:           time.Second,
 		LargePrefill:       250 * time.Millisecond,
