--- a/fleet/core/core.go
+++ b/fleet/core/core.go
@@ -104,16 +104,6 @@
 	return cfg
 }
 
-// sharedDigest covers the parameters by which hosts split rates, cells and
-// claims. Hosts that differ in them can break the bound on an account's rate.
-func (c Config) sharedDigest() uint64 {
-	shared := fmt.Sprint(
-		c.Zones, c.Limit.Groups, c.Limit.SlotRate, c.Limit.ReserveShare,
-		c.Limit.PooledLease, c.Limit.ReserveLease, c.CellEndpoints, c.Claim.Shards,
-	)
-	return xxhash.Sum64String(shared)
-}
-
 // CellChoice is the way in which an entry host chooses between the cells of a
 // model. Only CellsByWait is meant for production.
 type CellChoice uint8
@@ -125,6 +115,16 @@
 	CellsInTurn                    // all zones alike, as a balancer without reservations
 )
 
+// sharedDigest covers the parameters by which hosts split rates, cells and
+// claims. Hosts that differ in them can break the bound on an account's rate.
+func (c Config) sharedDigest() uint64 {
+	shared := fmt.Sprint(
+		c.Zones, c.Limit.Groups, c.Limit.SlotRate, c.Limit.ReserveShare,
+		c.Limit.PooledLease, c.Limit.ReserveLease, c.CellEndpoints, c.Claim.Shards,
+	)
+	return xxhash.Sum64String(shared)
+}
+
 // Input is one event with the time and the seed for its handling.
 type Input struct {
 	Now   time.Time // monotonic; taken directly before Reduce
--- a/fleet/fake/caller.go
+++ b/fleet/fake/caller.go
@@ -96,8 +96,8 @@
 	return call
 }
 
-// Ready returns the hosts that the balancer sends requests to.
-func (w *World) Ready() []id.Host {
+// Candidates returns the hosts that the balancer chooses from.
+func (w *World) Candidates() []id.Host {
 	var up []id.Host
 	for _, name := range w.order {
 		if h := w.hosts[name]; h.alive && !h.leaving {
@@ -108,7 +108,7 @@
 }
 
 func (w *World) balance() id.Host {
-	up := w.Ready()
+	up := w.Candidates()
 	if len(up) == 0 {
 		return ""
 	}
