standin: add relays and the fault cut

A relay in front of a host passes batches of the peer protocol on. The fault cut on a zone separates it from the other zones, through the relays, and from the platform, which knows the hosts by their User-Agent.

--- a/standin/internal/fault/fault.go
+++ b/standin/internal/fault/fault.go
@@ -30,6 +30,9 @@
 	// Engines and hosts.
 	Leaving = "leaving"
 
+	// Zones.
+	Cut = "cut" // no calls to the platform, no batches from or to other zones through relays
+
 	// Hosts.
 	Removed = "removed" // missing from the host list
 
--- a/standin/internal/platform/platform.go
+++ b/standin/internal/platform/platform.go
@@ -12,6 +12,7 @@
 
 	"github.com/emicklei/go-restful/v3"
 
+	"ragwortshunt.example/fleet/id"
 	"ragwortshunt.example/fleet/object"
 	"ragwortshunt.example/standin/internal/fault"
 	"ragwortshunt.example/standin/internal/settings"
@@ -38,6 +39,7 @@
 	faults *fault.Switches
 	store  *store
 	hosts  *hostList
+	zones  map[string]id.Zone // of the hosts, by User-Agent
 
 	mu     sync.Mutex
 	stats  Stats
@@ -51,6 +53,7 @@
 		faults: faults,
 		store:  newStore(),
 		hosts:  newHostList(cfg.Hosts, cfg.HostListLag),
+		zones:  agents(cfg.Hosts),
 		stats:  Stats{Calls: map[string]map[string]int64{}, Refused: map[string]int64{}},
 		reads:  newLimiter(cfg.ReadRate),
 		writes: newLimiter(cfg.WriteRate),
@@ -62,9 +65,30 @@
 		faults.Hook(name, fault.Leaving, func(on bool) { p.hosts.setLeaving(h.Host, on, time.Now()) })
 		faults.Hook(name, fault.Removed, func(on bool) { p.hosts.setRemoved(h.Host, on, time.Now()) })
 	}
+	for _, zone := range p.zones {
+		if zone == "" {
+			continue
+		}
+		faults.Allow(string(zone), fault.Cut)
+	}
 	return p
 }
 
+// agents returns the zone of each host by the User-Agent of its calls.
+func agents(hosts []object.Host) map[string]id.Zone {
+	out := make(map[string]id.Zone, len(hosts))
+	for _, h := range hosts {
+		out["ragwortshunt/"+string(h.Host)] = h.Zone
+	}
+	return out
+}
+
+// isCut tells whether the zone of the caller is cut off.
+func (p *Platform) isCut(r *restful.Request) bool {
+	zone, ok := p.zones[r.Request.UserAgent()]
+	return ok && p.faults.On(string(zone), fault.Cut)
+}
+
 // Handler returns the HTTP API.
 func (p *Platform) Handler() http.Handler {
 	ws := new(restful.WebService)
@@ -110,7 +134,8 @@
 	}
 }
 
-// admit counts a call and refuses it in an outage or above the rate.
+// admit counts a call and refuses it in an outage or above the rate. A call
+// from a zone that is cut off gets no reply.
 func (p *Platform) admit(r *restful.Request, w *restful.Response, method string, l *limiter) bool {
 	kind := r.PathParameter("kind")
 	if kind == "" {
@@ -119,6 +144,9 @@
 	if ms, ok := p.faults.Value(settings.NamePlatform, fault.Delay); ok {
 		time.Sleep(time.Duration(ms * float64(time.Millisecond)))
 	}
+	if p.isCut(r) {
+		panic(http.ErrAbortHandler)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.stats.Calls[kind] == nil {
@@ -201,6 +229,9 @@
 	defer timer.Stop()
 	for {
 		changed, faulted := p.store.changes(), p.faults.Changed()
+		if p.isCut(r) {
+			panic(http.ErrAbortHandler)
+		}
 		if p.faults.On(settings.NamePlatform, fault.Outage) {
 			http.Error(w, "outage", http.StatusServiceUnavailable)
 			return
--- a/standin/internal/process/listener.go
+++ b/standin/internal/process/listener.go
@@ -41,7 +41,11 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
 	server := &http.Server{
+		Protocols:         protocols,
 		Handler:           l.handler,
 		ReadHeaderTimeout: headerTimeout,
 		ErrorLog:          zap.NewStdLog(l.log),
--- a/standin/internal/process/process.go
+++ b/standin/internal/process/process.go
@@ -11,6 +11,7 @@
 	"ragwortshunt.example/standin/internal/fault"
 	"ragwortshunt.example/standin/internal/platform"
 	"ragwortshunt.example/standin/internal/record"
+	"ragwortshunt.example/standin/internal/relay"
 	"ragwortshunt.example/standin/internal/service"
 	"ragwortshunt.example/standin/internal/settings"
 )
@@ -41,6 +42,7 @@
 	if cfg.Platform != nil {
 		pl := platform.New(*cfg.Platform, p.faults)
 		p.listen(settings.NamePlatform, cfg.Platform.Address, p.records.Wrap(settings.NamePlatform, pl.Handler()))
+		p.addRelays(*cfg.Platform)
 	}
 	for _, c := range cfg.Engines {
 		e := engine.New(c, p.faults, p.records)
@@ -60,6 +62,13 @@
 	}
 }
 
+// addRelays adds the relays in front of the hosts that have one.
+func (p *Process) addRelays(cfg settings.Platform) {
+	for _, r := range cfg.Relays {
+		p.listen("relay "+string(r.Host), r.Address, relay.New(r, cfg.Hosts, p.faults))
+	}
+}
+
 // mortal makes the fault die close the listener and drop the state behind it.
 func (p *Process) mortal(l *listener, reset func()) {
 	p.faults.Hook(l.name, fault.Die, func(on bool) {
--- a/standin/internal/settings/settings.go
+++ b/standin/internal/settings/settings.go
@@ -32,7 +32,16 @@
 	WriteRate   float64 // calls per second; 0 is no limit
 	ReadRate    float64 // calls per second; 0 is no limit
 	HostListLag time.Duration
-	Hosts       []object.Host
+	Hosts       []object.Host // with the addresses of their relays
+	Relays      []Relay
+}
+
+// Relay describes the relay in front of one host.
+type Relay struct {
+	Host    id.Host
+	Zone    id.Zone // of the host
+	Address string
+	Target  string // ip:port of the host
 }
 
 // Engine describes one model engine.
@@ -97,6 +106,7 @@
 	var cfg Settings
 	defaults := defaultEngine
 	var hosts []object.Host
+	var relays []Relay
 	names := map[string]bool{}
 	for _, s := range f.Sections() {
 		switch s.Kind {
@@ -105,7 +115,12 @@
 		case NameControl:
 			cfg.Control = s.Loopback("address")
 		case "host":
-			hosts = append(hosts, readHost(s))
+			h := readHost(s)
+			if s.Has("relay") {
+				relays = append(relays, Relay{Host: h.Host, Zone: h.Zone, Address: s.Loopback("relay"), Target: h.Address})
+				h.Address = s.Loopback("relay")
+			}
+			hosts = append(hosts, h)
 		case "engine-defaults":
 			defaults = readEngine(s, defaults)
 		case "engine":
@@ -124,6 +139,7 @@
 	}
 	if cfg.Platform != nil {
 		cfg.Platform.Hosts = hosts
+		cfg.Platform.Relays = relays
 	}
 	return cfg, f.Err()
 }
