--- a/load/internal/caller/caller.go
+++ b/load/internal/caller/caller.go
@@ -32,6 +32,7 @@
 	Code       string // of the error, with Refused and Broken
 	NotRun     bool   // the error says that nothing ran
 	RequestID  string
+	Router     string // base URL of the last router that was called
 	Detail     string
 	Tokens     int64 // complete output tokens received
 	FirstToken time.Duration
--- a/load/internal/caller/completion.go
+++ b/load/internal/caller/completion.go
@@ -63,16 +63,17 @@
 		return failed(ctx, Result{}, fmt.Errorf("encode request: %w", err))
 	}
 	start := time.Now()
-	resp, _, err := c.send(ctx, r, completionsPath, "", func() io.Reader { return bytes.NewReader(body) })
+	resp, router, err := c.send(ctx, r, completionsPath, "", func() io.Reader { return bytes.NewReader(body) })
 	if err != nil {
-		return failed(ctx, Result{}, err)
+		return failed(ctx, Result{Router: router}, err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return failed(ctx, Result{RequestID: resp.Header.Get(headerRequest)}, readRefusal(resp))
+		return failed(ctx, Result{RequestID: resp.Header.Get(headerRequest), Router: router}, readRefusal(resp))
 	}
 	s := &stream{check: check.New(r.Prompt, r.MaxTokens), start: start}
 	s.result.RequestID = resp.Header.Get(headerRequest)
+	s.result.Router = router
 	err = s.read(resp.Body)
 	return s.end(ctx, err)
 }
--- a/load/internal/caller/service.go
+++ b/load/internal/caller/service.go
@@ -53,10 +53,10 @@
 	path := "/services/" + r.Flow.Route + r.Flow.Path
 	resp, router, err := c.send(ctx, r, path, avoid, func() io.Reader { return strings.NewReader(r.Prompt) })
 	if err != nil {
-		return failed(ctx, Result{}, err), serviceReply{}, router
+		return failed(ctx, Result{Router: router}, err), serviceReply{}, router
 	}
 	defer resp.Body.Close()
-	out := Result{RequestID: resp.Header.Get(headerRequest)}
+	out := Result{RequestID: resp.Header.Get(headerRequest), Router: router}
 	if resp.StatusCode != http.StatusOK {
 		return failed(ctx, out, readRefusal(resp)), serviceReply{}, router
 	}
--- a/load/internal/runner/runner.go
+++ b/load/internal/runner/runner.go
@@ -23,7 +23,16 @@
 	Timeout  time.Duration // of one request
 	Drain    time.Duration // longest wait for running requests at the end
 	Seed     uint64
-	Run      string // keeps the idempotency keys of different runs apart
+	Run      string        // keeps the idempotency keys of different runs apart
+	Observe  func(Outcome) // gets the end of each request, concurrently; may be nil
+}
+
+// Outcome is the end of one request.
+type Outcome struct {
+	Request workload.Request
+	Result  caller.Result
+	Sent    time.Time
+	Ended   time.Time
 }
 
 // Run sends the requests until the duration is over or ctx ends, and returns
@@ -100,6 +109,10 @@
 func (r *run) call(ctx context.Context, request workload.Request) {
 	ctx, cancel := context.WithTimeout(ctx, r.opts.Timeout)
 	defer cancel()
+	sent := time.Now()
 	result := r.client.Do(ctx, request)
 	r.results.Add(request.Flow, result)
+	if r.opts.Observe != nil {
+		r.opts.Observe(Outcome{Request: request, Result: result, Sent: sent, Ended: time.Now()})
+	}
 }
