core: keep a request known when its next ask overtakes the end of an attempt

An envelope delivers asks before updates. When an attempt failed, the ask of the next one and the end of the failed one went out together, and the end removed the request from the scheduler's index. The scheduler then ignored the updates of the new attempt and cancelled it when the grant expired after 1.5 s, three times in a row, until the request failed with endpoint-failed. The index now holds the attempt. Seen in TestCrashes with broken streams.

--- a/fleet/core/cell.go
+++ b/fleet/core/cell.go
@@ -25,14 +25,36 @@
 // schedulerState is the part of the state that a scheduler host needs.
 type schedulerState struct {
 	cells    map[cellKey]*ownedCell
-	requests map[id.Request]cellKey // requests known to an own cell
+	requests map[id.Request]cellAttempt
 	events   map[id.Endpoint]uint64 // last cache event seen
 }
 
+// cellAttempt is the last attempt of a request that an own cell knows of.
+type cellAttempt struct {
+	cell    cellKey
+	attempt id.Attempt
+}
+
+// know notes in which cell an attempt is. Messages about it name only the
+// request.
+func (st *schedulerState) know(req id.Request, a cellAttempt) {
+	if known, ok := st.requests[req]; !ok || known.attempt <= a.attempt {
+		st.requests[req] = a
+	}
+}
+
+// forget drops a request at the end of an attempt, unless a later attempt is
+// known: the ask of the next attempt can overtake the end of the one before.
+func (st *schedulerState) forget(req id.Request, attempt id.Attempt) {
+	if st.requests[req].attempt <= attempt {
+		delete(st.requests, req)
+	}
+}
+
 func newSchedulerState() schedulerState {
 	return schedulerState{
 		cells:    make(map[cellKey]*ownedCell),
-		requests: make(map[id.Request]cellKey),
+		requests: make(map[id.Request]cellAttempt),
 		events:   make(map[id.Endpoint]uint64),
 	}
 }
@@ -146,7 +168,7 @@
 	}
 	c := s.ownCell(k)
 	c.used = s.now
-	s.scheduler.requests[m.Request] = k
+	s.scheduler.know(m.Request, cellAttempt{cell: k, attempt: m.Attempt})
 	s.cellActions(k, schedule.HandleAsk(c.cell, s.now, from, m))
 	s.cellActions(k, schedule.Tick(c.cell, s.now))
 }
@@ -158,15 +180,16 @@
 	k := cellKey{Zone: s.cfg.Zone, Model: m.Model, Part: m.Part}
 	c := s.ownCell(k)
 	c.used = s.now
-	s.scheduler.requests[m.Request] = k
+	s.scheduler.know(m.Request, cellAttempt{cell: k, attempt: m.Attempt})
 	s.cellActions(k, schedule.HandleHold(c.cell, s.now, from, m))
 }
 
 func (s *step) slotUpdate(from id.Host, m message.SlotUpdate) {
-	k, ok := s.scheduler.requests[m.Request]
+	known, ok := s.scheduler.requests[m.Request]
 	if !ok {
 		return
 	}
+	k := known.cell
 	c, ok := s.scheduler.cells[k]
 	if !ok {
 		delete(s.scheduler.requests, m.Request)
@@ -175,7 +198,7 @@
 	c.used = s.now
 	s.cellActions(k, schedule.HandleUpdate(c.cell, s.now, from, m))
 	if m.Phase == message.PhaseDone || m.Phase == message.PhaseCancelled {
-		delete(s.scheduler.requests, m.Request)
+		s.scheduler.forget(m.Request, m.Attempt)
 		s.cellActions(k, schedule.Tick(c.cell, s.now))
 	}
 }
@@ -193,8 +216,8 @@
 
 func (s *step) dropCell(k cellKey) {
 	delete(s.scheduler.cells, k)
-	for req, rk := range s.scheduler.requests {
-		if rk == k {
+	for req, known := range s.scheduler.requests {
+		if known.cell == k {
 			delete(s.scheduler.requests, req)
 		}
 	}
