--- a/load/internal/cluster/check.go
+++ b/load/internal/cluster/check.go
@@ -38,19 +38,15 @@
 }
 
 // CheckAnswers finds requests that ended without a whole answer and without a
-// refusal. A request may break only if excused allows it.
-func CheckAnswers(outcomes []runner.Outcome, excused func(o runner.Outcome) bool) []string {
+// refusal, except those that excused allows. A wrong answer is never excused. The
+// findings contain what the routers know of the requests.
+func (c *Cluster) CheckAnswers(outcomes []runner.Outcome, excused func(o runner.Outcome) bool) []string {
 	var f findings
 	for _, o := range outcomes {
-		switch o.Result.Status {
-		case caller.Whole, caller.Refused:
-			continue
-		case caller.Broken:
-			if excused(o) {
-				continue
-			}
+		ended := o.Result.Status == caller.Whole || o.Result.Status == caller.Refused
+		if !ended && (o.Result.Status == caller.Wrong || !excused(o)) {
+			f.addf("%s: %s", Describe(o), c.Explain(o.Result.RequestID))
 		}
-		f.addf("%s", Describe(o))
 	}
 	return f
 }
@@ -107,6 +103,18 @@
 	return f
 }
 
+// CheckCancelled finds runs that ended only because nobody read their output.
+// A router that lives cancels the runs that it gives up.
+func CheckCancelled(r Records) []string {
+	var f findings
+	for _, run := range r.Runs {
+		if run.Outcome == runOrphaned {
+			f.addf("%s run of %s/%d on %s was not cancelled", run.Role, run.Request, run.Attempt, run.Endpoint)
+		}
+	}
+	return f
+}
+
 // CheckSecrets finds secrets in what endpoints received and in the texts.
 func CheckSecrets(secrets []string, r Records, texts ...map[string]string) []string {
 	f := findings(r.Found)
--- a/load/internal/cluster/cluster.go
+++ b/load/internal/cluster/cluster.go
@@ -364,12 +364,17 @@
 	return out, nil
 }
 
-// hostOf returns the router that issued a request ID.
-func (c *Cluster) hostOf(request string) string {
+// Explain returns what the router that issued a request ID knows of the request.
+func (c *Cluster) Explain(request string) string {
 	for _, h := range c.layout.hosts {
-		if strings.HasPrefix(request, h.name+"-") {
-			return h.name
+		if !strings.HasPrefix(request, h.name+"-") || !c.routers[h.name].Running() {
+			continue
+		}
+		data, err := c.get("http://" + h.operator + "/explain/" + request)
+		if err != nil {
+			return err.Error()
 		}
+		return string(data)
 	}
-	return ""
+	return "no running router issued it"
 }
--- a/load/internal/cluster/cluster_test.go
+++ b/load/internal/cluster/cluster_test.go
@@ -130,6 +130,7 @@
 func (w *world) finish(excused func(o runner.Outcome) bool) ([]runner.Outcome, cluster.Records) {
 	outcomes := w.load.Wait()
 	w.t.Log(cluster.Summary(outcomes))
+	w.empty("answers", w.CheckAnswers(outcomes, excused))
 	r := w.records()
 	metrics, err := w.Metrics()
 	w.do(err)
@@ -137,7 +138,6 @@
 	assert.Check(w.t, w.Shutdown(stopBound))
 	output, err := w.RouterOutput()
 	w.do(err)
-	w.empty("answers", cluster.CheckAnswers(outcomes, excused))
 	w.empty("executions", cluster.CheckSingle(outcomes, r))
 	w.empty("not-run", cluster.CheckNotRun(outcomes, r))
 	w.empty("keys", cluster.CheckSecrets(w.secrets, r, metrics, output))
@@ -162,14 +162,16 @@
 	assert.Check(w.t, limited > 0, "no request was above the rate")
 }
 
-func none(runner.Outcome) bool { return false }
-
 // Guards against answers that are cut, doubled or lost, calls that run twice and
 // rates that are exceeded when a router and engines are killed, a router is
 // frozen past its leases, and the platform loses replies and fails.
 func TestCrashes(t *testing.T) {
 	w := start(t, cluster.Config{HostsPerZone: 3, Alone: []string{"engine-a-1", "engine-b-3"}}, 28*time.Second)
 	victim := w.URL("tallinn-b-2")
+	w.do(w.Switch(cluster.Fault{Target: "rack-a", Kind: cluster.FaultDropReply, Value: 0.3}))
+	w.do(w.Switch(cluster.Fault{Target: "engine-a-3", Kind: cluster.FaultDuplicateChunks}))
+	w.do(w.Switch(cluster.Fault{Target: "engine-c-3", Kind: cluster.FaultReorderChunks}))
+	w.do(w.Switch(cluster.Fault{Target: "engine-c-4", Kind: cluster.FaultBreakStream, Value: 20}))
 
 	w.load.Until(4 * time.Second)
 	w.do(w.Router("tallinn-b-2").Kill())
@@ -186,16 +188,21 @@
 	w.load.Until(20 * time.Second)
 	w.do(w.Switch(cluster.Fault{Target: cluster.TargetPlatform, Kind: cluster.FaultOutage}))
 	w.load.Until(24 * time.Second)
-	w.do(w.Switch(cluster.Fault{Kind: cluster.FaultClear}))
+	w.do(w.Switch(cluster.Fault{Target: cluster.TargetPlatform, Kind: cluster.FaultClear}))
 
-	w.finish(func(o runner.Outcome) bool { return o.Result.Router == victim })
+	outcomes, _ := w.finish(func(o runner.Outcome) bool {
+		return o.Result.Status == caller.Broken && o.Result.Router == victim
+	})
+	unknown := cluster.Count(outcomes, func(o runner.Outcome) bool { return o.Result.Code == "outcome-unknown" })
+	assert.Check(t, unknown > 0, "no call was repeated after its reply was lost")
 }
 
 // Guards against a zone that serves nothing while it is cut off, or does not
-// return to the others' table, and against rates that are exceeded by zones that
-// do not know of each other.
+// return to the others' table, against rates that are exceeded by zones that do
+// not know of each other, and against runs that go on without their caller.
 func TestPartition(t *testing.T) {
-	w := start(t, cluster.Config{HostsPerZone: 3, Relays: true}, 26*time.Second)
+	const duration = 26 * time.Second
+	w := start(t, cluster.Config{HostsPerZone: 3, Relays: true}, duration)
 	inZone := func(o runner.Outcome) bool { return strings.HasPrefix(o.Result.RequestID, "tallinn-a-") }
 
 	w.load.Until(4 * time.Second)
@@ -214,7 +221,14 @@
 	healed := time.Now()
 	w.do(w.WaitSame(tableBound))
 
-	outcomes, _ := w.finish(none)
+	w.load.Until(duration)
+	w.load.Stop()
+	outcomes, r := w.finish(func(o runner.Outcome) bool {
+		return o.Result.Status == caller.Stopped && o.Sent.After(healed)
+	})
+	w.empty("cancelled", cluster.CheckCancelled(r))
+	gone := cluster.Count(outcomes, func(o runner.Outcome) bool { return o.Result.Status == caller.Stopped })
+	assert.Check(t, gone > 0, "no caller was gone before the end of its answer")
 	whole := func(from, to time.Time) int {
 		return cluster.Count(outcomes, func(o runner.Outcome) bool {
 			return inZone(o) && o.Result.Status == caller.Whole && o.Sent.After(from) && o.Sent.Before(to)
@@ -249,11 +263,12 @@
 	assert.Check(t, <-stopped)
 	outcomes, r := w.finish(func(o runner.Outcome) bool {
 		codes := []string{"key-withdrawn", "unauthorized"}
-		return o.Request.Flow.Account == "ilves-city" && slices.Contains(codes, o.Result.Code)
+		return o.Request.Flow.Account == "ilves-city" && o.Result.Status == caller.Broken && slices.Contains(codes, o.Result.Code)
 	})
 	for _, name := range leaving {
 		w.empty("leaving", cluster.CheckLeaving(name, left, leavingBound, r))
 	}
+	w.empty("cancelled", cluster.CheckCancelled(r))
 	w.empty("withdrawn", cluster.CheckWithdrawn("ilves-city", withdrawn, keyBound, outcomes, r))
 	cut := cluster.Count(outcomes, func(o runner.Outcome) bool {
 		return o.Request.Flow.Account == "ilves-city" && o.Result.Status == caller.Broken
--- a/load/internal/cluster/layout.go
+++ b/load/internal/cluster/layout.go
@@ -205,6 +205,16 @@
 	return nil
 }
 
+// processOf returns the stand-in process that has the faults of a target.
+func (l *layout) processOf(target string) string {
+	for name, members := range l.members {
+		if slices.Contains(members, target) {
+			return name
+		}
+	}
+	return platformProcess
+}
+
 func newHost(cfg Config, p *ports, zone string, n int) (host, error) {
 	h := host{name: fmt.Sprintf("%s-%d", zone, n), zone: zone}
 	addresses := []*string{&h.caller, &h.peer, &h.operator}
--- a/load/internal/cluster/record.go
+++ b/load/internal/cluster/record.go
@@ -14,6 +14,7 @@
 const (
 	RunFinished = "finished"
 	RunKVLost   = "kv-lost"
+	runOrphaned = "orphaned"
 	kvHeld      = "held"
 )
 
@@ -137,21 +138,26 @@
 	return nil
 }
 
-// Fault is a fault of the platform's process: of the platform or of a zone.
+// Fault is a fault of the platform, a zone or an endpoint.
 type Fault struct {
-	Target   string  `json:"target"`
-	Kind     string  `json:"kind"`
-	Value    float64 `json:"value,omitempty"`
-	Duration int64   `json:"duration-ms,omitempty"`
+	Target string  `json:"target"`
+	Kind   string  `json:"kind"`
+	Value  float64 `json:"value,omitempty"`
 }
 
-// The targets and kinds of faults.
+// TargetPlatform is the target of the faults of the platform.
+const TargetPlatform = "platform"
+
+// The kinds of faults.
 const (
-	TargetPlatform = "platform"
-	FaultOutage    = "outage"
-	FaultLostReply = "lost-reply"
-	FaultCut       = "cut"
-	FaultClear     = "clear"
+	FaultOutage          = "outage"
+	FaultLostReply       = "lost-reply"       // share of the writes to the platform
+	FaultCut             = "cut"              // of a zone
+	FaultDropReply       = "drop-reply"       // share of the calls of a service
+	FaultBreakStream     = "break-stream"     // after so many tokens
+	FaultDuplicateChunks = "duplicate-chunks" // of an engine's stream
+	FaultReorderChunks   = "reorder-chunks"   // of an engine's stream
+	FaultClear           = "clear"
 )
 
 // Switch switches a fault on, or off with FaultClear.
@@ -160,7 +166,7 @@
 	if err != nil {
 		return fmt.Errorf("encode fault: %w", err)
 	}
-	address := "http://" + c.layout.controls[platformProcess] + "/fault"
+	address := "http://" + c.layout.controls[c.layout.processOf(f.Target)] + "/fault"
 	resp, err := c.client.Post(address, "application/json", bytes.NewReader(body))
 	if err != nil {
 		return fmt.Errorf("switch fault: %w", err)
