router: let callers give up their connections before a shutdown ends

A shutdown closed idle connections of callers at once, and a request that a caller sent on one at that moment was lost without a reply. While a router drains, its answers close their connections. At the end it stops to listen and goes on for 1 s with the connections that remain.

--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -31,6 +31,7 @@
 const (
 	readHeaderTimeout = 10 * time.Second
 	closeTimeout      = 2 * time.Second
+	lingerTime        = time.Second // callers may use the connection of the last answer again
 	gaugeInterval     = time.Second
 )
 
@@ -116,7 +117,7 @@
 	select {
 	case err = <-failed:
 	case <-ctx.Done():
-		r.drain()
+		r.drain(servers[callerServer].listener)
 	}
 	r.close(servers)
 	return err
@@ -128,6 +129,9 @@
 	listener net.Listener
 }
 
+// callerServer is the index of the server for callers in the result of listen.
+const callerServer = 2
+
 func (r *Router) listen() ([]server, error) {
 	h2c := new(http.Protocols)
 	h2c.SetHTTP1(true)
@@ -170,14 +174,18 @@
 }
 
 // drain waits until the decision core has finished its requests and handed over
-// its shares.
-func (r *Router) drain() {
+// its shares. Then it takes no more connections of callers, and lets those that
+// have a connection give it up.
+func (r *Router) drain(callers net.Listener) {
 	r.log.Info("router: Shutdown has begun.")
+	r.caller.Drain()
 	r.reactor.Post(core.DrainRequested{})
 	deadline := r.clock.NewTimer(r.settings.DrainTimeout)
 	defer deadline.Stop()
 	select {
 	case <-r.dispatch.Stopped():
+		callers.Close()
+		r.clock.Sleep(lingerTime)
 		r.waitCallers()
 	case <-deadline.Chan():
 		r.log.Warn("router: Drain timeout has passed, requests are cut.")
--- a/router/internal/caller/caller.go
+++ b/router/internal/caller/caller.go
@@ -53,6 +53,8 @@
 	table  atomic.Pointer[table.Snapshot]
 	serial atomic.Uint64
 
+	draining atomic.Bool
+
 	mu       sync.Mutex
 	sessions map[id.Request]*session
 }
@@ -83,7 +85,23 @@
 	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
 		writeError(w, http.StatusNotFound, apiError{Code: "not-found", Message: "no such path", NotRun: true})
 	})
-	return mux
+	return s.closing(mux)
+}
+
+// Drain makes callers give up their connections: from now on each answer that
+// begins says that its connection closes. A connection that the server closes
+// while it is idle can lose a request that is on its way.
+func (s *Server) Drain() {
+	s.draining.Store(true)
+}
+
+func (s *Server) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // routeError answers requests that match no route of the API.
