--- a/load/internal/cluster/check.go
+++ b/load/internal/cluster/check.go
@@ -140,14 +140,19 @@
 	tokens      int64
 }
 
-// CheckTokens finds accounts whose requests used more than their rate and burst
-// allow in any period. A request counts for the periods that contain both the
-// time at which it was sent and its first run, as it was charged in between.
+// CheckTokens is CheckUse with the limits of the table.
 func (c *Cluster) CheckTokens(outcomes []runner.Outcome, r Records) ([]string, error) {
 	limits, err := c.layout.table.limits()
 	if err != nil {
 		return nil, err
 	}
+	return CheckUse(limits, outcomes, r), nil
+}
+
+// CheckUse finds accounts whose requests used more than their rate and burst
+// allow in any period. A request counts for the periods that contain both the
+// time at which it was sent and its first run, as it was charged in between.
+func CheckUse(limits map[string]Limit, outcomes []runner.Outcome, r Records) []string {
 	var f findings
 	for account, uses := range usesOf(outcomes, r) {
 		limit := limits[account]
@@ -159,7 +164,7 @@
 			}
 		}
 	}
-	return f, nil
+	return f
 }
 
 // exceeded describes the first period from the given time on in which uses, in
--- a/load/internal/cluster/cluster_test.go
+++ b/load/internal/cluster/cluster_test.go
@@ -38,10 +38,10 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	os.Exit(run(m))
+	os.Exit(buildAndRun(m))
 }
 
-func run(m *testing.M) int {
+func buildAndRun(m *testing.M) int {
 	if testing.Short() {
 		return m.Run()
 	}
