--- a/load/internal/cluster/cluster.go
+++ b/load/internal/cluster/cluster.go
@@ -96,9 +96,8 @@
 
 func start(cfg Config) (*Cluster, error) {
 	var p ports
-	defer p.release()
 	l, err := newLayout(cfg, &p)
-	if err != nil {
+	if err := errors.Join(err, p.release()); err != nil {
 		return nil, err
 	}
 	c := &Cluster{
@@ -109,10 +108,8 @@
 		standins: map[string]*Process{},
 		routers:  map[string]*Process{},
 	}
-	p.release()
 	if err := c.startAll(); err != nil {
-		c.Close()
-		return nil, err
+		return nil, errors.Join(err, c.Close())
 	}
 	return c, nil
 }
--- a/load/internal/cluster/cluster_test.go
+++ b/load/internal/cluster/cluster_test.go
@@ -50,7 +50,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
-	defer os.RemoveAll(dir)
+	defer func() { _ = os.RemoveAll(dir) }()
 	ctx, cancel := context.WithTimeout(context.Background(), buildTime)
 	defer cancel()
 	if err := cluster.Build(ctx, root, dir); err != nil {
@@ -82,7 +82,7 @@
 			t.Logf("settings and logs are kept in %s", dir)
 			return
 		}
-		os.RemoveAll(dir)
+		assert.Check(t, os.RemoveAll(dir))
 	})
 	cfg.Root, cfg.Programs, cfg.Dir = root, programs, dir
 	c, err := cluster.Start(cfg)
--- a/load/internal/cluster/layout.go
+++ b/load/internal/cluster/layout.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/csv"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -129,11 +130,13 @@
 	return l.Addr().String(), nil
 }
 
-func (p *ports) release() {
+func (p *ports) release() error {
+	var errs []error
 	for _, l := range p.held {
-		l.Close()
+		errs = append(errs, l.Close())
 	}
 	p.held = nil
+	return errors.Join(errs...)
 }
 
 // host is one router of the layout.
--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -117,7 +117,7 @@
 	select {
 	case err = <-failed:
 	case <-ctx.Done():
-		r.drain(servers[callerServer].listener)
+		r.drain(servers[callerIndex].listener)
 	}
 	r.close(servers)
 	return err
@@ -129,8 +129,8 @@
 	listener net.Listener
 }
 
-// callerServer is the index of the server for callers in the result of listen.
-const callerServer = 2
+// callerIndex is the index of the server for callers in the result of listen.
+const callerIndex = 2
 
 func (r *Router) listen() ([]server, error) {
 	h2c := new(http.Protocols)
@@ -184,7 +184,9 @@
 	defer deadline.Stop()
 	select {
 	case <-r.dispatch.Stopped():
-		callers.Close()
+		if err := callers.Close(); err != nil {
+			r.log.Warn("router: Listener for callers was not closed.", zap.Error(err))
+		}
 		r.clock.Sleep(lingerTime)
 		r.waitCallers()
 	case <-deadline.Chan():
