core: move asks that a scheduler in another zone does not acknowledge

Cause: when a zone is cut off, asks to its schedulers waited 5 to 9 s, until membership noticed, because a queued ask has no answer. Change: a scheduler acknowledges an ask of another zone that it queues; the entry host moves an ask without a sign of life after 100 ms.

--- a/fleet/core/cell.go
+++ b/fleet/core/cell.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/member"
 	"ragwortshunt.example/fleet/message"
 	"ragwortshunt.example/fleet/schedule"
 	"ragwortshunt.example/fleet/table"
@@ -171,6 +172,22 @@
 	s.scheduler.know(m.Request, cellAttempt{cell: k, attempt: m.Attempt})
 	s.cellActions(k, schedule.HandleAsk(c.cell, s.now, from, m))
 	s.cellActions(k, schedule.Tick(c.cell, s.now))
+	s.acknowledgeAsk(from)
+}
+
+// acknowledgeAsk gives a host of another zone a sign of life if its ask has been
+// queued without an answer.
+func (s *step) acknowledgeAsk(from id.Host) {
+	p, ok := member.PeerOf(s.member, from)
+	if !ok || p.Zone == s.cfg.Zone {
+		return
+	}
+	for _, e := range s.out {
+		if m, ok := e.(SendPeer); ok && m.To == from {
+			return
+		}
+	}
+	s.send(from, message.Heartbeat{Zone: s.cfg.Zone, TableVersion: s.version()})
 }
 
 func (s *step) slotHold(from id.Host, m message.SlotHold) {
--- a/fleet/core/request.go
+++ b/fleet/core/request.go
@@ -63,6 +63,7 @@
 	cell     cellKey
 	host     id.Host // scheduler that was asked last
 	asked    time.Time
+	entered  time.Time // first ask of the attempt
 	held     time.Time // last registration of the attempt
 	refusals int       // refusals by schedulers
 	tried    []cellKey // cells that have refused the request since its last grant
--- a/fleet/core/slot.go
+++ b/fleet/core/slot.go
@@ -15,11 +15,13 @@
 )
 
 const (
-	viewLife       = 2 * time.Second // a reported wait is believed so long
-	spillWait      = 100 * time.Millisecond
-	exploreShare   = 8 // one of so many requests tries a cell of unknown wait
-	maxRefusals    = 3 // cells that are tried after refusals
-	refusalBackoff = 100 * time.Millisecond
+	viewLife        = 2 * time.Second // a reported wait is believed so long
+	spillWait       = 100 * time.Millisecond
+	exploreShare    = 8                      // one of so many requests tries a cell of unknown wait
+	zoneAnswer      = 100 * time.Millisecond // a scheduler in another zone acknowledges an ask within
+	unreachableWait = time.Minute            // assumed of a cell that did not acknowledge
+	maxRefusals     = 3                      // cells that are tried after refusals
+	refusalBackoff  = 100 * time.Millisecond
 )
 
 // cellKey names one cell: a part of the endpoints of one model in one zone.
@@ -57,6 +59,7 @@
 		return
 	}
 	r.cell = key
+	r.entered = s.now
 	s.sendAsk(r)
 }
 
@@ -206,11 +209,34 @@
 			r.cell = key
 		}
 	}
+	if s.isUnanswered(r) {
+		s.leaveCell(r)
+		return
+	}
 	if owner != r.host || s.now.Sub(r.asked) >= s.cfg.AskRepeat {
 		s.sendAsk(r)
 	}
 }
 
+// isUnanswered tells whether a scheduler in another zone has given no sign of
+// life since the ask. It acknowledges an ask that it queues, so that a request
+// need not wait until membership notices that the zone is cut off.
+func (s *step) isUnanswered(r *request) bool {
+	if r.cell.Zone == s.cfg.Zone || r.host == "" || s.now.Sub(r.entered) < zoneAnswer {
+		return false
+	}
+	return member.HeardAt(s.member, r.host).Before(r.entered)
+}
+
+// leaveCell asks another cell. The one that was left is avoided for a while.
+func (s *step) leaveCell(r *request) {
+	r.note(s.now, "no answer from cell %s", r.cell)
+	s.cells[r.cell] = cellView{wait: unreachableWait, at: s.now}
+	r.tried = append(r.tried, r.cell)
+	s.releaseAttempt(r, "")
+	s.askSlot(r)
+}
+
 func (s *step) slotGranted(from id.Host, m message.SlotGrant) {
 	r, ok := s.requests[m.Request]
 	if !ok {
--- a/fleet/member/hear.go
+++ b/fleet/member/hear.go
@@ -90,6 +90,14 @@
 	}
 }
 
+// HeardAt returns when a host was last heard, or the zero time.
+func HeardAt(s *State, h id.Host) time.Time {
+	if p, ok := s.peers[h]; ok {
+		return p.heard
+	}
+	return time.Time{}
+}
+
 // Heard takes any message from a host as a proof of life. Stale messages and
 // those of hosts whose zone is unknown have no effect.
 func Heard(s *State, now time.Time, from id.Host, inc id.Incarnation) []Change {
