--- a/fleet/core/proof_test.go
+++ b/fleet/core/proof_test.go
@@ -284,3 +284,36 @@
 		})
 	}
 }
+
+// TestZoneCutMovesAsks guards against requests that wait for a scheduler in a
+// zone that has just been cut off, until membership notices after seconds.
+func TestZoneCutMovesAsks(t *testing.T) {
+	w := newWorld(t, 23)
+	for _, ep := range []id.Endpoint{"tallinn-a-decode-1", "tallinn-a-decode-2"} {
+		w.At(warmUp, func() { w.MarkLeaving(ep) })
+	}
+	const cut = 10 * time.Second
+	w.At(cut, func() { w.Cut("tallinn-a", "tallinn-b", true) })
+	var calls []*fake.Call
+	for i := range 60 {
+		w.At(cut+time.Duration(i)*25*time.Millisecond, func() {
+			calls = append(calls, sendVia(w, "tallinn-a-1"))
+		})
+	}
+	assert.NilError(t, w.Run(30*time.Second))
+	late := 0
+	for _, c := range calls {
+		assert.Equal(t, c.Result, fake.ResultWhole, "%s: %s", c.Request, c.Code)
+		if c.First.Sub(c.Sent) > 570*time.Millisecond {
+			late++
+		}
+	}
+	assert.Equal(t, late, 0, "of %d", len(calls))
+}
+
+func sendVia(w *fake.World, h id.Host) *fake.Call {
+	return w.Send(fake.Spec{
+		Account: "large-1", KeyID: fake.KeyOf("large-1"), Route: fake.RouteInteractive,
+		Prompt: 100, Limit: 50, Want: 20, Host: h,
+	})
+}
