Forget ended calls of endpoints; test the endpoint shell

A prefill that failed without a cancel stayed registered for ever, a stream that an engine kept open after its end marker held its goroutine, a service status below 200 could reach WriteHeader, and error codes of engines became labels of metrics as they were. Calls are now forgotten when they end, the rest of an ended stream is read for at most 100 ms, such statuses are invalid replies, and unknown codes are shown as other-code.

--- a/router/internal/endpoint/endpoint.go
+++ b/router/internal/endpoint/endpoint.go
@@ -35,6 +35,8 @@
 	codeBroken      = "stream-broken"
 	codeNonsense    = "invalid-reply"
 	codeLate        = "not-started-in-time"
+	codeRefused     = "refused"    // by a service, with HeaderNotRun
+	codeOther       = "other-code" // a code that the engine protocol does not define
 )
 
 const (
@@ -42,6 +44,7 @@
 	controlTimeout = 2 * time.Second // cancel, load, orders
 	cancelTries    = 5
 	cancelPause    = 200 * time.Millisecond
+	drainTimeout   = 100 * time.Millisecond // of a stream after its end marker
 	maxLine        = 1 << 20 // bytes in one line of a token stream
 	maxReply       = 8 << 20 // bytes in one reply
 )
@@ -61,7 +64,13 @@
 	services *http.Client
 
 	mu   sync.Mutex
-	runs map[runKey]context.CancelFunc
+	runs map[runKey]*run
+}
+
+// run is the latest call of an attempt.
+type run struct {
+	key    runKey
+	cancel context.CancelFunc
 }
 
 type runKey struct {
@@ -81,37 +90,56 @@
 			Transport:     &http.Transport{DialContext: dial, DisableKeepAlives: true},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
-		runs: make(map[runKey]context.CancelFunc),
+		runs: make(map[runKey]*run),
 	}
 }
 
-// begin returns the context of a call of an attempt. A later call of the same
-// attempt ends the earlier one.
-func (c *Client) begin(req id.Request, attempt id.Attempt, timeout time.Duration) (context.Context, context.CancelFunc) {
+// begin registers a call of an attempt and returns its context. A later call of
+// the same attempt ends the earlier one. A timeout of 0 is none.
+func (c *Client) begin(req id.Request, attempt id.Attempt, timeout time.Duration) (context.Context, *run) {
 	ctx, cancel := context.WithCancel(c.ctx)
 	if timeout > 0 {
+		cancel()
 		ctx, cancel = context.WithTimeout(c.ctx, timeout)
 	}
-	key := runKey{req, attempt}
+	r := &run{key: runKey{req, attempt}, cancel: cancel}
 	c.mu.Lock()
-	if old, ok := c.runs[key]; ok {
-		old()
+	defer c.mu.Unlock()
+	if old, ok := c.runs[r.key]; ok {
+		old.cancel()
 	}
-	c.runs[key] = cancel
-	c.mu.Unlock()
-	return ctx, cancel
+	c.runs[r.key] = r
+	return ctx, r
 }
 
-func (c *Client) end(req id.Request, attempt id.Attempt) {
-	key := runKey{req, attempt}
+// finish ends a call and forgets it, unless a later call of the attempt has
+// taken its place.
+func (c *Client) finish(r *run) {
+	r.cancel()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if cancel, ok := c.runs[key]; ok {
-		cancel()
-		delete(c.runs, key)
+	if c.runs[r.key] == r {
+		delete(c.runs, r.key)
+	}
+}
+
+// end ends the latest call of an attempt.
+func (c *Client) end(req id.Request, attempt id.Attempt) {
+	c.mu.Lock()
+	r, ok := c.runs[runKey{req, attempt}]
+	c.mu.Unlock()
+	if ok {
+		c.finish(r)
 	}
 }
 
+// Running returns the number of calls that have not ended.
+func (c *Client) Running() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.runs)
+}
+
 // post sends v as JSON and returns the response. Its body must be closed.
 func (c *Client) post(ctx context.Context, u string, v any) (*http.Response, error) {
 	body, err := json.Marshal(v)
@@ -157,9 +185,19 @@
 	if err != nil || e.Code == "" {
 		return callError{code: codeNonsense}
 	}
+	if !engineCodes[e.Code] {
+		return callError{code: codeOther, notRun: e.NotRun}
+	}
 	return callError{code: e.Code, notRun: e.NotRun}
 }
 
+// engineCodes are the codes that metrics and explanations show. They show any
+// other text of an engine as codeOther, so that it cannot add metrics at will.
+var engineCodes = map[string]bool{
+	engine.CodeFull: true, engine.CodeLeaving: true, engine.CodeKVLost: true, engine.CodeNoRun: true,
+	engine.CodeCancelled: true, engine.CodeBadRequest: true, engine.CodeStaleFence: true,
+}
+
 func (c *Client) fail(req id.Request, attempt id.Attempt, ep id.Endpoint, e callError) {
 	c.poster.Post(core.RunFailed{
 		Request: req, Attempt: attempt, Endpoint: ep,
--- /dev/null
+++ b/router/internal/endpoint/endpoint_test.go
@@ -0,0 +1,399 @@
+package endpoint_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"ragwortshunt.example/fleet/core"
+	"ragwortshunt.example/router/internal/endpoint"
+	"ragwortshunt.example/router/internal/inflight"
+)
+
+// eventTimeout bounds the wait for one event; it only ends a failing test.
+const eventTimeout = 10 * time.Second
+
+// events collects what a shell posts.
+type events chan core.Event
+
+func (e events) Post(ev core.Event) { e <- ev }
+
+func (e events) next(t *testing.T) core.Event {
+	t.Helper()
+	select {
+	case ev := <-e:
+		return ev
+	case <-time.After(eventTimeout):
+		t.Fatal("no event")
+		return nil
+	}
+}
+
+// rig is an endpoint client with one prompt and one service call in store.
+type rig struct {
+	*endpoint.Client
+	events events
+	clock  *clockwork.FakeClock
+	store  *inflight.Store
+	cancel context.CancelFunc
+}
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	r := &rig{
+		events: make(events, 64), clock: clockwork.NewFakeClock(), store: inflight.New(), cancel: cancel,
+	}
+	r.store.Add("r-1", &inflight.Item{
+		Prompt: "two words",
+		Call: &inflight.Call{
+			Method: http.MethodPost, Path: "/issue?batch=7", Body: []byte("label"),
+			Header: http.Header{"Idempotency-Key": {"k-1"}, "Content-Type": {"text/plain"}},
+		},
+	})
+	r.Client = endpoint.New(ctx, r.clock, r.events, r.store)
+	return r
+}
+
+func (r *rig) prefill(address string) core.StartPrefill {
+	return core.StartPrefill{
+		Request: "r-1", Attempt: 1, Endpoint: "e", Address: address, Tokens: 2,
+		NotAfter: r.clock.Now().Add(time.Second), Timeout: time.Minute,
+	}
+}
+
+func (r *rig) call(address string) core.CallService {
+	return core.CallService{
+		Request: "r-1", Attempt: 1, Endpoint: "e", Address: address,
+		NotAfter: r.clock.Now().Add(time.Second), Timeout: time.Minute, Repeat: true,
+	}
+}
+
+// failed returns the expected event of a failed call.
+func failed(code string, notRun, down bool) core.RunFailed {
+	return core.RunFailed{Request: "r-1", Attempt: 1, Endpoint: "e", Code: code, NotRun: notRun, Down: down}
+}
+
+func serve(t *testing.T, h http.HandlerFunc) string {
+	t.Helper()
+	srv := httptest.NewServer(h)
+	t.Cleanup(func() {
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	return srv.Listener.Addr().String()
+}
+
+// closedPort returns an address at which nothing listens.
+func closedPort(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, l.Close())
+	return l.Addr().String()
+}
+
+// reply returns a handler with a fixed reply.
+func reply(status int, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+// hangUp reads the request and breaks the connection without a reply.
+func hangUp(_ http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	panic(http.ErrAbortHandler)
+}
+
+// TestLateStart guards against work that starts after the lease or reservation
+// on which its decision rests.
+func TestLateStart(t *testing.T) {
+	var hits atomic.Int64
+	address := serve(t, func(http.ResponseWriter, *http.Request) { hits.Add(1) })
+	starts := map[string]func(r *rig){
+		"prefill": func(r *rig) {
+			e := r.prefill(address)
+			r.clock.Advance(2 * time.Second)
+			r.Prefill(e)
+		},
+		"service": func(r *rig) {
+			e := r.call(address)
+			r.clock.Advance(2 * time.Second)
+			r.Call(e)
+		},
+		"forgotten request": func(r *rig) {
+			r.store.Remove("r-1")
+			r.Prefill(r.prefill(address))
+		},
+	}
+	for name, start := range starts {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			start(r)
+			assert.DeepEqual(t, r.events.next(t), core.Event(failed("not-started-in-time", true, false)))
+		})
+	}
+	r := newRig(t)
+	r.Order(core.SendOrder{Endpoint: "e", Address: address, NotAfter: r.clock.Now().Add(-time.Second)})
+	assert.DeepEqual(t, r.events.next(t), core.Event(core.OrderAnswered{Endpoint: "e"}))
+	assert.Equal(t, hits.Load(), int64(0))
+}
+
+// TestPrefillFailures guards against a not-run report without proof, and
+// against text of an engine that reaches the labels of metrics.
+func TestPrefillFailures(t *testing.T) {
+	cases := map[string]struct {
+		handler http.HandlerFunc
+		want    core.RunFailed
+	}{
+		"full":                {reply(503, `{"code":"full","not-run":true}`), failed("full", true, false)},
+		"unknown code":        {reply(500, `{"code":"rws-k-secret 7","not-run":false}`), failed("other-code", false, false)},
+		"error without body":  {reply(500, ""), failed("invalid-reply", false, false)},
+		"lost reply":          {hangUp, failed("stream-broken", false, false)},
+		"nonsense":            {reply(200, "[1"), failed("invalid-reply", false, false)},
+		"reply without cache": {reply(200, `{"cached-tokens":3}`), failed("invalid-reply", false, false)},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.Prefill(r.prefill(serve(t, c.handler)))
+			assert.DeepEqual(t, r.events.next(t), core.Event(c.want))
+			r.waitIdle(t)
+		})
+	}
+	t.Run("dial failure", func(t *testing.T) {
+		r := newRig(t)
+		r.Prefill(r.prefill(closedPort(t)))
+		assert.DeepEqual(t, r.events.next(t), core.Event(failed("unreachable", true, true)))
+	})
+	t.Run("timeout", func(t *testing.T) {
+		r := newRig(t)
+		e := r.prefill(serve(t, func(_ http.ResponseWriter, req *http.Request) {
+			_, _ = io.Copy(io.Discard, req.Body)
+			<-req.Context().Done()
+		}))
+		e.Timeout = 20 * time.Millisecond
+		r.Prefill(e)
+		assert.DeepEqual(t, r.events.next(t), core.Event(failed("timeout", false, false)))
+	})
+}
+
+// waitIdle waits until no call is registered. It guards against calls that stay
+// registered for ever after they have ended.
+func (r *rig) waitIdle(t *testing.T) {
+	t.Helper()
+	deadline := time.Now().Add(eventTimeout)
+	for r.Running() > 0 {
+		assert.Assert(t, time.Now().Before(deadline), "%d calls are still registered", r.Running())
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestPrefillSendsPromptAndOutput(t *testing.T) {
+	var body string
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		data, _ := io.ReadAll(r.Body)
+		body = string(data)
+		_, _ = io.WriteString(w, `{"kv-id":"kv-9","cached-tokens":1}`)
+	})
+	r := newRig(t)
+	item, _ := r.store.Get("r-1")
+	item.AddOutput([]string{"a", " b"})
+	e := r.prefill(address)
+	e.Output = 2
+	r.Prefill(e)
+	assert.DeepEqual(t, r.events.next(t), core.Event(core.PrefillDone{Request: "r-1", Attempt: 1, KV: "kv-9", CachedTokens: 1}))
+	assert.Equal(t, body, `{"request-id":"r-1","attempt":1,"model":"","prompt":"two words","output":"a b","prompt-tokens":2,"priority":0}`)
+}
+
+// TestDecode guards against answers that pass for complete without the end
+// marker, and against chunks that are read from nonsense.
+func TestDecode(t *testing.T) {
+	chunk := func(offset int64, end bool) core.TokensArrived {
+		finish := ""
+		if end {
+			finish = "stop"
+		}
+		return core.TokensArrived{Request: "r-1", Attempt: 1, Offset: offset, Tokens: []string{"a"}, End: end, Finish: finish}
+	}
+	cases := map[string]struct {
+		stream string
+		want   []core.Event
+	}{
+		"whole": {
+			`{"offset":0,"tokens":["a"]}` + "\n" + `{"offset":1,"tokens":["a"],"end":true,"finish":"stop"}` + "\n",
+			[]core.Event{chunk(0, false), chunk(1, true)},
+		},
+		"broken": {
+			`{"offset":0,"tokens":["a"]}` + "\n",
+			[]core.Event{chunk(0, false), failed("stream-broken", false, false)},
+		},
+		"cut line": {
+			`{"offset":0,"tokens":["a"]}` + "\n" + `{"offset":1,"tok`,
+			[]core.Event{chunk(0, false), failed("stream-broken", false, false)},
+		},
+		"negative offset": {`{"offset":-1,"tokens":["a"]}` + "\n", []core.Event{failed("stream-broken", false, false)}},
+		"endless line":    {strings.Repeat("x", 1<<20+1), []core.Event{failed("stream-broken", false, false)}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.Decode(core.StartDecode{Request: "r-1", Attempt: 1, Endpoint: "e", Address: serve(t, reply(200, c.stream))})
+			for _, want := range c.want {
+				assert.DeepEqual(t, r.events.next(t), want)
+			}
+			r.waitIdle(t)
+			assert.Equal(t, len(r.events), 0)
+		})
+	}
+}
+
+// TestEndlessStream guards against a connection and a goroutine that stay for
+// ever when an engine does not close a stream after its end marker.
+func TestEndlessStream(t *testing.T) {
+	r := newRig(t)
+	address := serve(t, func(w http.ResponseWriter, req *http.Request) {
+		_, _ = io.Copy(io.Discard, req.Body)
+		_, _ = io.WriteString(w, `{"offset":0,"end":true,"finish":"stop"}`+"\n")
+		_ = http.NewResponseController(w).Flush()
+		<-req.Context().Done()
+	})
+	r.Decode(core.StartDecode{Request: "r-1", Attempt: 1, Endpoint: "e", Address: address})
+	r.events.next(t)
+	assert.NilError(t, r.clock.BlockUntilContext(t.Context(), 1))
+	r.clock.Advance(time.Second)
+	r.waitIdle(t)
+}
+
+// TestResume guards against a resumed stream that starts at another offset, or
+// whose predecessor still reports.
+func TestResume(t *testing.T) {
+	var from string
+	release := make(chan struct{})
+	address := serve(t, func(w http.ResponseWriter, req *http.Request) {
+		if req.Method == http.MethodPost {
+			_, _ = io.Copy(io.Discard, req.Body)
+			select {
+			case <-req.Context().Done():
+			case <-release:
+			}
+			return
+		}
+		from = req.URL.String()
+		_, _ = io.WriteString(w, `{"offset":4,"end":true,"finish":"stop"}`+"\n")
+	})
+	defer close(release)
+	r := newRig(t)
+	r.Decode(core.StartDecode{Request: "r-1", Attempt: 1, Endpoint: "e", Address: address})
+	r.Resume(core.ResumeDecode{Request: "r-1", Attempt: 1, Endpoint: "e", Address: address, From: 4})
+	assert.DeepEqual(t, r.events.next(t), core.Event(core.TokensArrived{Request: "r-1", Attempt: 1, Offset: 4, End: true, Finish: "stop"}))
+	assert.Equal(t, from, "/v1/runs/r-1/1?from=4")
+	r.waitIdle(t)
+	assert.Equal(t, len(r.events), 0)
+}
+
+// TestCancelIsRepeated guards against engine memory that stays held because one
+// cancel was lost.
+func TestCancelIsRepeated(t *testing.T) {
+	var mu sync.Mutex
+	var seen []string
+	done := make(chan struct{})
+	address := serve(t, func(w http.ResponseWriter, req *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		seen = append(seen, req.Method+" "+req.URL.Path)
+		switch len(seen) {
+		case 1:
+			panic(http.ErrAbortHandler)
+		case 2:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		default:
+			w.WriteHeader(http.StatusNoContent)
+			close(done)
+		}
+	})
+	r := newRig(t)
+	r.Cancel(core.CancelRun{Request: "r-1", Attempt: 3, Endpoint: "e", Address: address})
+	for range 2 {
+		assert.NilError(t, r.clock.BlockUntilContext(t.Context(), 1))
+		r.clock.Advance(time.Second)
+	}
+	<-done
+	mu.Lock()
+	defer mu.Unlock()
+	want := "DELETE /v1/runs/r-1/3"
+	assert.DeepEqual(t, seen, []string{want, want, want})
+}
+
+// TestCancelEndsTheCall guards against a cancelled run that still reports.
+func TestCancelEndsTheCall(t *testing.T) {
+	started := make(chan struct{})
+	address := serve(t, func(w http.ResponseWriter, req *http.Request) {
+		if req.Method == http.MethodDelete {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+		close(started)
+		<-req.Context().Done()
+	})
+	r := newRig(t)
+	r.Decode(core.StartDecode{Request: "r-1", Attempt: 1, Endpoint: "e", Address: address})
+	<-started
+	r.Cancel(core.CancelRun{Request: "r-1", Attempt: 1, Endpoint: "e", Address: address})
+	r.waitIdle(t)
+	assert.Equal(t, len(r.events), 0)
+}
+
+// TestPoll reads a load report and cache events.
+func TestPoll(t *testing.T) {
+	address := serve(t, func(w http.ResponseWriter, req *http.Request) {
+		if req.URL.Path == "/v1/load" {
+			_, _ = io.WriteString(w, `{"running":1,"slots":20,"free-blocks":5,"runs":[{"request-id":"r-1","attempt":2}]}`)
+			return
+		}
+		assert.Check(t, req.URL.RawQuery == "after=6")
+		_, _ = io.WriteString(w, `{"events":[{"seq":7,"prefix":99,"evicted":true}]}`)
+	})
+	r := newRig(t)
+	r.Poll(core.PollLoad{Endpoint: "e", Address: address, After: 6})
+	report := r.events.next(t).(core.LoadReported).Report
+	assert.Equal(t, report.FreeBlocks, int64(5))
+	assert.Equal(t, len(report.Runs), 1)
+	assert.DeepEqual(t, r.events.next(t), core.Event(core.CacheChanged{Endpoint: "e", Seq: 7, Prefix: 99, Evicted: true}))
+}
+
+// TestOrder tells a stale fencing number from a lost reply.
+func TestOrder(t *testing.T) {
+	cases := map[string]struct {
+		handler http.HandlerFunc
+		done    bool
+		stale   bool
+	}{
+		"done":  {reply(204, ""), true, false},
+		"stale": {reply(409, `{"code":"stale-fence","not-run":true}`), false, true},
+		"lost":  {hangUp, false, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.Order(core.SendOrder{Endpoint: "e", Address: serve(t, c.handler), NotAfter: r.clock.Now().Add(time.Second)})
+			assert.DeepEqual(t, r.events.next(t), core.Event(core.OrderAnswered{Endpoint: "e", Done: c.done, Stale: c.stale}))
+		})
+	}
+}
--- a/router/internal/endpoint/engine.go
+++ b/router/internal/endpoint/engine.go
@@ -16,9 +16,9 @@
 
 // Prefill starts a prefill.
 func (c *Client) Prefill(e core.StartPrefill) {
-	ctx, cancel := c.begin(e.Request, e.Attempt, e.Timeout)
+	ctx, r := c.begin(e.Request, e.Attempt, e.Timeout)
 	go func() {
-		defer cancel()
+		defer c.finish(r)
 		c.prefill(ctx, e)
 	}()
 }
@@ -58,8 +58,9 @@
 
 // Decode starts a decode and reads its tokens.
 func (c *Client) Decode(e core.StartDecode) {
-	ctx, _ := c.begin(e.Request, e.Attempt, 0)
+	ctx, r := c.begin(e.Request, e.Attempt, 0)
 	go func() {
+		defer c.finish(r)
 		resp, err := c.post(ctx, "http://"+e.Address+"/v1/decode", engine.DecodeRequest{
 			Request: e.Request, Attempt: e.Attempt, Model: e.Model, KV: e.KV, Source: e.Source,
 			PromptTokens: e.Tokens, From: e.From, MaxTokens: e.MaxTokens, Priority: e.Priority,
@@ -70,8 +71,9 @@
 
 // Resume reads a broken stream again.
 func (c *Client) Resume(e core.ResumeDecode) {
-	ctx, _ := c.begin(e.Request, e.Attempt, 0)
+	ctx, r := c.begin(e.Request, e.Attempt, 0)
 	go func() {
+		defer c.finish(r)
 		u := fmt.Sprintf("%s?from=%d", runURL(e.Address, e.Request, e.Attempt), e.From)
 		req, err := http.NewRequestWithContext(ctx, http.MethodGet, u, nil)
 		if err != nil {
@@ -102,34 +104,42 @@
 		return
 	}
 	ended := c.readChunks(req, attempt, resp.Body)
-	if ctx.Err() != nil {
+	if ended {
+		c.drainBody(resp.Body)
 		return
 	}
-	if !ended {
+	if ctx.Err() == nil {
 		c.fail(req, attempt, ep, callError{code: codeBroken})
-		return
 	}
-	c.end(req, attempt)
+}
+
+// drainBody reads a stream to its end, so that its connection can be used
+// again. An engine that does not end the stream soon loses the connection.
+func (c *Client) drainBody(body io.ReadCloser) {
+	timer := c.clock.AfterFunc(drainTimeout, func() { body.Close() })
+	defer timer.Stop()
+	_, _ = io.Copy(io.Discard, io.LimitReader(body, maxLine))
 }
 
 // readChunks posts the chunks of a stream and returns whether the end marker
-// has come.
+// has come. It does not read past the marker.
 func (c *Client) readChunks(req id.Request, attempt id.Attempt, body io.Reader) bool {
 	sc := bufio.NewScanner(body)
 	sc.Buffer(make([]byte, 0, 4096), maxLine)
-	ended := false
 	for sc.Scan() {
 		var ch engine.Chunk
 		if err := json.Unmarshal(sc.Bytes(), &ch); err != nil || ch.Offset < 0 {
-			return ended
+			return false
 		}
 		c.poster.Post(core.TokensArrived{
 			Request: req, Attempt: attempt, Offset: ch.Offset,
 			Tokens: ch.Tokens, End: ch.End, Finish: ch.Finish,
 		})
-		ended = ended || ch.End
+		if ch.End {
+			return true
+		}
 	}
-	return ended
+	return false
 }
 
 // Poll reads the load report and the cache events of an engine.
--- a/router/internal/endpoint/service.go
+++ b/router/internal/endpoint/service.go
@@ -21,10 +21,9 @@
 
 // Call sends a caller's call to a plain service.
 func (c *Client) Call(e core.CallService) {
-	ctx, cancel := c.begin(e.Request, e.Attempt, e.Timeout)
+	ctx, r := c.begin(e.Request, e.Attempt, e.Timeout)
 	go func() {
-		defer cancel()
-		defer c.end(e.Request, e.Attempt)
+		defer c.finish(r)
 		c.call(ctx, e)
 	}()
 }
@@ -72,7 +71,11 @@
 
 func (c *Client) serviceReply(e core.CallService, item *inflight.Item, resp *http.Response) {
 	if resp.Header.Get(engine.HeaderNotRun) == "true" {
-		c.fail(e.Request, e.Attempt, e.Endpoint, callError{code: "refused", notRun: true})
+		c.fail(e.Request, e.Attempt, e.Endpoint, callError{code: codeRefused, notRun: true})
+		return
+	}
+	if resp.StatusCode < http.StatusOK {
+		c.fail(e.Request, e.Attempt, e.Endpoint, callError{code: codeNonsense})
 		return
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReply+1))
--- /dev/null
+++ b/router/internal/endpoint/service_test.go
@@ -0,0 +1,176 @@
+package endpoint_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ragwortshunt.example/fleet/core"
+	"ragwortshunt.example/router/internal/inflight"
+)
+
+// TestServiceCall passes method, path, headers and body on, and keeps the reply
+// for the claim.
+func TestServiceCall(t *testing.T) {
+	var got *http.Request
+	var body string
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		data, _ := io.ReadAll(r.Body)
+		got, body = r, string(data)
+		w.Header().Set("Location", "/labels/7")
+		w.Header().Set("Set-Cookie", "session=1")
+		w.WriteHeader(http.StatusCreated)
+		_, _ = io.WriteString(w, "issued")
+	})
+	r := newRig(t)
+	r.Call(r.call(address))
+	done := r.events.next(t).(core.ServiceDone)
+	assert.Equal(t, done.Status, http.StatusCreated)
+	assert.Equal(t, got.Method+" "+got.URL.String()+" "+body, "POST /issue?batch=7 label")
+	for name, want := range map[string]string{
+		"Idempotency-Key": "k-1", "Request-Id": "r-1", "Request-Attempt": "1", "Authorization": "",
+	} {
+		assert.Equal(t, got.Header.Get(name), want, name)
+	}
+	var kept inflight.Reply
+	assert.NilError(t, json.Unmarshal(done.Outcome, &kept))
+	assert.Equal(t, string(kept.Body), "issued")
+	item, _ := r.store.Get("r-1")
+	assert.DeepEqual(t, item.Reply().Header.Get("Location"), "/labels/7")
+	assert.Equal(t, item.Reply().Header.Get("Set-Cookie"), "")
+	r.waitIdle(t)
+}
+
+// TestServiceFailures guards against a not-run report of a call that may have
+// run.
+func TestServiceFailures(t *testing.T) {
+	cases := map[string]struct {
+		handler http.HandlerFunc
+		want    core.RunFailed
+	}{
+		"lost reply": {hangUp, failed("stream-broken", false, false)},
+		"not run": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Not-Run", "true")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, failed("refused", true, false)},
+		"huge reply": {reply(200, strings.Repeat("x", 8<<20+1)), failed("stream-broken", false, false)},
+		"cut reply": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "100")
+			_, _ = io.WriteString(w, "short")
+		}, failed("stream-broken", false, false)},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.Call(r.call(serve(t, c.handler)))
+			assert.DeepEqual(t, r.events.next(t), core.Event(c.want))
+		})
+	}
+	t.Run("dial failure", func(t *testing.T) {
+		r := newRig(t)
+		r.Call(r.call(closedPort(t)))
+		assert.DeepEqual(t, r.events.next(t), core.Event(failed("unreachable", true, true)))
+	})
+	t.Run("timeout after the write", func(t *testing.T) {
+		r := newRig(t)
+		e := r.call(serve(t, func(_ http.ResponseWriter, req *http.Request) {
+			_, _ = io.Copy(io.Discard, req.Body)
+			<-req.Context().Done()
+		}))
+		e.Timeout = 20 * time.Millisecond
+		r.Call(e)
+		assert.DeepEqual(t, r.events.next(t), core.Event(failed("timeout", false, false)))
+	})
+}
+
+// rawServer accepts connections, answers as many requests on each as replies
+// has elements, then breaks the connection after reading one more. It counts the
+// requests that it has read.
+func rawServer(t *testing.T, replies ...string) (address string, requests *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { l.Close() })
+	requests = new(atomic.Int64)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serveRaw(conn, requests, replies)
+		}
+	}()
+	return l.Addr().String(), requests
+}
+
+func serveRaw(conn net.Conn, requests *atomic.Int64, replies []string) {
+	defer conn.Close()
+	br := bufio.NewReader(conn)
+	for i := 0; ; i++ {
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		requests.Add(1)
+		if i >= len(replies) {
+			return
+		}
+		if _, err := io.WriteString(conn, replies[i]); err != nil {
+			return
+		}
+	}
+}
+
+// TestNoSilentRepeat guards against net/http, which sends a request with an
+// Idempotency-Key again when a kept connection breaks.
+func TestNoSilentRepeat(t *testing.T) {
+	address, requests := rawServer(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	r := newRig(t)
+	r.Call(r.call(address))
+	_, ok := r.events.next(t).(core.ServiceDone)
+	assert.Assert(t, ok)
+	for range 3 {
+		r.Call(r.call(address))
+		_, ok := r.events.next(t).(core.ServiceDone)
+		assert.Assert(t, ok)
+	}
+	assert.Equal(t, requests.Load(), int64(4))
+
+	address, requests = rawServer(t)
+	r.Call(r.call(address))
+	assert.DeepEqual(t, r.events.next(t), core.Event(failed("stream-broken", false, false)))
+	assert.Equal(t, requests.Load(), int64(1))
+}
+
+// TestInvalidStatus guards against statuses that cannot be passed to a caller.
+func TestInvalidStatus(t *testing.T) {
+	for _, status := range []string{"000", "099", "101"} {
+		t.Run(status, func(t *testing.T) {
+			address, _ := rawServer(t, fmt.Sprintf("HTTP/1.1 %s X\r\nContent-Length: 0\r\n\r\n", status))
+			r := newRig(t)
+			r.Call(r.call(address))
+			assert.DeepEqual(t, r.events.next(t), core.Event(failed("invalid-reply", false, false)))
+		})
+	}
+}
+
+// TestLargeOutcomeIsNotKept guards against claims that outgrow their object.
+func TestLargeOutcomeIsNotKept(t *testing.T) {
+	r := newRig(t)
+	r.Call(r.call(serve(t, reply(200, strings.Repeat("x", 4096)))))
+	done := r.events.next(t).(core.ServiceDone)
+	assert.Equal(t, len(done.Outcome), 0)
+	item, _ := r.store.Get("r-1")
+	assert.Equal(t, len(item.Reply().Body), 4096)
+}
