Find keys in every part of a call; test the caller shell

Only the whole key was searched, and only if it was presented: a key with encoded hyphens in a path, and any key on an open route, reached the endpoint. The secret alone now counts as the key, decoded paths are searched too, and every text in the form of a key is checked against the table. The name of the scheme in Authorization is the same in upper and lower case.

A recorded reply without a valid status made WriteHeader panic; it is reported as outcome-unknown. A panic no longer writes a stack trace to the caller and tells the decision core that the caller has gone. Paths of service calls are no longer redirected to their canonical form. /v1/models lists only open routes to callers without a key. A request that fits no endpoint gets status 400.

--- /dev/null
+++ b/router/internal/caller/answer_test.go
@@ -0,0 +1,190 @@
+package caller_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ragwortshunt.example/fleet/core"
+	"ragwortshunt.example/router/internal/inflight"
+)
+
+var (
+	twoTokens = core.Deliver{Tokens: []string{"one", " two"}}
+	oneToken  = core.Deliver{Offset: 2, Tokens: []string{" three"}}
+	finished  = core.Finish{Finish: "length", PromptTokens: 2, OutputTokens: 3}
+)
+
+// TestWholeAnswer covers answers that are not streamed, in both forms.
+func TestWholeAnswer(t *testing.T) {
+	const ending = `,"usage":{"prompt_tokens":2,"completion_tokens":3,"total_tokens":5}}`
+	cases := map[string]struct{ path, body, want string }{
+		"text": {
+			"/v1/completions", `{"model":"chat","prompt":"two words"}`,
+			`"object":"text_completion","model":"chat","choices":[{"index":0,"text":"one two three","finish_reason":"length"}]`,
+		},
+		"chat": {
+			"/v1/chat/completions", `{"model":"chat","messages":[{"role":"user","content":"words"}]}`,
+			`"object":"chat.completion","model":"chat","choices":[{"index":0,` +
+				`"message":{"role":"assistant","content":"one two three"},"finish_reason":"length"}]`,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, twoTokens, oneToken, finished)
+			resp := r.ask(t, c.path, c.body)
+			arrived := r.next(t).(core.RequestArrived)
+			assert.Equal(t, resp.status, http.StatusOK)
+			assert.Equal(t, resp.header.Get("Request-Id"), string(arrived.Request))
+			assert.Equal(t, strings.TrimSpace(resp.body), `{"id":"`+string(arrived.Request)+`",`+c.want+ending)
+			assert.Equal(t, arrived.PromptTokens, int64(2))
+			assert.Equal(t, arrived.MaxTokens, int64(16))
+			item, _ := r.store.Get(arrived.Request)
+			assert.Equal(t, item.Output(), "one two three")
+		})
+	}
+}
+
+// streamed returns the data of each event of a stream.
+func streamed(t *testing.T, resp response) []string {
+	t.Helper()
+	assert.Equal(t, resp.header.Get("Content-Type"), "text/event-stream")
+	var out []string
+	for _, event := range strings.Split(strings.TrimSuffix(resp.body, "\n\n"), "\n\n") {
+		data, ok := strings.CutPrefix(event, "data: ")
+		assert.Assert(t, ok, event)
+		out = append(out, data)
+	}
+	return out
+}
+
+func TestStreamedAnswer(t *testing.T) {
+	for _, path := range []string{"/v1/completions", "/v1/chat/completions"} {
+		t.Run(path, func(t *testing.T) {
+			r := newRig(t, twoTokens, oneToken, finished)
+			resp := r.ask(t, path, `{"model":"chat","stream":true,"prompt":"a","messages":[{"role":"user","content":"a"}]}`)
+			events := streamed(t, resp)
+			assert.Equal(t, len(events), 4)
+			assert.Equal(t, events[3], "[DONE]")
+			text := ""
+			for _, event := range events[:3] {
+				var part struct {
+					Choices []struct {
+						Text   string                   `json:"text"`
+						Delta  struct{ Content string } `json:"delta"`
+						Finish string                   `json:"finish_reason"`
+					} `json:"choices"`
+				}
+				assert.NilError(t, json.Unmarshal([]byte(event), &part))
+				text += part.Choices[0].Text + part.Choices[0].Delta.Content + part.Choices[0].Finish
+			}
+			assert.Equal(t, text, "one two threelength")
+		})
+	}
+}
+
+// TestBrokenStream guards against a broken answer that looks complete.
+func TestBrokenStream(t *testing.T) {
+	refuse := core.Refuse{Code: core.CodeEndpointFailed, Text: "endpoints failed repeatedly"}
+	r := newRig(t, twoTokens, refuse)
+	events := streamed(t, r.ask(t, "/v1/completions", `{"model":"chat","prompt":"a","stream":true}`))
+	assert.Equal(t, len(events), 2)
+	assert.Assert(t, strings.Contains(events[1], `{"error":{"code":"endpoint-failed"`), events[1])
+	assert.Assert(t, strings.Contains(events[1], `"not-run":false`), events[1])
+
+	whole := r.ask(t, "/v1/completions", `{"model":"chat","prompt":"a"}`)
+	code, notRun := whole.refusal(t)
+	assert.Equal(t, whole.status, http.StatusBadGateway)
+	assert.Equal(t, code, core.CodeEndpointFailed)
+	assert.Assert(t, !notRun)
+}
+
+// TestRefusal passes not-run, Retry-After and the request ID on as the decision
+// core states them.
+func TestRefusal(t *testing.T) {
+	r := newRig(t, core.Refuse{Code: core.CodeRateLimited, NotRun: true, RetryAfter: 1200 * time.Millisecond})
+	resp := r.ask(t, "/v1/completions", `{"model":"chat","prompt":"a","stream":true}`)
+	code, notRun := resp.refusal(t)
+	assert.Equal(t, resp.status, http.StatusTooManyRequests)
+	assert.Equal(t, code, core.CodeRateLimited)
+	assert.Assert(t, notRun)
+	assert.Equal(t, resp.header.Get("Retry-After"), "2")
+	assert.Equal(t, resp.header.Get("Request-Id"), string(r.next(t).(core.RequestArrived).Request))
+	r.script = []core.Effect{core.Refuse{Code: core.CodeKeyMissing, NotRun: true}}
+	resp = r.ask(t, "/services/issue/x", "")
+	assert.Equal(t, resp.header.Get("Retry-After"), "")
+	assert.Equal(t, resp.status, http.StatusBadRequest)
+}
+
+// TestServiceRequest passes a call on as the caller wrote it, without the key.
+func TestServiceRequest(t *testing.T) {
+	r := newRig(t, core.Refuse{Code: core.CodeLeaving})
+	r.send(t, http.MethodPut, "/services/issue/a//b%2Fc?x=1", "body",
+		"Authorization", "Bearer "+r.active, "Idempotency-Key", "k-1", "Cookie", "c=1", "Accept", "text/plain")
+	arrived := r.next(t).(core.RequestArrived)
+	item, _ := r.store.Get(arrived.Request)
+	assert.DeepEqual(t, item.Call, &inflight.Call{
+		Method: http.MethodPut, Path: "/a//b%2Fc?x=1", Body: []byte("body"),
+		Header: http.Header{"Idempotency-Key": {"k-1"}, "Accept": {"text/plain"}},
+	})
+	assert.Equal(t, arrived.IdempotencyKey, "k-1")
+	assert.Equal(t, string(arrived.Route), "issue")
+	first := arrived.Digest
+	r.send(t, http.MethodPut, "/services/issue/a//b%2Fc?x=2", "body", "Authorization", "Bearer "+r.active)
+	assert.Assert(t, r.next(t).(core.RequestArrived).Digest != first)
+}
+
+// TestServiceReply covers replies of endpoints and recorded replies. A recorded
+// reply that cannot be read must not look like an answer.
+func TestServiceReply(t *testing.T) {
+	kept, err := json.Marshal(inflight.Reply{Status: 201, Header: http.Header{"Location": {"/l/1"}}, Body: []byte("label")})
+	assert.NilError(t, err)
+	cases := map[string]struct {
+		reply    core.Reply
+		status   int
+		replayed string
+	}{
+		"fresh":               {core.Reply{}, 202, ""},
+		"recorded":            {core.Reply{Recorded: true, Outcome: kept}, 201, "true"},
+		"unreadable":          {core.Reply{Recorded: true, Outcome: []byte("{")}, 409, ""},
+		"without a status":    {core.Reply{Recorded: true, Outcome: []byte("{}")}, 409, ""},
+		"impossible statuses": {core.Reply{Recorded: true, Outcome: []byte(`{"status":1000}`)}, 409, ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			done := make(chan response, 1)
+			go func() { done <- r.send(t, http.MethodPost, "/services/board/x", "") }()
+			arrived := r.next(t).(core.RequestArrived)
+			item, _ := r.store.Get(arrived.Request)
+			item.SetReply(&inflight.Reply{Status: 202, Header: http.Header{"Etag": {"v1"}}, Body: []byte("fresh")})
+			r.Handle(arrived.Request, c.reply)
+			resp := <-done
+			assert.Equal(t, resp.status, c.status)
+			assert.Equal(t, resp.header.Get("Idempotent-Replayed"), c.replayed)
+			assert.Equal(t, resp.header.Get("Request-Id"), string(arrived.Request))
+			if c.status == http.StatusConflict {
+				code, notRun := resp.refusal(t)
+				assert.Equal(t, code, core.CodeOutcomeUnknown)
+				assert.Assert(t, !notRun)
+				return
+			}
+			assert.Equal(t, resp.header.Get("Location")+resp.header.Get("Etag")+resp.body, map[int]string{201: "/l/1label", 202: "v1fresh"}[c.status])
+		})
+	}
+}
+
+// TestLostReply guards against a reply that is made up when the endpoint's reply
+// is gone.
+func TestLostReply(t *testing.T) {
+	r := newRig(t, core.Reply{})
+	resp := r.send(t, http.MethodPost, "/services/board/x", "")
+	code, notRun := resp.refusal(t)
+	assert.Equal(t, resp.status, http.StatusConflict)
+	assert.Equal(t, code, core.CodeOutcomeUnknown)
+	assert.Assert(t, !notRun)
+}
--- a/router/internal/caller/caller.go
+++ b/router/internal/caller/caller.go
@@ -69,30 +69,34 @@
 
 // Handler returns the HTTP handler of the caller API.
 func (s *Server) Handler() http.Handler {
-	c := restful.NewContainer()
-	c.DoNotRecover(false)
+	c := restful.NewContainer() // net/http recovers from panics and logs them
 	c.ServiceErrorHandler(s.routeError)
 	v1 := new(restful.WebService).Path("/v1").Consumes("*/*").Produces("*/*")
 	v1.Route(v1.POST("/completions").To(s.completions))
 	v1.Route(v1.POST("/chat/completions").To(s.chatCompletions))
 	v1.Route(v1.GET("/models").To(s.models))
 	c.Add(v1)
-	mux := http.NewServeMux()
-	mux.Handle("/v1/", c)
-	mux.HandleFunc(servicePrefix, s.service)
-	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
-		writeError(w, http.StatusNotFound, apiError{Code: "not-found", Message: "no such path", NotRun: true})
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// A ServeMux would redirect paths that are not in canonical form. A service
+		// gets its path as the caller wrote it.
+		switch {
+		case strings.HasPrefix(r.URL.Path, "/v1/"):
+			c.ServeHTTP(w, r)
+		case strings.HasPrefix(r.URL.Path, servicePrefix):
+			s.service(w, r)
+		default:
+			badRequest(w, http.StatusNotFound, codeNotFound, "no such path")
+		}
 	})
-	return mux
 }
 
 // routeError answers requests that match no route of the API.
 func (s *Server) routeError(err restful.ServiceError, _ *restful.Request, w *restful.Response) {
-	code := "not-found"
+	code := codeNotFound
 	if err.Code == http.StatusMethodNotAllowed {
-		code = "method-not-allowed"
+		code = codeMethodNotAllowed
 	}
-	writeError(w.ResponseWriter, err.Code, apiError{Code: code, Message: "no such path or method", NotRun: true})
+	badRequest(w.ResponseWriter, err.Code, code, "no such path or method")
 }
 
 // newRequest returns an ID that no other host and no other process of this host
@@ -103,10 +107,11 @@
 		strconv.FormatUint(uint64(s.cfg.Incarnation), 36), strconv.FormatUint(n, 36)))
 }
 
-// presentedKey returns the key of a request, or an empty string.
+// presentedKey returns the key of a request, or an empty string. The name of
+// the scheme is the same in upper and lower case.
 func presentedKey(h http.Header) string {
-	key, ok := strings.CutPrefix(h.Get("Authorization"), "Bearer ")
-	if !ok {
+	scheme, key, _ := strings.Cut(strings.TrimSpace(h.Get("Authorization")), " ")
+	if !strings.EqualFold(scheme, "Bearer") {
 		return ""
 	}
 	return strings.TrimSpace(key)
@@ -200,18 +205,25 @@
 }
 
 // pump calls fn for each effect until fn returns true or the caller goes away.
+// A panic of fn counts as the latter.
 func (s *Server) pump(ctx context.Context, req id.Request, c *session, fn func(core.Effect) bool) {
-	defer s.shut(req)
+	ended := false
+	defer func() {
+		s.shut(req)
+		if !ended {
+			s.poster.Post(core.CallerGone{Request: req})
+		}
+	}()
 	for {
 		for _, e := range c.take() {
 			if fn(e) {
+				ended = true
 				return
 			}
 		}
 		select {
 		case <-c.notify:
 		case <-ctx.Done():
-			s.poster.Post(core.CallerGone{Request: req})
 			return
 		}
 	}
--- /dev/null
+++ b/router/internal/caller/caller_test.go
@@ -0,0 +1,351 @@
+package caller_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ragwortshunt.example/fleet/core"
+	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/table"
+	"ragwortshunt.example/router/internal/caller"
+	"ragwortshunt.example/router/internal/inflight"
+)
+
+// eventTimeout bounds the wait for one event; it only ends a failing test.
+const eventTimeout = 10 * time.Second
+
+// rig is a caller server whose decision core answers each request with a script.
+type rig struct {
+	*caller.Server
+	url     string
+	store   *inflight.Store
+	events  chan core.Event
+	script  []core.Effect
+	active  string // key
+	revoked string // withdrawn key
+}
+
+// Post plays the script for a request. The request ID of effects is filled in.
+func (r *rig) Post(ev core.Event) {
+	r.events <- ev
+	arrived, ok := ev.(core.RequestArrived)
+	if !ok {
+		return
+	}
+	go func() {
+		for _, e := range r.script {
+			if refuse, ok := e.(core.Refuse); ok {
+				refuse.Request = arrived.Request
+				e = refuse
+			}
+			r.Handle(arrived.Request, e)
+		}
+	}()
+}
+
+func newRig(t *testing.T, script ...core.Effect) *rig {
+	t.Helper()
+	r := &rig{store: inflight.New(), events: make(chan core.Event, 64), script: script}
+	r.Server = caller.New(caller.Config{Host: "h-1", Incarnation: 7, MaxBody: 2048, DefaultLimit: 16}, r, r.store)
+	r.SetTable(r.table(t))
+	srv := httptest.NewServer(r.Handler())
+	t.Cleanup(func() {
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	r.url = srv.URL
+	return r
+}
+
+func (r *rig) table(t *testing.T) *table.Snapshot {
+	t.Helper()
+	snap := &table.Snapshot{
+		Version:  1,
+		Accounts: map[id.Account]table.Account{"a": {Name: "a"}},
+		Routes: map[id.Route]table.Route{
+			"chat": {Name: "chat", Model: "m"}, "free": {Name: "free", Model: "m", Open: true, Account: "a"},
+			"issue": {Name: "issue", Pool: "p"}, "board": {Name: "board", Pool: "p", Open: true, Account: "a"},
+		},
+		Keys: map[id.KeyID]table.Key{},
+	}
+	for i, keyID := range []id.KeyID{"active", "revoked"} {
+		random := bytes.NewReader(bytes.Repeat([]byte{byte(i + 1)}, 64))
+		presented, row, err := table.NewKey(random, keyID, "a")
+		assert.NilError(t, err)
+		if keyID == "revoked" {
+			row.State = table.StateWithdrawn
+			r.revoked = presented
+		} else {
+			r.active = presented
+		}
+		snap.Keys[keyID] = row
+	}
+	return snap
+}
+
+// response is what a caller receives.
+type response struct {
+	status int
+	header http.Header
+	body   string
+}
+
+// code returns the code and the not-run flag of a refusal.
+func (r response) refusal(t *testing.T) (code string, notRun bool) {
+	t.Helper()
+	var body struct {
+		Error struct {
+			Code   string `json:"code"`
+			NotRun bool   `json:"not-run"`
+		} `json:"error"`
+	}
+	assert.NilError(t, json.Unmarshal([]byte(r.body), &body), r.body)
+	return body.Error.Code, body.Error.NotRun
+}
+
+// send makes a request. headers alternate between names and values.
+func (r *rig) send(t *testing.T, method, path, body string, headers ...string) response {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), eventTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, r.url+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	client := http.Client{CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	resp, err := client.Do(req)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return response{status: resp.StatusCode, header: resp.Header, body: string(data)}
+}
+
+// ask sends a request to a model with the active key.
+func (r *rig) ask(t *testing.T, path, body string) response {
+	t.Helper()
+	return r.send(t, http.MethodPost, path, body, "Authorization", "Bearer "+r.active)
+}
+
+func (r *rig) next(t *testing.T) core.Event {
+	t.Helper()
+	select {
+	case ev := <-r.events:
+		return ev
+	case <-time.After(eventTimeout):
+		t.Fatal("no event")
+		return nil
+	}
+}
+
+// TestRefusedRequests guards against requests that reach the decision core
+// although they cannot be understood, and against refusals without not-run.
+func TestRefusedRequests(t *testing.T) {
+	const path = "/v1/completions"
+	long := strings.Repeat("x", 3000)
+	cases := map[string]struct {
+		path, body string
+		status     int
+		code       string
+	}{
+		"body too large":       {path, `{"model":"chat","prompt":"` + long + `"}`, 413, "body-too-large"},
+		"wrong JSON":           {path, `{"model":`, 400, "invalid-request"},
+		"wrong type":           {path, `{"model":"chat","prompt":7}`, 400, "invalid-request"},
+		"text after the body":  {path, `{"model":"chat","prompt":"a"} b`, 400, "invalid-request"},
+		"no model":             {path, `{"prompt":"a"}`, 400, "invalid-request"},
+		"no prompt":            {path, `{"model":"chat","prompt":" "}`, 400, "invalid-request"},
+		"no messages":          {"/v1/chat/completions", `{"model":"chat","prompt":"a"}`, 400, "invalid-request"},
+		"max_tokens 0":         {path, `{"model":"chat","prompt":"a","max_tokens":0}`, 400, "invalid-request"},
+		"max_tokens negative":  {path, `{"model":"chat","prompt":"a","max_tokens":-1}`, 400, "invalid-request"},
+		"max_tokens too large": {path, `{"model":"chat","prompt":"a","max_tokens":1048577}`, 400, "invalid-request"},
+		"max_tokens fraction":  {path, `{"model":"chat","prompt":"a","max_tokens":1.5}`, 400, "invalid-request"},
+		"max_tokens overflow":  {path, `{"model":"chat","prompt":"a","max_tokens":1e30}`, 400, "invalid-request"},
+		"unknown model":        {path, `{"model":"other","prompt":"a"}`, 404, "unknown-route"},
+		"service as model":     {path, `{"model":"issue","prompt":"a"}`, 404, "unknown-route"},
+		"model as service":     {"/services/chat/x", "", 404, "unknown-route"},
+		"unknown service":      {"/services/other/x", "", 404, "unknown-route"},
+		"no such path":         {"/v2/completions", "", 404, "not-found"},
+		"no such API path":     {"/v1/embeddings", "", 404, "not-found"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			resp := r.ask(t, c.path, c.body)
+			code, notRun := resp.refusal(t)
+			assert.Equal(t, resp.status, c.status)
+			assert.Equal(t, code, c.code)
+			assert.Assert(t, notRun)
+			assert.Equal(t, len(r.events), 0)
+		})
+	}
+	t.Run("method", func(t *testing.T) {
+		resp := newRig(t).send(t, http.MethodGet, path, "")
+		code, notRun := resp.refusal(t)
+		assert.Equal(t, resp.status, http.StatusMethodNotAllowed)
+		assert.Equal(t, code, "method-not-allowed")
+		assert.Assert(t, notRun)
+	})
+	t.Run("long idempotency key", func(t *testing.T) {
+		r := newRig(t)
+		resp := r.send(t, http.MethodPost, "/services/issue/x", "", "Idempotency-Key", strings.Repeat("k", 256))
+		code, _ := resp.refusal(t)
+		assert.Equal(t, code, "invalid-request")
+	})
+}
+
+// TestKeys guards against requests that run with a key that is not valid, and
+// against replies that repeat the key.
+func TestKeys(t *testing.T) {
+	r := newRig(t, core.Refuse{Code: core.CodeLeaving, NotRun: true})
+	cases := map[string]struct {
+		header, code string
+	}{
+		"valid":               {"Bearer " + r.active, core.CodeLeaving},
+		"lower case":          {"bearer  " + r.active, core.CodeLeaving},
+		"no key":              {"", core.CodeLeaving}, // the decision core knows whether the route is open
+		"other scheme":        {"Basic YTpi", core.CodeLeaving},
+		"malformed":           {"Bearer secret", core.CodeUnauthorized},
+		"unknown ID":          {"Bearer " + strings.Replace(r.active, "active", "other", 1), core.CodeUnauthorized},
+		"wrong secret":        {"Bearer " + r.active + "a", core.CodeUnauthorized},
+		"secret of other key": {"Bearer " + strings.Replace(r.revoked, "revoked", "active", 1), core.CodeUnauthorized},
+		"withdrawn":           {"Bearer " + r.revoked, core.CodeKeyWithdrawn},
+	}
+	for name, c := range cases {
+		for _, path := range []string{"/v1/completions", "/services/issue/x"} {
+			t.Run(name+path, func(t *testing.T) {
+				resp := r.send(t, http.MethodPost, path, `{"model":"free","prompt":"a"}`, "Authorization", c.header)
+				code, notRun := resp.refusal(t)
+				assert.Equal(t, code, c.code)
+				assert.Assert(t, notRun)
+				if c.code != core.CodeLeaving {
+					assert.Equal(t, resp.status, http.StatusUnauthorized)
+					assert.Equal(t, len(r.events), 0)
+					return
+				}
+				arrived := r.next(t).(core.RequestArrived)
+				assert.Equal(t, arrived.Key == "active", strings.Contains(c.header, r.active))
+			})
+		}
+	}
+}
+
+func TestNoTable(t *testing.T) {
+	r := newRig(t, core.Refuse{Code: core.CodeNoTable, NotRun: true, RetryAfter: 1500 * time.Millisecond})
+	r.SetTable(nil)
+	for _, key := range []string{"", "Bearer " + r.active} {
+		resp := r.send(t, http.MethodPost, "/v1/completions", `{"model":"chat","prompt":"a"}`, "Authorization", key)
+		code, notRun := resp.refusal(t)
+		assert.Equal(t, resp.status, http.StatusServiceUnavailable)
+		assert.Equal(t, code, core.CodeNoTable)
+		assert.Assert(t, notRun)
+	}
+}
+
+// TestKeyInRequest guards against a caller's key that an endpoint would see.
+func TestKeyInRequest(t *testing.T) {
+	r := newRig(t, core.Refuse{Code: core.CodeLeaving, NotRun: true})
+	secret := r.active[strings.LastIndexByte(r.active, '-')+1:]
+	escaped := strings.ReplaceAll(r.active, "rws-", `\u0072ws-`)
+	encoded := strings.ReplaceAll(r.active, "-", "%2D")
+	bearer := []string{"Authorization", "Bearer " + r.active}
+	cases := map[string]struct {
+		path, body string
+		headers    []string
+	}{
+		"prompt":           {"/v1/completions", `{"model":"chat","prompt":"my key is ` + r.active + `."}`, bearer},
+		"other field":      {"/v1/completions", `{"model":"chat","prompt":"a","user":"` + r.active + `"}`, bearer},
+		"escaped prompt":   {"/v1/completions", `{"model":"chat","prompt":"` + escaped + `"}`, bearer},
+		"escaped model":    {"/v1/completions", `{"model":"` + escaped + `","prompt":"a"}`, bearer},
+		"message":          {"/v1/chat/completions", `{"model":"chat","messages":[{"role":"user","content":"` + escaped + `"}]}`, bearer},
+		"open model":       {"/v1/completions", `{"model":"free","prompt":"` + escaped + `"}`, nil},
+		"service body":     {"/services/issue/x", "key=" + r.active, bearer},
+		"secret alone":     {"/services/issue/x", "secret=" + secret, bearer},
+		"path":             {"/services/issue/" + r.active, "", bearer},
+		"encoded path":     {"/services/issue/" + encoded, "", bearer},
+		"query":            {"/services/issue/x?key=" + encoded, "", bearer},
+		"open service":     {"/services/board/x?key=" + encoded, "", nil},
+		"idempotency key":  {"/services/issue/x", "", append(bearer, "Idempotency-Key", r.active)},
+		"key as its own":   {"/services/board/x", "", []string{"Idempotency-Key", r.active}},
+		"forwarded header": {"/services/issue/x", "", append(bearer, "Accept", "text/"+r.active)},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			resp := r.send(t, http.MethodPost, c.path, c.body, c.headers...)
+			code, notRun := resp.refusal(t)
+			assert.Equal(t, resp.status, http.StatusBadRequest)
+			assert.Equal(t, code, "key-in-request")
+			assert.Assert(t, notRun)
+			assert.Assert(t, !strings.Contains(resp.body, secret))
+			assert.Equal(t, len(r.events), 0)
+			assert.Equal(t, r.store.Len(), 0)
+		})
+	}
+	t.Run("text in the form of a key", func(t *testing.T) {
+		resp := r.ask(t, "/v1/completions", `{"model":"chat","prompt":"rws-doc-abcdefghijklmnopqrstuvwxyz"}`)
+		code, _ := resp.refusal(t)
+		assert.Equal(t, code, core.CodeLeaving)
+	})
+}
+
+// TestModels guards against route names that are shown without a key.
+func TestModels(t *testing.T) {
+	r := newRig(t)
+	open := r.send(t, http.MethodGet, "/v1/models", "")
+	assert.Equal(t, strings.TrimSpace(open.body), `{"object":"list","data":[{"id":"free","object":"model"}]}`)
+	all := r.send(t, http.MethodGet, "/v1/models", "", "Authorization", "Bearer "+r.active)
+	assert.Equal(t, strings.TrimSpace(all.body),
+		`{"object":"list","data":[{"id":"chat","object":"model"},{"id":"free","object":"model"}]}`)
+	refused := r.send(t, http.MethodGet, "/v1/models", "", "Authorization", "Bearer "+r.revoked)
+	assert.Equal(t, refused.status, http.StatusUnauthorized)
+}
+
+// TestCallerGone guards against requests that go on after their caller has left.
+func TestCallerGone(t *testing.T) {
+	for _, path := range []string{"/v1/completions", "/services/board/x"} {
+		t.Run(path, func(t *testing.T) {
+			r := newRig(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			req, err := http.NewRequestWithContext(ctx, http.MethodPost, r.url+path, strings.NewReader(`{"model":"free","prompt":"a"}`))
+			assert.NilError(t, err)
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				resp, err := http.DefaultClient.Do(req)
+				if err == nil {
+					resp.Body.Close()
+				}
+			}()
+			arrived := r.next(t).(core.RequestArrived)
+			cancel()
+			assert.DeepEqual(t, r.next(t), core.Event(core.CallerGone{Request: arrived.Request}))
+			<-done
+			assert.Equal(t, r.store.Len(), 1) // until the decision core lets go
+			r.Forget(arrived.Request)
+			assert.Equal(t, r.store.Len(), 0)
+			for r.Busy() > 0 {
+				time.Sleep(time.Millisecond)
+			}
+		})
+	}
+}
+
+// TestRequestIDs guards against IDs that two requests share.
+func TestRequestIDs(t *testing.T) {
+	r := newRig(t, core.Refuse{Code: core.CodeLeaving})
+	seen := map[id.Request]bool{}
+	for range 40 {
+		r.ask(t, "/v1/completions", `{"model":"chat","prompt":"a"}`)
+		seen[r.next(t).(core.RequestArrived).Request] = true
+	}
+	assert.Equal(t, len(seen), 40)
+}
--- a/router/internal/caller/error.go
+++ b/router/internal/caller/error.go
@@ -9,12 +9,18 @@
 	"ragwortshunt.example/fleet/schedule"
 )
 
-// The refusal of a request that would pass the caller's key to an endpoint.
+// The codes of requests that are refused before the decision core sees them.
 const (
-	codeKeyInRequest = "key-in-request"
-	textKeyInRequest = "the request contains the caller's key outside of the Authorization header"
+	codeNotFound         = "not-found"
+	codeMethodNotAllowed = "method-not-allowed"
+	codeBodyTooLarge     = "body-too-large"
+	codeBodyUnreadable   = "body-unreadable"
+	codeInvalidRequest   = "invalid-request"
+	codeKeyInRequest     = "key-in-request"
 )
 
+const textKeyInRequest = "the request contains a caller's key outside of the Authorization header"
+
 // apiError is the body of a refusal.
 type apiError struct {
 	Code    string     `json:"code"`
@@ -37,7 +43,7 @@
 		return http.StatusNotFound
 	case core.CodeRateLimited, schedule.ReasonQueueFull:
 		return http.StatusTooManyRequests
-	case core.CodeTooManyTokens, core.CodeKeyMissing:
+	case core.CodeTooManyTokens, core.CodeKeyMissing, schedule.ReasonTooLarge:
 		return http.StatusBadRequest
 	case core.CodeKeyMismatch:
 		return http.StatusUnprocessableEntity
--- a/router/internal/caller/model.go
+++ b/router/internal/caller/model.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -68,16 +67,12 @@
 	if !ok {
 		return
 	}
-	if containsKey(body, presented) {
-		badRequest(w, http.StatusBadRequest, codeKeyInRequest, textKeyInRequest)
-		return
-	}
 	a, err := parseAsk(body, chat, s.cfg.DefaultLimit)
 	if err != nil {
-		badRequest(w, http.StatusBadRequest, "invalid-request", err.Error())
+		badRequest(w, http.StatusBadRequest, codeInvalidRequest, err.Error())
 		return
 	}
-	if containsKey([]byte(a.prompt), presented) {
+	if s.containsKey(presented, string(body), a.route, a.prompt) {
 		badRequest(w, http.StatusBadRequest, codeKeyInRequest, textKeyInRequest)
 		return
 	}
@@ -97,12 +92,6 @@
 	return ok && route.Model != ""
 }
 
-// containsKey tells whether data contains the presented key, which must not
-// reach an endpoint.
-func containsKey(data []byte, presented string) bool {
-	return presented != "" && bytes.Contains(data, []byte(presented))
-}
-
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.cfg.MaxBody))
 	var tooLarge *http.MaxBytesError
@@ -110,10 +99,10 @@
 	case err == nil:
 		return body, true
 	case errors.As(err, &tooLarge):
-		badRequest(w, http.StatusRequestEntityTooLarge, "body-too-large",
+		badRequest(w, http.StatusRequestEntityTooLarge, codeBodyTooLarge,
 			fmt.Sprintf("the body is larger than %d bytes", s.cfg.MaxBody))
 	default:
-		badRequest(w, http.StatusBadRequest, "body-unreadable", "the body could not be read")
+		badRequest(w, http.StatusBadRequest, codeBodyUnreadable, "the body could not be read")
 	}
 	return nil, false
 }
@@ -170,9 +159,11 @@
 	s.pump(r.Context(), req, c, out.handle)
 }
 
-// models lists the model routes that the key may use.
+// models lists the model routes that the caller may use: with a key all, without
+// a key the open ones.
 func (s *Server) models(req *restful.Request, w *restful.Response) {
-	if _, refused := s.authenticate(presentedKey(req.Request.Header)); refused != nil {
+	key, refused := s.authenticate(presentedKey(req.Request.Header))
+	if refused != nil {
 		writeError(w.ResponseWriter, statusOf(refused.Code), *refused)
 		return
 	}
@@ -186,7 +177,7 @@
 	}{Object: "list", Data: []model{}}
 	if snap := s.table.Load(); snap != nil {
 		for name, route := range snap.Routes {
-			if route.Model != "" {
+			if route.Model != "" && (route.Open || key.ID != "") {
 				list.Data = append(list.Data, model{ID: string(name), Object: "model"})
 			}
 		}
--- a/router/internal/caller/service.go
+++ b/router/internal/caller/service.go
@@ -14,8 +14,10 @@
 
 const (
 	headerIdempotencyKey = "Idempotency-Key"
+	headerReplayed       = "Idempotent-Replayed"
 	maxIdempotencyKey    = 255 // bytes
-	bytesPerToken        = 4   // service calls are charged by the size of their body
+	maxStatus            = 999
+	bytesPerToken        = 4 // service calls are charged by the size of their body
 )
 
 // forwarded are the headers of a caller that a service receives.
@@ -34,7 +36,7 @@
 		return
 	}
 	route, call := serviceCall(r, body)
-	if callContainsKey(call, presented) {
+	if s.callContainsKey(call, presented) {
 		badRequest(w, http.StatusBadRequest, codeKeyInRequest, textKeyInRequest)
 		return
 	}
@@ -44,7 +46,7 @@
 	}
 	idem := r.Header.Get(headerIdempotencyKey)
 	if len(idem) > maxIdempotencyKey {
-		badRequest(w, http.StatusBadRequest, "invalid-request", "the Idempotency-Key header is too long")
+		badRequest(w, http.StatusBadRequest, codeInvalidRequest, "the Idempotency-Key header is too long")
 		return
 	}
 	req := s.newRequest()
@@ -82,20 +84,6 @@
 	return id.Route(route), &inflight.Call{Method: r.Method, Path: path, Header: header, Body: body}
 }
 
-func callContainsKey(c *inflight.Call, presented string) bool {
-	if containsKey(c.Body, presented) || containsKey([]byte(c.Path), presented) {
-		return true
-	}
-	for _, values := range c.Header {
-		for _, v := range values {
-			if containsKey([]byte(v), presented) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // digest tells calls apart that use the same idempotency key.
 func digest(c *inflight.Call) string {
 	h := sha256.New()
@@ -125,10 +113,9 @@
 	reply := item.Reply()
 	if e.Recorded {
 		reply = new(inflight.Reply)
-		if json.Unmarshal(e.Outcome, reply) != nil {
+		if json.Unmarshal(e.Outcome, reply) != nil || reply.Status < http.StatusOK || reply.Status > maxStatus {
 			reply = nil
 		}
-		w.Header().Set("Idempotent-Replayed", "true")
 	}
 	if reply == nil {
 		writeError(w, http.StatusConflict, apiError{
@@ -139,6 +126,9 @@
 	for name, values := range reply.Header {
 		w.Header()[name] = values
 	}
+	if e.Recorded {
+		w.Header().Set(headerReplayed, "true")
+	}
 	w.Header().Set(headerRequest, string(req))
 	w.WriteHeader(reply.Status)
 	_, _ = w.Write(reply.Body)
--- a/router/internal/endpoint/endpoint.go
+++ b/router/internal/endpoint/endpoint.go
@@ -45,8 +45,8 @@
 	cancelTries    = 5
 	cancelPause    = 200 * time.Millisecond
 	drainTimeout   = 100 * time.Millisecond // of a stream after its end marker
-	maxLine        = 1 << 20 // bytes in one line of a token stream
-	maxReply       = 8 << 20 // bytes in one reply
+	maxLine        = 1 << 20                // bytes in one line of a token stream
+	maxReply       = 8 << 20                // bytes in one reply
 )
 
 // Poster takes the events that the shell produces.
--- a/router/internal/endpoint/service_test.go
+++ b/router/internal/endpoint/service_test.go
@@ -99,7 +99,7 @@
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	t.Cleanup(func() { l.Close() })
+	t.Cleanup(func() { _ = l.Close() })
 	requests = new(atomic.Int64)
 	go func() {
 		for {
@@ -114,7 +114,7 @@
 }
 
 func serveRaw(conn net.Conn, requests *atomic.Int64, replies []string) {
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	br := bufio.NewReader(conn)
 	for i := 0; ; i++ {
 		req, err := http.ReadRequest(br)
