Log begin and end of platform outages; test the shells of platform and peers

An outage was not logged at all. Now one line appears when calls have failed for 5 s, and one when a call succeeds again. A connection to another router that was cut by a partition stayed in use until TCP gave up on it; it is now tested with pings and closed.

--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -83,8 +83,10 @@
 	return endpoint.New(life, clock, r, store)
 }
 
-func newPlatform(life Lifetime, s *settings.Settings, clock clockwork.Clock, r *reactor.Reactor) *platform.Client {
-	return platform.New(life, s.PlatformURL, "ragwortshunt/"+string(s.Host), s.PlatformTimeout, clock, r)
+func newPlatform(
+	life Lifetime, s *settings.Settings, clock clockwork.Clock, log *zap.Logger, r *reactor.Reactor,
+) *platform.Client {
+	return platform.New(life, s.PlatformURL, "ragwortshunt/"+string(s.Host), s.PlatformTimeout, clock, log, r)
 }
 
 func newSender(life Lifetime, s *settings.Settings, inc id.Incarnation, r *reactor.Reactor) *peer.Sender {
--- a/router/internal/app/wire_gen.go
+++ b/router/internal/app/wire_gen.go
@@ -23,7 +23,7 @@
 	store := inflight.New()
 	callerServer := newCaller(s, incarnation, reactor, store)
 	client := newEndpoint(life, clock, reactor, store)
-	platformClient := newPlatform(life, s, clock, reactor)
+	platformClient := newPlatform(life, s, clock, log, reactor)
 	sender := newSender(life, s, incarnation, reactor)
 	metrics := newMetrics(s)
 	dispatcher := NewDispatcher(log, callerServer, client, platformClient, sender, metrics)
--- a/router/internal/peer/client.go
+++ b/router/internal/peer/client.go
@@ -21,6 +21,12 @@
 	sendTimeout = 2 * time.Second        // of one batch
 	dialTimeout = 500 * time.Millisecond // of one connection
 	idleSender  = time.Minute            // a sender without messages ends
+
+	// A connection that is silent for pingAfter is tested with a ping. Without it, a
+	// connection that a partition has cut would be used until TCP gives up, which
+	// takes minutes after the partition has healed.
+	pingAfter   = 3 * time.Second
+	pingTimeout = 2 * time.Second
 )
 
 // Sender sends messages to other routers. All messages that wait for a peer go
@@ -52,6 +58,7 @@
 	protocols.SetUnencryptedHTTP2(true)
 	transport := &http.Transport{
 		Protocols:   protocols,
+		HTTP2:       &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
 	}
 	return &Sender{
--- /dev/null
+++ b/router/internal/peer/peer_test.go
@@ -0,0 +1,229 @@
+package peer_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+
+	"ragwortshunt.example/fleet/core"
+	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/message"
+	"ragwortshunt.example/router/internal/peer"
+)
+
+// eventTimeout bounds the wait for one event; it only ends a failing test.
+const eventTimeout = 10 * time.Second
+
+const deliverPath = "/ragwortshunt.peer/Deliver"
+
+type events chan core.Event
+
+func (e events) Post(ev core.Event) { e <- ev }
+
+func (e events) next(t *testing.T) core.Event {
+	t.Helper()
+	select {
+	case ev := <-e:
+		return ev
+	case <-time.After(eventTimeout):
+		t.Fatal("no event")
+		return nil
+	}
+}
+
+// serve returns the address of a peer and the events that it posts.
+func serve(t *testing.T) (string, events) {
+	t.Helper()
+	out := make(events, 4096)
+	srv := httptest.NewUnstartedServer(peer.NewHandler(out))
+	srv.Config.Protocols = new(http.Protocols)
+	srv.Config.Protocols.SetHTTP1(true)
+	srv.Config.Protocols.SetUnencryptedHTTP2(true)
+	srv.Start()
+	t.Cleanup(func() {
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	return srv.Listener.Addr().String(), out
+}
+
+func newSender(t *testing.T) (*peer.Sender, events) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	out := make(events, 64)
+	return peer.NewSender(ctx, "h-1", 9, out), out
+}
+
+// fill sets every field of a message to a value that differs from its zero
+// value.
+func fill(t *testing.T, v reflect.Value, n int) {
+	t.Helper()
+	switch v.Kind() {
+	case reflect.Struct:
+		for i := range v.NumField() {
+			fill(t, v.Field(i), n+i)
+		}
+	case reflect.Slice:
+		v.Set(reflect.MakeSlice(v.Type(), 2, 2))
+		fill(t, v.Index(0), n)
+		fill(t, v.Index(1), n+1)
+	case reflect.Map:
+		v.Set(reflect.MakeMap(v.Type()))
+		value := reflect.New(v.Type().Elem()).Elem()
+		fill(t, value, n)
+		v.SetMapIndex(reflect.ValueOf("k"), value)
+	case reflect.String:
+		v.SetString(fmt.Sprintf("text-%d", n))
+	case reflect.Bool:
+		v.SetBool(true)
+	case reflect.Uint8, reflect.Uint32, reflect.Uint64:
+		v.SetUint(uint64(n%100 + 1))
+	case reflect.Int, reflect.Int64:
+		v.SetInt(int64(n + 1))
+	default:
+		t.Fatalf("a message has a field of kind %s", v.Kind())
+	}
+}
+
+// TestAllKinds guards against a kind or a field of a message that is lost on its
+// way, for example because its CBOR key is used twice.
+func TestAllKinds(t *testing.T) {
+	var env message.Envelope
+	v := reflect.ValueOf(&env).Elem()
+	address, received := serve(t)
+	sender, _ := newSender(t)
+	sent := 0
+	for i := range v.NumField() {
+		if v.Field(i).Kind() != reflect.Slice {
+			continue
+		}
+		m := reflect.New(v.Field(i).Type().Elem()).Elem()
+		fill(t, m, i)
+		sender.Send(core.SendPeer{To: "h-2", Address: address, Message: m.Interface().(message.Message)})
+		want := core.PeerMessage{From: "h-1", Incarnation: 9, Message: m.Interface().(message.Message)}
+		assert.DeepEqual(t, received.next(t), core.Event(want))
+		sent++
+	}
+	assert.Equal(t, sent, v.NumField()-2) // all but the sender and its incarnation
+}
+
+// TestBatch sends messages that wait together, in one envelope and in order.
+func TestBatch(t *testing.T) {
+	const count = 500
+	address, received := serve(t)
+	sender, _ := newSender(t)
+	for i := range count {
+		sender.Send(core.SendPeer{To: "h-2", Address: address, Message: message.TokenAsk{Tokens: int64(i)}})
+	}
+	for i := range count {
+		ev := received.next(t).(core.PeerMessage)
+		assert.Equal(t, ev.Message.(message.TokenAsk).Tokens, int64(i))
+	}
+}
+
+// TestRefusedConnection tells the decision core of a host that is gone.
+func TestRefusedConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, l.Close())
+	sender, failures := newSender(t)
+	sender.Send(core.SendPeer{To: "h-3", Address: l.Addr().String(), Message: message.TokenAsk{}})
+	assert.DeepEqual(t, failures.next(t), core.Event(core.PeerFailed{Host: "h-3"}))
+}
+
+// TestFrozenPeer guards against one peer that does not answer and holds up the
+// messages to the others, or counts as gone.
+func TestFrozenPeer(t *testing.T) {
+	frozen, err := net.Listen("tcp", "127.0.0.1:0") // connections are made but never served
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = frozen.Close() })
+	address, received := serve(t)
+	sender, failures := newSender(t)
+	for i := range 20 {
+		sender.Send(core.SendPeer{To: "h-3", Address: frozen.Addr().String(), Message: message.TokenAsk{}})
+		sender.Send(core.SendPeer{To: "h-2", Address: address, Message: message.TokenAsk{Tokens: int64(i)}})
+		assert.Equal(t, received.next(t).(core.PeerMessage).Message.(message.TokenAsk).Tokens, int64(i))
+	}
+	assert.Equal(t, len(failures), 0)
+}
+
+// TestNewAddress guards against messages that go to the old address of a host
+// that was replaced.
+func TestNewAddress(t *testing.T) {
+	first, receivedFirst := serve(t)
+	second, receivedSecond := serve(t)
+	sender, _ := newSender(t)
+	sender.Send(core.SendPeer{To: "h-2", Address: first, Message: message.TokenAsk{Tokens: 1}})
+	receivedFirst.next(t)
+	sender.Send(core.SendPeer{To: "h-2", Address: second, Message: message.TokenAsk{Tokens: 2}})
+	receivedSecond.next(t)
+	assert.Equal(t, len(receivedFirst), 0)
+}
+
+// deliver posts raw bytes as an envelope and returns the HTTP status.
+func deliver(t *testing.T, address string, body []byte) int {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), eventTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+deliverPath, bytes.NewReader(body))
+	assert.NilError(t, err)
+	req.Header.Set("Content-Type", "application/cbor")
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+// newerEnvelope is an envelope of a later version, with fields that this version
+// does not know.
+type newerEnvelope struct {
+	From     id.Host          `cbor:"1,keyasint"`
+	TokenAsk []map[int]any    `cbor:"9,keyasint"`
+	Unknown  []map[int]string `cbor:"99,keyasint"`
+}
+
+// TestUnknownFields guards against hosts of neighbouring versions that cannot
+// talk to each other.
+func TestUnknownFields(t *testing.T) {
+	address, received := serve(t)
+	body, err := cbor.Marshal(newerEnvelope{
+		From: "h-1", TokenAsk: []map[int]any{{2: "a", 3: 7, 77: []string{"new"}}}, Unknown: []map[int]string{{1: "x"}},
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, deliver(t, address, body), http.StatusOK)
+	want := core.PeerMessage{From: "h-1", Message: message.TokenAsk{Account: "a", Tokens: 7}}
+	assert.DeepEqual(t, received.next(t), core.Event(want))
+}
+
+// TestBadEnvelopes guards against envelopes that are taken in part.
+func TestBadEnvelopes(t *testing.T) {
+	address, received := serve(t)
+	ask := []message.TokenAsk{{Tokens: 1}}
+	huge := message.Envelope{
+		From: "h-1", TokenAsks: ask,
+		TableGives: []message.TableGive{{Manifest: bytes.Repeat([]byte{1}, 16<<20)}},
+	}
+	cases := map[string]any{"oversized": huge, "no sender": message.Envelope{TokenAsks: ask}, "wrong type": []string{"x"}}
+	for name, v := range cases {
+		t.Run(name, func(t *testing.T) {
+			body, err := cbor.Marshal(v)
+			assert.NilError(t, err)
+			assert.Assert(t, deliver(t, address, body) >= 400)
+			assert.Equal(t, len(received), 0)
+		})
+	}
+	t.Run("nonsense", func(t *testing.T) {
+		assert.Assert(t, deliver(t, address, []byte{0xff, 0x00}) >= 400)
+		assert.Equal(t, len(received), 0)
+	})
+}
--- a/router/internal/platform/platform.go
+++ b/router/internal/platform/platform.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
 
 	"ragwortshunt.example/fleet/core"
 	"ragwortshunt.example/fleet/object"
@@ -42,15 +43,20 @@
 	timeout time.Duration
 	clock   clockwork.Clock
 	poster  Poster
+	health  *health
 	http    *http.Client
 	ctx     context.Context // ends the calls at shutdown
 }
 
 // New returns a client for the platform at base, for example
-// "http://10.0.0.1:8080". agent names this host to the platform.
-func New(ctx context.Context, base, agent string, timeout time.Duration, clock clockwork.Clock, p Poster) *Client {
+// "http://10.0.0.1:8080". agent names this host to the platform. The begin and
+// the end of an outage are logged.
+func New(
+	ctx context.Context, base, agent string, timeout time.Duration, clock clockwork.Clock, log *zap.Logger, p Poster,
+) *Client {
 	return &Client{
 		base: base, agent: agent, timeout: timeout, clock: clock, poster: p, ctx: ctx,
+		health: &health{log: log, clock: clock},
 		http: &http.Client{Transport: &http.Transport{
 			MaxIdleConnsPerHost: 32,
 			DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
@@ -137,11 +143,24 @@
 	req.Header.Set("User-Agent", c.agent)
 	resp, err := c.http.Do(req)
 	if err != nil {
+		c.noteFailure(err.Error())
 		return nil, fmt.Errorf("%w: %w", ErrPlatform, err)
 	}
+	if resp.StatusCode >= http.StatusInternalServerError {
+		c.noteFailure(resp.Status)
+	} else {
+		c.health.succeeded()
+	}
 	return resp, nil
 }
 
+// noteFailure passes a failure on, unless the shutdown has ended the call.
+func (c *Client) noteFailure(cause string) {
+	if c.ctx.Err() == nil {
+		c.health.failed(cause)
+	}
+}
+
 func (c *Client) write(e core.WriteObject) core.ObjectWritten {
 	ev := core.ObjectWritten{Kind: e.Kind, Name: e.Name}
 	u := fmt.Sprintf("%s/objects/%s/%s?if-version=%s",
--- /dev/null
+++ b/router/internal/platform/platform_test.go
@@ -0,0 +1,235 @@
+package platform_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+	"gotest.tools/v3/assert"
+
+	"ragwortshunt.example/fleet/core"
+	"ragwortshunt.example/fleet/object"
+	"ragwortshunt.example/router/internal/platform"
+)
+
+// eventTimeout bounds the wait for one event; it only ends a failing test.
+const eventTimeout = 10 * time.Second
+
+type events chan core.Event
+
+func (e events) Post(ev core.Event) { e <- ev }
+
+func (e events) next(t *testing.T) core.Event {
+	t.Helper()
+	select {
+	case ev := <-e:
+		return ev
+	case <-time.After(eventTimeout):
+		t.Fatal("no event")
+		return nil
+	}
+}
+
+// rig is a client of one platform.
+type rig struct {
+	*platform.Client
+	events events
+	clock  *clockwork.FakeClock
+	logs   *observer.ObservedLogs
+	cancel context.CancelFunc
+}
+
+func newRig(t *testing.T, base string, timeout time.Duration) *rig {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	zapCore, logs := observer.New(zap.DebugLevel)
+	r := &rig{events: make(events, 64), clock: clockwork.NewFakeClock(), logs: logs, cancel: cancel}
+	r.Client = platform.New(ctx, base, "ragwortshunt/h-1", timeout, r.clock, zap.New(zapCore), r.events)
+	return r
+}
+
+func serve(t *testing.T, h http.HandlerFunc) string {
+	t.Helper()
+	srv := httptest.NewServer(h)
+	t.Cleanup(func() {
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	return srv.URL
+}
+
+func closedPort(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, l.Close())
+	return "http://" + l.Addr().String()
+}
+
+func reply(status int, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+// silent reads the request and does not answer.
+func silent(_ http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+}
+
+func hangUp(_ http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	panic(http.ErrAbortHandler)
+}
+
+// TestWrite guards against a write that is reported as failed or as done without
+// proof. Only a conflict, a refusal by the rate limit and a connection that was
+// never made prove that nothing was written.
+func TestWrite(t *testing.T) {
+	done := `{"kind":"lease","name":"a b.1","version":5}`
+	cases := map[string]struct {
+		handler http.HandlerFunc
+		outcome core.WriteOutcome
+		version uint64
+	}{
+		"done":             {reply(200, done), core.WriteDone, 5},
+		"created":          {reply(201, done), core.WriteDone, 5},
+		"conflict":         {reply(409, done), core.WriteConflict, 0},
+		"rate limit":       {reply(429, ""), core.WriteFailed, 0},
+		"outage":           {reply(503, ""), core.WriteUnknown, 0},
+		"error":            {reply(500, ""), core.WriteUnknown, 0},
+		"lost reply":       {hangUp, core.WriteUnknown, 0},
+		"timeout":          {silent, core.WriteUnknown, 0},
+		"nonsense":         {reply(200, "{"), core.WriteUnknown, 0},
+		"without version":  {reply(200, "{}"), core.WriteUnknown, 0},
+		"negative version": {reply(200, `{"version":-1}`), core.WriteUnknown, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var path, body, agent string
+			timeout := time.Minute
+			if name == "timeout" {
+				timeout = 500 * time.Millisecond
+			}
+			r := newRig(t, serve(t, func(w http.ResponseWriter, req *http.Request) {
+				data, _ := io.ReadAll(req.Body)
+				path, body, agent = req.Method+" "+req.URL.String(), string(data), req.UserAgent()
+				c.handler(w, req)
+			}), timeout)
+			r.Write(core.WriteObject{Kind: object.KindLease, Name: "a b.1", IfVersion: 4, Value: []byte("v")})
+			assert.DeepEqual(t, r.events.next(t), core.Event(core.ObjectWritten{
+				Kind: object.KindLease, Name: "a b.1", Version: c.version, Outcome: c.outcome,
+			}))
+			assert.Equal(t, path, "PUT /objects/lease/a%20b.1?if-version=4")
+			assert.Equal(t, body+agent, "vragwortshunt/h-1")
+		})
+	}
+	t.Run("no connection", func(t *testing.T) {
+		r := newRig(t, closedPort(t), time.Minute)
+		r.Write(core.WriteObject{Kind: object.KindLease, Name: "n"})
+		assert.Equal(t, r.events.next(t).(core.ObjectWritten).Outcome, core.WriteFailed)
+	})
+}
+
+// TestRead guards against objects that seem not to exist because a read failed.
+func TestRead(t *testing.T) {
+	whole, err := json.Marshal(object.Object{Kind: object.KindClaim, Name: "n", Version: 3, Value: []byte("value")})
+	assert.NilError(t, err)
+	huge := fmt.Sprintf(`{"name":"n","version":3,"value":%q}`, strings.Repeat("A", 2*object.MaxValue))
+	cases := map[string]struct {
+		handler http.HandlerFunc
+		want    core.ObjectRead
+	}{
+		"found":       {reply(200, string(whole)), core.ObjectRead{Version: 3, Value: []byte("value")}},
+		"missing":     {reply(404, ""), core.ObjectRead{}},
+		"rate limit":  {reply(429, ""), core.ObjectRead{Failed: true}},
+		"outage":      {reply(503, ""), core.ObjectRead{Failed: true}},
+		"nonsense":    {reply(200, "[]"), core.ObjectRead{Failed: true}},
+		"empty":       {reply(200, ""), core.ObjectRead{Failed: true}},
+		"other name":  {reply(200, `{"name":"m","version":3}`), core.ObjectRead{Failed: true}},
+		"no version":  {reply(200, `{"name":"n"}`), core.ObjectRead{Failed: true}},
+		"huge reply":  {reply(200, huge), core.ObjectRead{Failed: true}},
+		"lost reply":  {hangUp, core.ObjectRead{Failed: true}},
+		"no redirect": {reply(302, ""), core.ObjectRead{Failed: true}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, serve(t, c.handler), time.Minute)
+			r.Read(core.ReadObject{Kind: object.KindClaim, Name: "n"})
+			c.want.Kind, c.want.Name, c.want.Sent = object.KindClaim, "n", r.clock.Now()
+			assert.DeepEqual(t, r.events.next(t), core.Event(c.want))
+		})
+	}
+}
+
+// TestWatch guards against a watch whose end without news looks like a deleted
+// object, and against one that is cut by the time-out of other calls.
+func TestWatch(t *testing.T) {
+	var url string
+	r := newRig(t, serve(t, func(w http.ResponseWriter, req *http.Request) {
+		url = req.URL.String()
+		time.Sleep(60 * time.Millisecond)
+		w.WriteHeader(http.StatusNotModified)
+	}), 40*time.Millisecond)
+	r.Read(core.ReadObject{Kind: object.KindManifest, Name: object.ManifestName, After: 6, Wait: eventTimeout})
+	ev := r.events.next(t).(core.ObjectRead)
+	assert.Assert(t, ev.Unchanged && !ev.Failed)
+	assert.Equal(t, ev.Version, uint64(6))
+	assert.Equal(t, url, "/watch/manifest/table?after=6&wait-ms=10000")
+}
+
+func TestHosts(t *testing.T) {
+	r := newRig(t, serve(t, reply(200, `{"hosts":[{"host":"h-2","zone":"z","address":"10.0.0.2:1","leaving":true}]}`)), time.Minute)
+	r.List()
+	assert.DeepEqual(t, r.events.next(t), core.Event(core.HostsListed{
+		Hosts: []object.Host{{Host: "h-2", Zone: "z", Address: "10.0.0.2:1", Leaving: true}},
+	}))
+}
+
+// TestOutageLog guards against one log line for each failed call.
+func TestOutageLog(t *testing.T) {
+	status := http.StatusServiceUnavailable
+	r := newRig(t, serve(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }), time.Minute)
+	read := func() {
+		t.Helper()
+		r.Read(core.ReadObject{Kind: object.KindClaim, Name: "n"})
+		r.events.next(t)
+		r.clock.Advance(time.Second)
+	}
+	for range 5 {
+		read()
+	}
+	assert.Equal(t, r.logs.Len(), 0)
+	for range 20 {
+		read()
+	}
+	assert.Equal(t, r.logs.Len(), 1)
+	assert.Equal(t, r.logs.All()[0].Message, "platform: Calls fail.")
+	status = http.StatusTooManyRequests
+	for range 3 {
+		read()
+	}
+	assert.Equal(t, r.logs.Len(), 2)
+	last := r.logs.All()[1]
+	assert.Equal(t, last.Message, "platform: Calls succeed again.")
+	assert.Equal(t, last.ContextMap()["outage"], 25*time.Second)
+	r.cancel()
+	read()
+	r.clock.Advance(time.Minute)
+	read()
+	assert.Equal(t, r.logs.Len(), 2) // a shutdown is no outage
+}
