Reject settings that were changed or dropped silently; test the settings

A repeated key took its last value, an unknown section without keys passed, a value ended at '#' or ';', a backslash joined lines and %(name)s was replaced. Names that cannot stand in a URL or an object name, two listeners on one address, a platform URL with a query and a reserve lease below the pooled lease were accepted. All are errors with a position now.

The default leases follow docs/decisions/0001-lease-split.md (20 s and 20 min); they had overridden it with 5 s and 10 min.

--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -146,6 +146,7 @@
 	for _, sp := range specs {
 		l, err := net.Listen("tcp", sp.address)
 		if err != nil {
+			closeListeners(out)
 			return nil, fmt.Errorf("%w: %w", ErrApp, err)
 		}
 		out = append(out, server{
@@ -159,6 +160,12 @@
 	return out, nil
 }
 
+func closeListeners(servers []server) {
+	for _, s := range servers {
+		_ = s.listener.Close()
+	}
+}
+
 func serve(servers []server) <-chan error {
 	failed := make(chan error, len(servers))
 	for _, s := range servers {
@@ -201,7 +208,7 @@
 	defer cancel()
 	for _, s := range servers {
 		if err := s.http.Shutdown(ctx); err != nil {
-			s.http.Close()
+			_ = s.http.Close()
 		}
 	}
 	if err := r.metrics.Close(); err != nil {
--- a/router/internal/peer/client.go
+++ b/router/internal/peer/client.go
@@ -40,7 +40,6 @@
 
 	mu    sync.Mutex
 	links map[id.Host]*link
-	bytes int64
 }
 
 // link is the queue towards one peer.
--- a/router/internal/platform/platform_test.go
+++ b/router/internal/platform/platform_test.go
@@ -120,22 +120,21 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			var path, body, agent string
+			calls := make(chan string, 1)
 			timeout := time.Minute
 			if name == "timeout" {
 				timeout = 500 * time.Millisecond
 			}
 			r := newRig(t, serve(t, func(w http.ResponseWriter, req *http.Request) {
 				data, _ := io.ReadAll(req.Body)
-				path, body, agent = req.Method+" "+req.URL.String(), string(data), req.UserAgent()
+				calls <- req.Method + " " + req.URL.String() + " " + string(data) + " " + req.UserAgent()
 				c.handler(w, req)
 			}), timeout)
 			r.Write(core.WriteObject{Kind: object.KindLease, Name: "a b.1", IfVersion: 4, Value: []byte("v")})
 			assert.DeepEqual(t, r.events.next(t), core.Event(core.ObjectWritten{
 				Kind: object.KindLease, Name: "a b.1", Version: c.version, Outcome: c.outcome,
 			}))
-			assert.Equal(t, path, "PUT /objects/lease/a%20b.1?if-version=4")
-			assert.Equal(t, body+agent, "vragwortshunt/h-1")
+			assert.Equal(t, <-calls, "PUT /objects/lease/a%20b.1?if-version=4 v ragwortshunt/h-1")
 		})
 	}
 	t.Run("no connection", func(t *testing.T) {
--- a/router/internal/settings/field.go
+++ b/router/internal/settings/field.go
@@ -59,9 +59,9 @@
 	{"limit", "slot-rate", "2000", "Rate in tokens per second that one share slot of an account carries; the same on every host.", integer(
 		func(s *Settings) *int64 { return &s.SlotRate }, 1, maxRate)},
 	{"limit", "reserve-share", "0.5", "Part of each share under the long lease, 0 to 1; the same on every host.", setReserveShare},
-	{"limit", "pooled-lease", "5s", "Short lease, 1s to 10m; the same on every host.", duration(
+	{"limit", "pooled-lease", "20s", "Short lease, 1s to 10m; the same on every host.", duration(
 		func(s *Settings) *time.Duration { return &s.PooledLease }, time.Second, 10*time.Minute)},
-	{"limit", "reserve-lease", "10m", "Long lease, 1s to 24h; the same on every host.", duration(
+	{"limit", "reserve-lease", "20m", "Long lease, 1s to 24h; the same on every host.", duration(
 		func(s *Settings) *time.Duration { return &s.ReserveLease }, time.Second, 24*time.Hour)},
 	{"schedule", "cell-endpoints", "16", "Most endpoints in one cell, 2 to 64; the same on every host.", setCellEndpoints},
 	{"claim", "shards", "64", "Claim objects in the platform, 1 to 4096; the same on every host and never changed while claims are kept.", setClaimShards},
@@ -70,13 +70,15 @@
 }
 
 func setHost(s *Settings, text string) error {
-	s.Host = id.Host(text)
-	return nil
+	name, err := parseName(text)
+	s.Host = id.Host(name)
+	return err
 }
 
 func setZone(s *Settings, text string) error {
-	s.Zone = id.Zone(text)
-	return nil
+	name, err := parseName(text)
+	s.Zone = id.Zone(name)
+	return err
 }
 
 func setZones(s *Settings, text string) (err error) {
--- a/router/internal/settings/settings.go
+++ b/router/internal/settings/settings.go
@@ -1,7 +1,7 @@
 // Package settings reads and checks the INI settings of a router.
 //
-// An unknown section or key, a value out of range or a missing value is an
-// error that names file and line. Nothing is changed silently.
+// An unknown section or key, a repeated key, a value out of range or a missing
+// value is an error that names file and line. Nothing is changed silently.
 package settings
 
 import (
@@ -10,6 +10,7 @@
 	"net/netip"
 	"net/url"
 	"os"
+	"regexp"
 	"sort"
 	"strconv"
 	"strings"
@@ -78,23 +79,34 @@
 
 // Parse checks the content of a settings file.
 func Parse(name string, data []byte) (*Settings, error) {
-	file, err := ini.LoadSources(ini.LoadOptions{SkipUnrecognizableLines: false}, data)
+	file, err := ini.LoadSources(loadOptions, data)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %s: %w", ErrSettings, name, err)
 	}
-	p := &parser{name: name, lines: lineNumbers(data), file: file}
+	p := &parser{name: name, lines: make(map[string]int), file: file}
+	p.readLines(data)
 	p.rejectUnknown()
 	s := new(Settings)
 	for _, f := range fields {
 		p.apply(s, f)
 	}
 	p.checkZones(s)
+	p.checkAddresses(s)
+	p.checkLeases(s)
 	if len(p.problems) > 0 {
 		return nil, fmt.Errorf("%w:\n%w", ErrSettings, errors.Join(p.problems...))
 	}
 	return s, nil
 }
 
+// loadOptions turn off what the INI library would change in a value: a "#" or
+// ";" within it, a backslash at its end, a colon in place of "=".
+var loadOptions = ini.LoadOptions{
+	SpaceBeforeInlineComment: true,
+	IgnoreContinuation:       true,
+	KeyValueDelimiters:       "=",
+}
+
 type parser struct {
 	name     string
 	lines    map[string]int
@@ -108,30 +120,40 @@
 	})
 }
 
-// lineNumbers maps "section.key" to the line on which the key stands.
-func lineNumbers(data []byte) map[string]int {
-	out := make(map[string]int)
+// readLines notes the line of each key. A key that stands twice is a problem,
+// because the library takes the last one.
+func (p *parser) readLines(data []byte) {
 	section := ""
 	for i, line := range strings.Split(string(data), "\n") {
 		line = strings.TrimSpace(line)
 		if strings.HasPrefix(line, "[") && strings.Contains(line, "]") {
 			section = strings.TrimSpace(line[1:strings.Index(line, "]")])
+			p.lines[section+"."] = i + 1
 			continue
 		}
-		key, _, ok := strings.Cut(line, "=")
-		if ok && !strings.HasPrefix(line, "#") && !strings.HasPrefix(line, ";") {
-			out[section+"."+strings.TrimSpace(key)] = i + 1
+		name, _, ok := strings.Cut(line, "=")
+		if !ok || strings.HasPrefix(line, "#") || strings.HasPrefix(line, ";") {
+			continue
+		}
+		key := section + "." + strings.Trim(strings.TrimSpace(name), "\"`")
+		first, repeated := p.lines[key]
+		p.lines[key] = i + 1
+		if repeated {
+			p.problem(key, "the key stands on line %d already", first)
 		}
 	}
-	return out
 }
 
 func (p *parser) rejectUnknown() {
-	known := make(map[string]bool, len(fields))
+	known := make(map[string]bool, 2*len(fields))
 	for _, f := range fields {
 		known[f.Key()] = true
+		known[f.Section+"."] = true
 	}
 	for _, sec := range p.file.Sections() {
+		if sec.Name() != ini.DefaultSection && !known[sec.Name()+"."] {
+			p.problem(sec.Name()+".", "unknown section")
+		}
 		for _, k := range sec.Keys() {
 			key := sec.Name() + "." + k.Name()
 			if sec.Name() == ini.DefaultSection {
@@ -148,7 +170,7 @@
 func (p *parser) apply(s *Settings, f Field) {
 	text := f.Default
 	if sec, err := p.file.GetSection(f.Section); err == nil && sec.HasKey(f.Name) {
-		text = sec.Key(f.Name).String()
+		text = sec.Key(f.Name).Value()
 	}
 	if text == "" {
 		p.problem(f.Key(), "a value is required")
@@ -171,6 +193,37 @@
 	p.problem("host.zone", "zone %q is not in host.zones", s.Zone)
 }
 
+// checkAddresses rejects an address that two listeners would share.
+func (p *parser) checkAddresses(s *Settings) {
+	seen := make(map[string]string)
+	for _, a := range []struct{ key, address string }{
+		{"caller.address", s.CallerAddress}, {"peer.address", s.PeerAddress}, {"operator.address", s.OperatorAddress},
+	} {
+		if other, ok := seen[a.address]; ok && a.address != "" {
+			p.problem(a.key, "%s is also %s", a.address, other)
+		}
+		seen[a.address] = a.key
+	}
+}
+
+// checkLeases rejects a reserve that lapses before the pooled part, so that it
+// would not serve as one.
+func (p *parser) checkLeases(s *Settings) {
+	if s.PooledLease > 0 && s.ReserveLease > 0 && s.ReserveLease < s.PooledLease {
+		p.problem("limit.reserve-lease", "%s is shorter than limit.pooled-lease, which is %s", s.ReserveLease, s.PooledLease)
+	}
+}
+
+func parseName(text string) (string, error) {
+	if !namePattern.MatchString(text) {
+		return "", fmt.Errorf("%q is not a name of 1 to 63 letters, digits, '.', '_' and '-'", text)
+	}
+	return text, nil
+}
+
+// namePattern is the form of names in the operators' table.
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+
 func parseAddress(text string) (string, error) {
 	a, err := netip.ParseAddrPort(text)
 	if err != nil || a.Port() == 0 {
@@ -184,6 +237,9 @@
 	if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
 		return "", fmt.Errorf("%q is not an http or https URL", text)
 	}
+	if u.RawQuery != "" || u.Fragment != "" || u.User != nil {
+		return "", fmt.Errorf("%q has more than scheme, host and path", u.Redacted())
+	}
 	return strings.TrimRight(text, "/"), nil
 }
 
@@ -207,9 +263,13 @@
 	seen := make(map[id.Zone]bool)
 	var out []id.Zone
 	for _, part := range strings.Split(text, ",") {
-		z := id.Zone(strings.TrimSpace(part))
-		if z == "" || seen[z] {
-			return nil, fmt.Errorf("%q has an empty or repeated zone", text)
+		name, err := parseName(strings.TrimSpace(part))
+		if err != nil {
+			return nil, err
+		}
+		z := id.Zone(name)
+		if seen[z] {
+			return nil, fmt.Errorf("zone %q stands twice", z)
 		}
 		seen[z] = true
 		out = append(out, z)
--- /dev/null
+++ b/router/internal/settings/settings_test.go
@@ -0,0 +1,132 @@
+package settings_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ragwortshunt.example/fleet/core"
+	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/router/internal/settings"
+)
+
+const complete = `[host]
+name = h-1
+zone = a
+zones = a, b
+
+[caller]
+address = 127.0.0.1:9001 ; behind the balancer
+
+[peer]
+address = 127.0.0.1:9002
+
+[operator]
+address = 127.0.0.1:9003
+
+# The platform of this region.
+[platform]
+url = http://127.0.0.1:8080/
+`
+
+func TestDefaults(t *testing.T) {
+	s, err := settings.Parse("s.ini", []byte(complete))
+	assert.NilError(t, err)
+	assert.Equal(t, s.CallerAddress, "127.0.0.1:9001")
+	assert.Equal(t, s.PlatformURL, "http://127.0.0.1:8080")
+	assert.DeepEqual(t, s.Zones, []id.Zone{"a", "b"})
+	assert.Equal(t, s.DrainTimeout, 10*time.Minute)
+	for _, f := range settings.Fields() {
+		if f.Default == "" {
+			continue
+		}
+		_, err := settings.Parse("s.ini", []byte(complete+"\n["+f.Section+"]\n"+f.Name+" = "+f.Default+"\n"))
+		assert.NilError(t, err, f.Key())
+	}
+}
+
+// TestMeasuredDefaults guards against defaults that differ from the recorded
+// decisions, which the decision core follows.
+func TestMeasuredDefaults(t *testing.T) {
+	s, err := settings.Parse("s.ini", []byte(complete))
+	assert.NilError(t, err)
+	want := core.DefaultConfig(s.Host, 1, s.Zone, s.Zones)
+	assert.Equal(t, s.ReserveShare, want.Limit.ReserveShare)
+	assert.Equal(t, s.PooledLease, want.Limit.PooledLease)
+	assert.Equal(t, s.ReserveLease, want.Limit.ReserveLease)
+	assert.Equal(t, s.CellEndpoints, want.CellEndpoints)
+	assert.Equal(t, s.Retention, want.Claim.Retention)
+}
+
+// edited applies the edits of a case to the complete file.
+func edited(t *testing.T, edits string) string {
+	t.Helper()
+	out := complete
+	for _, line := range strings.Split(strings.TrimSpace(edits), "\n") {
+		switch line[0] {
+		case '-':
+			assert.Assert(t, strings.Contains(out, "\n"+line[1:]), line)
+			at := strings.Index(out, "\n"+line[1:])
+			end := at + 1 + strings.Index(out[at+1:], "\n")
+			out = out[:at] + out[end:]
+		case '+':
+			out += line[1:] + "\n"
+		case '^':
+			out = line[1:] + "\n" + out
+		}
+	}
+	return out
+}
+
+// TestErrors guards against values that are taken in part or silently, and
+// against errors without a position.
+func TestErrors(t *testing.T) {
+	data, err := os.ReadFile(filepath.Join("testdata", "errors.txt"))
+	assert.NilError(t, err)
+	for _, c := range strings.Split(string(data), "\n== ")[1:] {
+		name, rest, _ := strings.Cut(c, "\n")
+		edits, want, ok := strings.Cut(rest, "--\n")
+		assert.Assert(t, ok, name)
+		t.Run(name, func(t *testing.T) {
+			_, err := settings.Parse("s.ini", []byte(edited(t, edits)))
+			assert.ErrorIs(t, err, settings.ErrSettings)
+			got := strings.TrimPrefix(err.Error(), "settings:\n")
+			assert.Equal(t, got, strings.TrimSpace(want))
+		})
+	}
+}
+
+func TestUnreadableFiles(t *testing.T) {
+	_, err := settings.Load(filepath.Join(t.TempDir(), "none.ini"))
+	assert.ErrorIs(t, err, settings.ErrSettings)
+	assert.ErrorIs(t, err, os.ErrNotExist)
+	for _, text := range []string{complete + "no value\n", complete + "[host\n", complete + "= 5\n"} {
+		_, err := settings.Parse("s.ini", []byte(text))
+		assert.ErrorIs(t, err, settings.ErrSettings)
+	}
+}
+
+// FuzzParse guards against files that make the parser panic, and against
+// settings that are accepted without their required values.
+func FuzzParse(f *testing.F) {
+	for _, seed := range []string{
+		"", complete, "[host]\nname = \"\"\"a\nb\"\"\"\n", "[a.b]\nc=d", "=\n", "[]\n=", "\xef\xbb\xbf[host]\n",
+		"[limit]\nreserve-share = 0x1p-2\n", "`a` = b\\\n",
+	} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		s, err := settings.Parse("f.ini", []byte(text))
+		if err != nil {
+			assert.ErrorIs(t, err, settings.ErrSettings)
+			return
+		}
+		assert.Assert(t, s.Host != "" && s.Zone != "" && len(s.Zones) > 0 && s.PlatformURL != "")
+		assert.Assert(t, s.CallerAddress != "" && s.PeerAddress != "" && s.OperatorAddress != "")
+		assert.Assert(t, s.ReserveLease >= s.PooledLease)
+	})
+}
