--- a/router/cmd/ragwortshunt/main.go
+++ b/router/cmd/ragwortshunt/main.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -13,9 +12,7 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	if err := command.New().Run(ctx, os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(command.ExitCode(err))
-	}
+	code := command.Main(ctx, os.Args, os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
 }
--- a/router/internal/command/command.go
+++ b/router/internal/command/command.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"runtime/debug"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/urfave/cli/v3"
@@ -15,39 +16,120 @@
 	"ragwortshunt.example/router/internal/settings"
 )
 
-// The exit codes of the program.
+// The exit codes of the program. They agree with those of ragwortctl.
 const (
+	ExitOK       = 0
 	ExitError    = 1
+	ExitUsage    = 2
 	ExitSettings = 5 // invalid settings, as ragwortctl uses for invalid tables
 )
 
-// ExitCode returns the exit code for an error.
-func ExitCode(err error) int {
-	if errors.Is(err, settings.ErrSettings) {
+// errUsage is the base of errors in the arguments.
+var errUsage = errors.New("usage")
+
+// Main runs the program with its arguments, the program's name first, until ctx
+// ends. It returns the exit code.
+func Main(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	err := newRoot(stdout, stderr).Run(ctx, args)
+	if err == nil {
+		return ExitOK
+	}
+	fmt.Fprintln(stderr, err)
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	switch {
+	case errors.Is(err, settings.ErrSettings):
 		return ExitSettings
+	case errors.Is(err, errUsage):
+		return ExitUsage
+	default:
+		return ExitError
 	}
-	return ExitError
 }
 
-var settingsFlag = &cli.StringFlag{
-	Name: "settings", Aliases: []string{"s"}, Required: true,
-	Usage: "INI `FILE` with the settings of this host", Sources: cli.EnvVars("RAGWORTSHUNT_SETTINGS"),
+// settingsFlag returns a new flag, because a flag keeps its value.
+func settingsFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name: "settings", Aliases: []string{"s"}, Required: true,
+		Usage: "INI `FILE` with the settings of this host", Sources: cli.EnvVars("RAGWORTSHUNT_SETTINGS"),
+	}
 }
 
-// New returns the command line.
-func New() *cli.Command {
-	return &cli.Command{
+func newRoot(stdout, stderr io.Writer) *cli.Command {
+	root := &cli.Command{
 		Name:                  "ragwortshunt",
 		Usage:                 "route language-model requests to prefill and decode pools and to plain services",
+		Version:               buildVersion(),
+		Writer:                stdout,
+		ErrWriter:             stderr,
 		EnableShellCompletion: true,
+		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
+		ConfigureShellCompletionCommand: func(c *cli.Command) {
+			c.Hidden = false
+			setUp(c)
+		},
 		Commands: []*cli.Command{
-			{Name: "run", Usage: "serve until SIGTERM or SIGINT, then shut down gracefully", Flags: []cli.Flag{settingsFlag}, Action: run},
+			{Name: "run", Usage: "serve until SIGTERM or SIGINT, then shut down gracefully", Flags: []cli.Flag{settingsFlag()}, Action: run},
 			{Name: "settings", Usage: "check and describe settings", Commands: []*cli.Command{
-				{Name: "check", Usage: "check a settings file", Flags: []cli.Flag{settingsFlag}, Action: check},
+				{Name: "check", Usage: "check a settings file", Flags: []cli.Flag{settingsFlag()}, Action: check},
 				{Name: "describe", Usage: "print every key with its default, unit and range", Action: describe},
 			}},
 		},
 	}
+	setUp(root)
+	return root
+}
+
+// setUp makes every command report wrong arguments as usage errors.
+func setUp(c *cli.Command) {
+	c.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	if c.Action == nil {
+		c.Action = noCommand
+	} else if c.Arguments == nil {
+		c.Before = noArguments
+	}
+	for _, sub := range c.Commands {
+		setUp(sub)
+	}
+}
+
+// noCommand runs when the arguments name no command.
+func noCommand(_ context.Context, c *cli.Command) error {
+	if c.Args().Present() {
+		return fmt.Errorf("%w: unknown command %q; see %s --help", errUsage, c.Args().First(), c.FullName())
+	}
+	return fmt.Errorf("%w: a command is missing; see %s --help", errUsage, c.FullName())
+}
+
+// noArguments rejects arguments that a command does not use.
+func noArguments(ctx context.Context, c *cli.Command) (context.Context, error) {
+	if c.Args().Present() {
+		return ctx, fmt.Errorf("%w: %s takes no argument %q", errUsage, c.FullName(), c.Args().First())
+	}
+	return ctx, nil
+}
+
+// buildVersion returns the version from the build information, with the revision
+// if the build has recorded it.
+func buildVersion() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	version := info.Main.Version
+	if version == "" {
+		version = "(devel)"
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			version += " " + s.Value
+		}
+	}
+	return version + " " + info.GoVersion
 }
 
 func run(ctx context.Context, cmd *cli.Command) error {
--- a/router/internal/operator/metrics.go
+++ b/router/internal/operator/metrics.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	prom "github.com/prometheus/client_golang/prometheus"
 	tally "github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
@@ -54,13 +55,15 @@
 
 // NewMetrics returns metrics with the labels host and zone.
 func NewMetrics(host id.Host, zone id.Zone) *Metrics {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	registry := prom.NewRegistry()
+	registry.MustRegister(prom.NewGoCollector(), prom.NewProcessCollector(prom.ProcessCollectorOpts{}))
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:          "ragwortshunt",
 		Tags:            map[string]string{"host": string(host), "zone": string(zone)},
 		CachedReporter:  reporter,
 		Separator:       prometheus.DefaultSeparator,
-		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
+		SanitizeOptions: sanitizer(),
 	}, reportInterval)
 	return &Metrics{
 		scope: scope, closer: closer, reporter: reporter,
@@ -70,6 +73,17 @@
 	}
 }
 
+// sanitizer keeps the values of labels as they are. The default would turn "-"
+// into "_", so that the accounts a-b and a_b shared a label.
+func sanitizer() *tally.SanitizeOptions {
+	opts := prometheus.DefaultSanitizerOpts
+	opts.ValueCharacters = tally.ValidCharacters{
+		Ranges:     []tally.SanitizeRange{{'a', 'z'}, {'A', 'Z'}, {'0', '9'}},
+		Characters: []rune("._-"),
+	}
+	return &opts
+}
+
 // Handler serves the metrics page.
 func (m *Metrics) Handler() http.Handler {
 	return m.reporter.HTTPHandler()
--- a/router/internal/operator/operator.go
+++ b/router/internal/operator/operator.go
@@ -3,6 +3,7 @@
 package operator
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"time"
@@ -13,9 +14,14 @@
 	"ragwortshunt.example/fleet/id"
 )
 
-// Querier reads the state of the decision core between two reductions.
+// queryTimeout bounds the wait for the decision core. A host whose decision core
+// takes longer is not healthy.
+const queryTimeout = time.Second
+
+// Querier reads the state of the decision core between two reductions. Query
+// returns false if it could not run fn before ctx has ended.
 type Querier interface {
-	Query(fn func(st *core.State, now time.Time)) bool
+	Query(ctx context.Context, fn func(st *core.State, now time.Time)) bool
 	Load() (steps int64, busy time.Duration)
 }
 
@@ -32,13 +38,15 @@
 
 // Handler returns the HTTP handler for operators.
 func (s *Server) Handler() http.Handler {
-	c := restful.NewContainer()
-	c.DoNotRecover(false)
+	c := restful.NewContainer() // net/http recovers from panics and logs them
 	ws := new(restful.WebService).Path("/").Produces("*/*")
 	ws.Route(ws.GET("/healthz").To(s.health))
 	ws.Route(ws.GET("/readyz").To(s.ready))
 	ws.Route(ws.GET("/status").To(s.status))
 	ws.Route(ws.GET("/explain/{request}").To(s.explain))
+	c.ServiceErrorHandler(func(err restful.ServiceError, _ *restful.Request, w *restful.Response) {
+		writeJSON(w.ResponseWriter, err.Code, message{"no such path or method"})
+	})
 	c.Add(ws)
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", s.metrics.Handler())
@@ -46,19 +54,31 @@
 	return mux
 }
 
+// query runs fn. If the decision core does not run it in time, query answers the
+// request and returns false.
+func (s *Server) query(r *restful.Request, w *restful.Response, fn func(st *core.State, now time.Time)) bool {
+	ctx, cancel := context.WithTimeout(r.Request.Context(), queryTimeout)
+	defer cancel()
+	if s.core.Query(ctx, fn) {
+		return true
+	}
+	writeJSON(w.ResponseWriter, http.StatusServiceUnavailable, message{"the decision core does not answer"})
+	return false
+}
+
 // health answers as long as the decision core makes progress.
-func (s *Server) health(_ *restful.Request, w *restful.Response) {
-	if !s.core.Query(func(*core.State, time.Time) {}) {
-		writeJSON(w.ResponseWriter, http.StatusServiceUnavailable, message{"stopped"})
-		return
+func (s *Server) health(r *restful.Request, w *restful.Response) {
+	if s.query(r, w, func(*core.State, time.Time) {}) {
+		writeJSON(w.ResponseWriter, http.StatusOK, message{"ok"})
 	}
-	writeJSON(w.ResponseWriter, http.StatusOK, message{"ok"})
 }
 
 // ready tells a balancer whether the host may take requests.
-func (s *Server) ready(_ *restful.Request, w *restful.Response) {
+func (s *Server) ready(r *restful.Request, w *restful.Response) {
 	ready := false
-	s.core.Query(func(st *core.State, now time.Time) { ready = core.IsReady(st, now) })
+	if !s.query(r, w, func(st *core.State, now time.Time) { ready = core.IsReady(st, now) }) {
+		return
+	}
 	if !ready {
 		writeJSON(w.ResponseWriter, http.StatusServiceUnavailable, message{"not ready"})
 		return
@@ -66,11 +86,9 @@
 	writeJSON(w.ResponseWriter, http.StatusOK, message{"ready"})
 }
 
-func (s *Server) status(_ *restful.Request, w *restful.Response) {
+func (s *Server) status(r *restful.Request, w *restful.Response) {
 	var st core.Status
-	ok := s.core.Query(func(state *core.State, now time.Time) { st = core.StatusOf(state, now) })
-	if !ok {
-		writeJSON(w.ResponseWriter, http.StatusServiceUnavailable, message{"stopped"})
+	if !s.query(r, w, func(state *core.State, now time.Time) { st = core.StatusOf(state, now) }) {
 		return
 	}
 	steps, busy := s.core.Load()
@@ -85,7 +103,9 @@
 	var rec core.Record
 	found := false
 	req := id.Request(r.PathParameter("request"))
-	s.core.Query(func(st *core.State, _ time.Time) { rec, found = core.Explain(st, req) })
+	if !s.query(r, w, func(st *core.State, _ time.Time) { rec, found = core.Explain(st, req) }) {
+		return
+	}
 	if !found {
 		writeJSON(w.ResponseWriter, http.StatusNotFound, message{"this host does not know the request"})
 		return
--- a/router/internal/reactor/reactor.go
+++ b/router/internal/reactor/reactor.go
@@ -78,8 +78,9 @@
 }
 
 // Query runs fn with the state between two reductions and waits for it. fn must
-// not keep the state. It returns false after Run has returned.
-func (r *Reactor) Query(fn func(st *core.State, now time.Time)) bool {
+// not keep the state. It returns false, without having run fn, after Run has
+// returned and when ctx ends before fn has started.
+func (r *Reactor) Query(ctx context.Context, fn func(st *core.State, now time.Time)) bool {
 	finished := make(chan struct{})
 	wrapped := func(st *core.State, now time.Time) {
 		fn(st, now)
@@ -91,6 +92,8 @@
 		return true
 	case <-r.done:
 		return false
+	case <-ctx.Done():
+		return false
 	}
 }
 
--- /dev/null
+++ b/router/internal/reactor/reactor_test.go
@@ -0,0 +1,66 @@
+package reactor_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"ragwortshunt.example/fleet/core"
+	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/router/internal/reactor"
+)
+
+type effects chan core.Effect
+
+func (e effects) Handle(ef core.Effect) { e <- ef }
+
+func newReactor() (*reactor.Reactor, effects, *clockwork.FakeClock) {
+	clock := clockwork.NewFakeClock()
+	out := make(effects, 4096)
+	r := reactor.New(core.DefaultConfig("h-1", 1, "a", []id.Zone{"a"}), clock, reactor.WithSeed(1))
+	r.SetHandler(out)
+	return r, out, clock
+}
+
+// TestRun handles events in order, ticks, and stops.
+func TestRun(t *testing.T) {
+	r, out, clock := newReactor()
+	ctx, cancel := context.WithCancel(t.Context())
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		r.Run(ctx)
+	}()
+	r.Post(core.RequestArrived{Request: "r-1", Route: "x"})
+	refuse, ok := (<-out).(core.Refuse)
+	assert.Assert(t, ok)
+	assert.Equal(t, refuse.Code, core.CodeNoTable)
+	assert.NilError(t, clock.BlockUntilContext(t.Context(), 1))
+	clock.Advance(core.TickInterval)
+	for {
+		if _, ok := (<-out).(core.ListHosts); ok {
+			break
+		}
+	}
+	var now time.Time
+	assert.Assert(t, r.Query(t.Context(), func(_ *core.State, at time.Time) { now = at }))
+	assert.Equal(t, now, clock.Now())
+	steps, _ := r.Load()
+	assert.Equal(t, steps, int64(2))
+	cancel()
+	<-stopped
+	r.Post(core.Tick{}) // must not block
+	assert.Assert(t, !r.Query(t.Context(), func(*core.State, time.Time) { t.Error("query ran after the end") }))
+}
+
+// TestQueryGivesUp guards against health checks that hang together with the
+// decision core.
+func TestQueryGivesUp(t *testing.T) {
+	r, _, _ := newReactor() // does not run
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.Assert(t, !r.Query(ctx, func(*core.State, time.Time) { t.Error("query ran") }))
+}
