--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -142,6 +142,10 @@
 		{r.settings.OperatorAddress, r.operator.Handler()},
 		{r.settings.CallerAddress, r.caller.Handler()},
 	}
+	errorLog, err := zap.NewStdLogAt(r.log, zap.WarnLevel)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrApp, err)
+	}
 	var out []server
 	for _, sp := range specs {
 		l, err := net.Listen("tcp", sp.address)
@@ -152,7 +156,7 @@
 		out = append(out, server{
 			http: &http.Server{
 				Handler: sp.handler, Protocols: h2c, ReadHeaderTimeout: readHeaderTimeout,
-				ErrorLog: zap.NewStdLog(r.log),
+				ErrorLog: errorLog,
 			},
 			listener: l,
 		})
--- a/router/internal/operator/metrics.go
+++ b/router/internal/operator/metrics.go
@@ -8,6 +8,7 @@
 	"time"
 
 	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	tally "github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
@@ -56,7 +57,7 @@
 // NewMetrics returns metrics with the labels host and zone.
 func NewMetrics(host id.Host, zone id.Zone) *Metrics {
 	registry := prom.NewRegistry()
-	registry.MustRegister(prom.NewGoCollector(), prom.NewProcessCollector(prom.ProcessCollectorOpts{}))
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:          "ragwortshunt",
--- /dev/null
+++ b/router/internal/operator/page_test.go
@@ -0,0 +1,100 @@
+package operator_test
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const pages = "../../../docs/operators/"
+
+// sources returns the text of the files that match a pattern, without tests.
+func sources(t *testing.T, pattern string) string {
+	t.Helper()
+	paths, err := filepath.Glob(pattern)
+	assert.NilError(t, err)
+	var out strings.Builder
+	for _, path := range paths {
+		if strings.HasSuffix(path, "_test.go") {
+			continue
+		}
+		data, err := os.ReadFile(path)
+		assert.NilError(t, err)
+		out.Write(data)
+	}
+	assert.Assert(t, out.Len() > 0, pattern)
+	return out.String()
+}
+
+func page(t *testing.T, name string) string {
+	t.Helper()
+	data, err := os.ReadFile(pages + name)
+	assert.NilError(t, err)
+	return string(data)
+}
+
+// groups returns the first group of each match, without repetitions.
+func groups(pattern, text string) map[string]bool {
+	out := map[string]bool{}
+	for _, m := range regexp.MustCompile(pattern).FindAllStringSubmatch(text, -1) {
+		out[m[1]] = true
+	}
+	return out
+}
+
+// TestMetricsPage guards against metrics that the operators' page lacks, and
+// against rows of metrics that no longer exist.
+func TestMetricsPage(t *testing.T) {
+	want := groups(`Metric\w+ += "([a-z-]+)"`, sources(t, "../../../fleet/core/explain.go"))
+	for name := range groups(`\.Gauge\("([a-z-]+)"`, sources(t, "../app/*.go")) {
+		want[name] = true
+	}
+	assert.Assert(t, len(want) > 10)
+	got := map[string]bool{}
+	for name := range groups("(?m)^\\| `ragwortshunt_([a-z_]+)` \\|", page(t, "metrics.md")) {
+		got[strings.ReplaceAll(name, "_", "-")] = true
+	}
+	assert.DeepEqual(t, got, want)
+}
+
+// TestFailureCodesPage guards against codes of failed attempts that the
+// operators' page lacks.
+func TestFailureCodesPage(t *testing.T) {
+	text := page(t, "metrics.md")
+	for _, code := range []map[string]bool{
+		groups(`\bcode[A-Z]\w+ += "([a-z-]+)"`, sources(t, "../endpoint/*.go")),
+		groups(`\bCode[A-Z]\w+ += "([a-z-]+)"`, sources(t, "../../../fleet/engine/*.go")),
+		groups(`\bcode[A-Z]\w+ += "([a-z-]+)"`, sources(t, "../../../fleet/core/*.go")),
+	} {
+		assert.Assert(t, len(code) > 0)
+		for name := range code {
+			assert.Assert(t, strings.Contains(text, "| `"+name+"` |"), name)
+		}
+	}
+}
+
+// TestLogsPage guards against log messages and prefixes that the operators' page
+// lacks. Messages are sentences with a capital letter and a final stop.
+func TestLogsPage(t *testing.T) {
+	text := page(t, "logs.md")
+	router := groups(`\.(?:Info|Warn|Error)\("([a-z]+: [A-Z][^"]*\.)"`, sources(t, "../*/*.go"))
+	assert.Assert(t, len(router) >= 7)
+	for message := range router {
+		assert.Assert(t, strings.Contains(text, "| `"+message+"` |"), message)
+	}
+	core := sources(t, "../../../fleet/core/*.go")
+	lines := groups(`(?:s\.log\(Log\w+, part\w+, |Text: |return )"([A-Z][^"]*(?:\.|: ))"`, core)
+	assert.Assert(t, len(lines) >= 11)
+	for message := range lines {
+		assert.Assert(t, strings.Contains(text, ": "+message), message)
+	}
+	for _, part := range []string{"partTable", "partPeer", "partRequest"} {
+		for prefix := range groups(part+` = "([a-z]+)"`, core) {
+			assert.Assert(t, strings.Contains(text, "## `"+prefix+"`"), prefix)
+		}
+	}
+}
