Stop the decision core before the peer address at a shutdown

A host that had drained still sent heartbeats for up to 2 s while its peer address refused connections, so that each heartbeat made the others log the refusal again. The line about the drain timeout now tells how many requests were cut.

--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -120,7 +120,7 @@
 	case <-ctx.Done():
 		r.drain()
 	}
-	r.close(servers)
+	r.close(servers, stopLoop)
 	return err
 }
 
@@ -130,6 +130,7 @@
 	listener net.Listener
 }
 
+// listen opens the addresses, that of the callers first.
 func (r *Router) listen() ([]server, error) {
 	h2c := new(http.Protocols)
 	h2c.SetHTTP1(true)
@@ -138,9 +139,9 @@
 		address string
 		handler http.Handler
 	}{
-		{r.settings.PeerAddress, peer.NewHandler(r.reactor)},
-		{r.settings.OperatorAddress, r.operator.Handler()},
 		{r.settings.CallerAddress, r.caller.Handler()},
+		{r.settings.OperatorAddress, r.operator.Handler()},
+		{r.settings.PeerAddress, peer.NewHandler(r.reactor)},
 	}
 	errorLog, err := zap.NewStdLogAt(r.log, zap.WarnLevel)
 	if err != nil {
@@ -193,7 +194,7 @@
 	case <-r.dispatch.Stopped():
 		r.waitCallers()
 	case <-deadline.Chan():
-		r.log.Warn("router: Drain timeout has passed, requests are cut.")
+		r.log.Warn("router: Drain timeout has passed.", zap.Int("requests", r.caller.Busy()))
 	}
 }
 
@@ -207,13 +208,19 @@
 	}
 }
 
-func (r *Router) close(servers []server) {
+// close ends the servers. Callers come first, while the decision core can still
+// refuse their requests. Then the decision core stops, so that this host sends
+// no heartbeat while its peer address refuses connections.
+func (r *Router) close(servers []server, stopLoop func()) {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	for _, s := range servers {
+	for i, s := range servers {
 		if err := s.http.Shutdown(ctx); err != nil {
 			_ = s.http.Close()
 		}
+		if i == 0 {
+			stopLoop()
+		}
 	}
 	if err := r.metrics.Close(); err != nil {
 		r.log.Warn("router: Metrics were not closed.", zap.Error(err))
