Bound the time of request bodies; check the time again after connecting

A caller that did not send its body held a request and its memory for ever, also after a refusal. The body must arrive within 30 s. A call of a service compared its NotAfter with the clock before the connection was made, which can take a second; it does so again afterwards.

--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -30,6 +30,7 @@
 
 const (
 	readHeaderTimeout = 10 * time.Second
+	bodyTimeout       = 30 * time.Second // of a caller
 	closeTimeout      = 2 * time.Second
 	gaugeInterval     = time.Second
 )
@@ -76,6 +77,7 @@
 func newCaller(s *settings.Settings, inc id.Incarnation, r *reactor.Reactor, store *inflight.Store) *caller.Server {
 	return caller.New(caller.Config{
 		Host: s.Host, Incarnation: inc, MaxBody: s.MaxBody, DefaultLimit: s.DefaultLimit,
+		BodyTimeout: bodyTimeout,
 	}, r, store)
 }
 
--- a/router/internal/caller/caller.go
+++ b/router/internal/caller/caller.go
@@ -41,8 +41,9 @@
 type Config struct {
 	Host         id.Host
 	Incarnation  id.Incarnation
-	MaxBody      int64 // bytes of a request body
-	DefaultLimit int64 // output limit of a request that states none, in tokens
+	MaxBody      int64         // bytes of a request body
+	DefaultLimit int64         // output limit of a request that states none, in tokens
+	BodyTimeout  time.Duration // longest time in which a request body arrives; 0 is no bound
 }
 
 // Server serves callers.
@@ -77,6 +78,7 @@
 	v1.Route(v1.GET("/models").To(s.models))
 	c.Add(v1)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.boundBody(w)
 		// A ServeMux would redirect paths that are not in canonical form. A service
 		// gets its path as the caller wrote it.
 		switch {
@@ -90,6 +92,15 @@
 	})
 }
 
+// boundBody bounds the time in which the body arrives. It comes before
+// everything else, because the server also reads the body of a request that is
+// refused.
+func (s *Server) boundBody(w http.ResponseWriter) {
+	if s.cfg.BodyTimeout > 0 {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.cfg.BodyTimeout))
+	}
+}
+
 // routeError answers requests that match no route of the API.
 func (s *Server) routeError(err restful.ServiceError, _ *restful.Request, w *restful.Response) {
 	code := codeNotFound
--- a/router/internal/caller/caller_test.go
+++ b/router/internal/caller/caller_test.go
@@ -1,10 +1,12 @@
 package caller_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -339,6 +341,37 @@
 	}
 }
 
+// TestBodyTimeout guards against callers that hold a request open by not sending
+// its body, and against the bound on the body cutting an answer that takes longer.
+func TestBodyTimeout(t *testing.T) {
+	const timeout = 200 * time.Millisecond
+	r := newRig(t)
+	slow := caller.New(caller.Config{Host: "h-1", MaxBody: 2048, DefaultLimit: 16, BodyTimeout: timeout}, r, r.store)
+	slow.SetTable(r.table(t))
+	srv := httptest.NewServer(slow.Handler())
+	t.Cleanup(srv.Close)
+	for header, want := range map[string]int{"": http.StatusBadRequest, "Authorization: Bearer x\r\n": http.StatusUnauthorized} {
+		conn, err := net.Dial("tcp", srv.Listener.Addr().String())
+		assert.NilError(t, err)
+		_, err = io.WriteString(conn, "POST /v1/completions HTTP/1.1\r\nHost: h\r\n"+header+"Content-Length: 100\r\n\r\n{")
+		assert.NilError(t, err)
+		assert.NilError(t, conn.SetReadDeadline(time.Now().Add(eventTimeout)))
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		assert.NilError(t, err)
+		resp.Body.Close()
+		assert.NilError(t, conn.Close())
+		assert.Equal(t, resp.StatusCode, want)
+	}
+	r.url = srv.URL
+	done := make(chan response, 1)
+	go func() { done <- r.send(t, http.MethodPost, "/v1/completions", `{"model":"free","prompt":"a"}`) }()
+	arrived := r.next(t).(core.RequestArrived)
+	time.Sleep(2 * timeout)
+	slow.Handle(arrived.Request, core.Finish{Finish: "stop"})
+	assert.Equal(t, (<-done).status, http.StatusOK)
+	assert.Equal(t, len(r.events), 0)
+}
+
 // TestRequestIDs guards against IDs that two requests share.
 func TestRequestIDs(t *testing.T) {
 	r := newRig(t, core.Refuse{Code: core.CodeLeaving})
--- a/router/internal/caller/model.go
+++ b/router/internal/caller/model.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"sort"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	restful "github.com/emicklei/go-restful/v3"
@@ -97,6 +98,8 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
+		// The server would take the deadline of the body for the caller's end.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 		return body, true
 	case errors.As(err, &tooLarge):
 		badRequest(w, http.StatusRequestEntityTooLarge, codeBodyTooLarge,
--- a/router/internal/endpoint/endpoint.go
+++ b/router/internal/endpoint/endpoint.go
@@ -87,13 +87,38 @@
 		// A call with an Idempotency-Key would be repeated by net/http when a
 		// reused connection breaks. Without reuse it never is.
 		services: &http.Client{
-			Transport:     &http.Transport{DialContext: dial, DisableKeepAlives: true},
+			Transport:     &http.Transport{DialContext: dialInTime(clock, dial), DisableKeepAlives: true},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 		runs: make(map[runKey]*run),
 	}
 }
 
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// notAfterKey is the context key of the time after which a call must not start.
+type notAfterKey struct{}
+
+// errLate tells that a call was not sent because its time had passed.
+var errLate = fmt.Errorf("%w: too late to start", ErrEndpoint)
+
+// dialInTime compares the clock with the call's NotAfter again when the
+// connection has been made, because that can take up to dialTimeout. The
+// transport must use each connection for one call only.
+func dialInTime(clock clockwork.Clock, dial dialFunc) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		if limit, ok := ctx.Value(notAfterKey{}).(time.Time); ok && clock.Now().After(limit) {
+			_ = conn.Close()
+			return nil, errLate
+		}
+		return conn, nil
+	}
+}
+
 // begin registers a call of an attempt and returns its context. A later call of
 // the same attempt ends the earlier one. A timeout of 0 is none.
 func (c *Client) begin(req id.Request, attempt id.Attempt, timeout time.Duration) (context.Context, *run) {
@@ -168,6 +193,9 @@
 // classify tells a connection that was never made, which proves that nothing
 // ran, from everything else.
 func classify(err error) callError {
+	if errors.Is(err, errLate) {
+		return callError{code: codeLate, notRun: true}
+	}
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		return callError{code: codeUnreachable, notRun: true, down: true}
--- a/router/internal/endpoint/service.go
+++ b/router/internal/endpoint/service.go
@@ -34,6 +34,7 @@
 		c.fail(e.Request, e.Attempt, e.Endpoint, callError{code: codeLate, notRun: true})
 		return
 	}
+	ctx = context.WithValue(ctx, notAfterKey{}, e.NotAfter)
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
--- a/router/internal/endpoint/service_test.go
+++ b/router/internal/endpoint/service_test.go
@@ -12,9 +12,11 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
 	"ragwortshunt.example/fleet/core"
+	"ragwortshunt.example/router/internal/endpoint"
 	"ragwortshunt.example/router/internal/inflight"
 )
 
@@ -153,6 +155,30 @@
 	assert.Equal(t, requests.Load(), int64(1))
 }
 
+// steppingClock goes forward by a second each time it is read.
+type steppingClock struct {
+	*clockwork.FakeClock
+}
+
+func (c steppingClock) Now() time.Time {
+	defer c.Advance(time.Second)
+	return c.FakeClock.Now()
+}
+
+// TestLateConnection guards against a call that starts late because the process
+// was frozen while the connection was made.
+func TestLateConnection(t *testing.T) {
+	var hits atomic.Int64
+	address := serve(t, func(http.ResponseWriter, *http.Request) { hits.Add(1) })
+	r := newRig(t)
+	e := r.call(address)
+	e.NotAfter = r.clock.Now().Add(500 * time.Millisecond)
+	client := endpoint.New(t.Context(), steppingClock{r.clock}, r.events, r.store)
+	client.Call(e)
+	assert.DeepEqual(t, r.events.next(t), core.Event(failed("not-started-in-time", true, false)))
+	assert.Equal(t, hits.Load(), int64(0))
+}
+
 // TestInvalidStatus guards against statuses that cannot be passed to a caller.
 func TestInvalidStatus(t *testing.T) {
 	for _, status := range []string{"000", "099", "101"} {
