--- a/router/internal/peer/client.go
+++ b/router/internal/peer/client.go
@@ -51,13 +51,30 @@
 	wake    chan struct{}
 }
 
+// Option changes a Sender.
+type Option func(*http.HTTP2Config)
+
+// WithPing tests a connection with a ping when it has been silent for after, and
+// closes it when the ping is not answered within timeout.
+func WithPing(after, timeout time.Duration) Option {
+	return func(c *http.HTTP2Config) {
+		c.SendPingTimeout = after
+		c.PingTimeout = timeout
+	}
+}
+
 // NewSender returns a sender for this host.
-func NewSender(ctx context.Context, from id.Host, inc id.Incarnation, p Poster) *Sender {
+func NewSender(ctx context.Context, from id.Host, inc id.Incarnation, p Poster, opts ...Option) *Sender {
+	http2 := new(http.HTTP2Config)
+	WithPing(pingAfter, pingTimeout)(http2)
+	for _, o := range opts {
+		o(http2)
+	}
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	transport := &http.Transport{
 		Protocols:   protocols,
-		HTTP2:       &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+		HTTP2:       http2,
 		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
 	}
 	return &Sender{
--- a/router/internal/peer/peer_test.go
+++ b/router/internal/peer/peer_test.go
@@ -56,12 +56,12 @@
 	return srv.Listener.Addr().String(), out
 }
 
-func newSender(t *testing.T) (*peer.Sender, events) {
+func newSender(t *testing.T, opts ...peer.Option) (*peer.Sender, events) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	out := make(events, 64)
-	return peer.NewSender(ctx, "h-1", 9, out), out
+	return peer.NewSender(ctx, "h-1", 9, out, opts...), out
 }
 
 // fill sets every field of a message to a value that differs from its zero
@@ -157,6 +157,79 @@
 	assert.Equal(t, len(failures), 0)
 }
 
+// partition passes connections on to a peer until cut is closed. From then on,
+// the connections that exist stay open but carry nothing; new ones work.
+func partition(t *testing.T, address string, cut <-chan struct{}) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			near, err := l.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", address)
+			if err != nil {
+				return
+			}
+			old := cut
+			select {
+			case <-cut:
+				old = nil
+			default:
+			}
+			go forward(far, near, old)
+			go forward(near, far, old)
+		}
+	}()
+	return l.Addr().String()
+}
+
+// forward copies until cut is closed, then reads on and drops what it reads.
+func forward(to, from net.Conn, cut <-chan struct{}) {
+	buf := make([]byte, 4096)
+	for {
+		n, err := from.Read(buf)
+		if err != nil {
+			_ = to.Close()
+			return
+		}
+		select {
+		case <-cut:
+		default:
+			_, _ = to.Write(buf[:n])
+		}
+	}
+}
+
+// TestHealedPartition guards against a connection that a partition has cut and
+// that stays in use after the partition has healed.
+func TestHealedPartition(t *testing.T) {
+	address, received := serve(t)
+	cut := make(chan struct{})
+	through := partition(t, address, cut)
+	sender, _ := newSender(t, peer.WithPing(50*time.Millisecond, 50*time.Millisecond))
+	send := func(n int64) {
+		sender.Send(core.SendPeer{To: "h-2", Address: through, Message: message.TokenAsk{Tokens: n}})
+	}
+	send(1)
+	received.next(t)
+	close(cut)
+	deadline := time.After(eventTimeout)
+	for {
+		send(2)
+		select {
+		case <-received:
+			return
+		case <-time.After(20 * time.Millisecond):
+		case <-deadline:
+			t.Fatal("the cut connection stayed in use")
+		}
+	}
+}
+
 // TestNewAddress guards against messages that go to the old address of a host
 // that was replaced.
 func TestNewAddress(t *testing.T) {
