--- a/fleet/core/core.go
+++ b/fleet/core/core.go
@@ -54,6 +54,9 @@
 	StartWait       time.Duration // a starting host waits so long for a peer's table
 	MaxFailures     int           // attempts of one request that may fail
 	ZoneCrossing    time.Duration // penalty of a cell in another zone
+	HandOver        time.Duration // a graceful shutdown waits so long for the hand-over of shares
+	StaleWatch      time.Duration // a host without confirmation for so long asks the platform itself
+	StaleRetry      time.Duration // between two such questions
 	FinishedRecords int           // finished requests kept for explain
 	Cells           CellChoice    // way in which cells are chosen
 }
@@ -85,6 +88,9 @@
 		StartWait:       1500 * time.Millisecond,
 		MaxFailures:     3,
 		ZoneCrossing:    200 * time.Millisecond,
+		HandOver:        5 * time.Second,
+		StaleWatch:      30 * time.Second,
+		StaleRetry:      10 * time.Second,
 		FinishedRecords: 1000,
 	}
 	// The death of an entry host is noticed by membership; the lapse of holds only
@@ -160,6 +166,7 @@
 	ticked    time.Time // last tick
 	heard     bool      // a peer has told its table version
 	draining  bool
+	lastEnd   time.Time // when the last request of a draining host ended
 	stopped   bool
 }
 
--- a/fleet/core/proof_test.go
+++ b/fleet/core/proof_test.go
@@ -317,3 +317,27 @@
 		Prompt: 100, Limit: 50, Want: 20, Host: h,
 	})
 }
+
+// TestDrainInOutage guards against a graceful shutdown that waits for a platform
+// that is down, although no request is left.
+func TestDrainInOutage(t *testing.T) {
+	w := newWorld(t, 24)
+	h := w.Hosts()[0]
+	w.At(8*time.Second, func() { w.SetOutage(true) })
+	w.At(9*time.Second, func() { w.Drain(h) })
+	assert.NilError(t, w.Run(20*time.Second))
+	assert.Assert(t, !w.Alive(h))
+}
+
+// TestWatchersCutOff guards against a zone that refuses requests as stale because
+// its two watchers are cut off from the platform while its other hosts are not.
+func TestWatchersCutOff(t *testing.T) {
+	cfg := fake.Tallinn().Config(25)
+	cfg.Tune = func(c *core.Config) { c.Watchers = 0 }
+	w, err := fake.New(cfg)
+	assert.NilError(t, err)
+	assert.NilError(t, w.Run(120*time.Second))
+	for _, h := range w.Hosts() {
+		assert.Assert(t, w.ConfirmedAge(h) < 60*time.Second, "%s: %s", h, w.ConfirmedAge(h))
+	}
+}
--- a/fleet/core/request.go
+++ b/fleet/core/request.go
@@ -120,7 +120,7 @@
 	s.requests[ev.Request] = r
 	r.note(s.now, "arrived for route %s", ev.Route)
 	if code, text := s.inadmissible(r); code != "" {
-		s.refuse(r, code, text, 0)
+		s.refuse(r, code, text, retryAfter(code))
 		return
 	}
 	r.stage = StageTokens
@@ -129,6 +129,17 @@
 	s.limitDecision(r, d)
 }
 
+// retryAfter returns when a request that was refused on arrival may be sent
+// again, or 0 if that does not help.
+func retryAfter(code string) time.Duration {
+	switch code {
+	case CodeLeaving, CodeNoTable, CodeStaleTable:
+		return time.Second
+	default:
+		return 0
+	}
+}
+
 // inadmissible returns the code and text of the first rule that forbids the
 // request, or an empty code.
 func (s *step) inadmissible(r *request) (code, text string) {
--- a/fleet/core/slot.go
+++ b/fleet/core/slot.go
@@ -282,7 +282,11 @@
 	r.note(s.now, "cell %s refused: %s", r.cell, m.Reason)
 	late := m.Reason == schedule.ReasonTooLate && s.now.Sub(r.arrived) >= r.route.FirstToken
 	if late || r.refusals >= maxRefusals || len(s.cellsOf(r.route.Model)) < 2 {
-		s.refuse(r, m.Reason, "no capacity within the route's target", max(m.Retry, refusalBackoff))
+		retry := max(m.Retry, refusalBackoff)
+		if m.Reason == schedule.ReasonTooLarge {
+			retry = 0 // a retry would get the same answer
+		}
+		s.refuse(r, m.Reason, "no capacity within the route's target", retry)
 		return
 	}
 	s.askSlot(r)
--- a/fleet/core/tablesync.go
+++ b/fleet/core/tablesync.go
@@ -59,7 +59,11 @@
 // tickTable keeps a watch on the manifest if this host is one of the watchers of
 // its zone, or has no table yet.
 func (s *step) tickTable() {
-	if s.table.watching || s.now.Before(s.table.retryAt) || !s.isWatcher() {
+	if s.table.watching || s.now.Before(s.table.retryAt) {
+		return
+	}
+	if !s.isWatcher() {
+		s.askPlatform()
 		return
 	}
 	s.table.watching = true
@@ -70,6 +74,19 @@
 	s.emit(ReadObject{Kind: object.KindManifest, Name: object.ManifestName, After: s.table.object, Wait: wait})
 }
 
+// askPlatform reads the manifest once in a while if the watchers of the zone
+// have not confirmed the table for long. They may be cut off from the platform
+// while this host is not. The seed spreads the questions of a zone.
+func (s *step) askPlatform() {
+	if s.confirmedAge() < s.cfg.StaleWatch {
+		return
+	}
+	s.table.watching = true
+	jitter := time.Duration(s.seed % uint64(s.cfg.StaleRetry))
+	s.table.retryAt = s.now.Add(s.cfg.StaleRetry + jitter)
+	s.emit(ReadObject{Kind: object.KindManifest, Name: object.ManifestName})
+}
+
 func (s *step) isWatcher() bool {
 	if s.table.snapshot == nil {
 		return true
@@ -87,7 +104,7 @@
 func (s *step) manifestRead(ev ObjectRead) {
 	s.table.watching = false
 	if ev.Failed || ev.Version == 0 && !ev.Unchanged {
-		s.table.retryAt = s.now.Add(s.cfg.WatchRetry)
+		s.retryWatch()
 		return
 	}
 	if ev.Unchanged {
@@ -104,6 +121,13 @@
 	s.manifestOffered(v, ev)
 }
 
+// retryWatch pauses after a failed watch. A later time that has been set stays.
+func (s *step) retryWatch() {
+	if at := s.now.Add(s.cfg.WatchRetry); at.After(s.table.retryAt) {
+		s.table.retryAt = at
+	}
+}
+
 func (s *step) manifestOffered(v uint64, ev ObjectRead) {
 	if v < s.version() {
 		s.table.retryAt = s.now.Add(s.cfg.WatchRetry)
--- a/fleet/core/tick.go
+++ b/fleet/core/tick.go
@@ -98,12 +98,18 @@
 	s.log(LogInfo, partPeer, "Host is leaving.")
 }
 
-// tickDrain ends a graceful shutdown when no request, share or cell is in use.
+// tickDrain ends a graceful shutdown when no request, share or cell is in use. It
+// does not wait for long for the hand-over of shares, which needs the platform:
+// shares that are not handed over lapse.
 func (s *step) tickDrain() {
 	if !s.draining || s.stopped || len(s.requests) > 0 {
 		return
 	}
-	if !limit.Drained(s.limit) || s.cellsInUse() {
+	if s.lastEnd.IsZero() {
+		s.lastEnd = s.now
+	}
+	handedOver := limit.Drained(s.limit) && !s.cellsInUse()
+	if !handedOver && s.now.Sub(s.lastEnd) < s.cfg.HandOver {
 		return
 	}
 	s.stopped = true
--- a/fleet/fake/host.go
+++ b/fleet/fake/host.go
@@ -211,3 +211,9 @@
 	h := w.hosts[name]
 	return h.alive && core.IsReady(h.state, w.now)
 }
+
+// ConfirmedAge returns the time since the platform has confirmed a host's table.
+func (w *World) ConfirmedAge(name id.Host) time.Duration {
+	ms := core.StatusOf(w.hosts[name].state, w.now).ConfirmedMS
+	return time.Duration(ms) * time.Millisecond
+}
--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -30,6 +30,7 @@
 
 const (
 	readHeaderTimeout = 10 * time.Second
+	bodyTimeout       = 30 * time.Second // of a caller
 	closeTimeout      = 2 * time.Second
 	lingerTime        = time.Second // callers may use the connection of the last answer again
 	gaugeInterval     = time.Second
@@ -77,6 +78,7 @@
 func newCaller(s *settings.Settings, inc id.Incarnation, r *reactor.Reactor, store *inflight.Store) *caller.Server {
 	return caller.New(caller.Config{
 		Host: s.Host, Incarnation: inc, MaxBody: s.MaxBody, DefaultLimit: s.DefaultLimit,
+		BodyTimeout: bodyTimeout,
 	}, r, store)
 }
 
@@ -84,8 +86,10 @@
 	return endpoint.New(life, clock, r, store)
 }
 
-func newPlatform(life Lifetime, s *settings.Settings, clock clockwork.Clock, r *reactor.Reactor) *platform.Client {
-	return platform.New(life, s.PlatformURL, "ragwortshunt/"+string(s.Host), s.PlatformTimeout, clock, r)
+func newPlatform(
+	life Lifetime, s *settings.Settings, clock clockwork.Clock, log *zap.Logger, r *reactor.Reactor,
+) *platform.Client {
+	return platform.New(life, s.PlatformURL, "ragwortshunt/"+string(s.Host), s.PlatformTimeout, clock, log, r)
 }
 
 func newSender(life Lifetime, s *settings.Settings, inc id.Incarnation, r *reactor.Reactor) *peer.Sender {
@@ -119,7 +123,7 @@
 	case <-ctx.Done():
 		r.drain(servers[callerIndex].listener)
 	}
-	r.close(servers)
+	r.close(servers, stopLoop)
 	return err
 }
 
@@ -130,8 +134,9 @@
 }
 
 // callerIndex is the index of the server for callers in the result of listen.
-const callerIndex = 2
+const callerIndex = 0
 
+// listen opens the addresses, that of the callers first.
 func (r *Router) listen() ([]server, error) {
 	h2c := new(http.Protocols)
 	h2c.SetHTTP1(true)
@@ -140,20 +145,25 @@
 		address string
 		handler http.Handler
 	}{
-		{r.settings.PeerAddress, peer.NewHandler(r.reactor)},
-		{r.settings.OperatorAddress, r.operator.Handler()},
 		{r.settings.CallerAddress, r.caller.Handler()},
+		{r.settings.OperatorAddress, r.operator.Handler()},
+		{r.settings.PeerAddress, peer.NewHandler(r.reactor)},
+	}
+	errorLog, err := zap.NewStdLogAt(r.log, zap.WarnLevel)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrApp, err)
 	}
 	var out []server
 	for _, sp := range specs {
 		l, err := net.Listen("tcp", sp.address)
 		if err != nil {
+			closeListeners(out)
 			return nil, fmt.Errorf("%w: %w", ErrApp, err)
 		}
 		out = append(out, server{
 			http: &http.Server{
 				Handler: sp.handler, Protocols: h2c, ReadHeaderTimeout: readHeaderTimeout,
-				ErrorLog: zap.NewStdLog(r.log),
+				ErrorLog: errorLog,
 			},
 			listener: l,
 		})
@@ -161,6 +171,12 @@
 	return out, nil
 }
 
+func closeListeners(servers []server) {
+	for _, s := range servers {
+		_ = s.listener.Close()
+	}
+}
+
 func serve(servers []server) <-chan error {
 	failed := make(chan error, len(servers))
 	for _, s := range servers {
@@ -190,7 +206,7 @@
 		r.clock.Sleep(lingerTime)
 		r.waitCallers()
 	case <-deadline.Chan():
-		r.log.Warn("router: Drain timeout has passed, requests are cut.")
+		r.log.Warn("router: Drain timeout has passed.", zap.Int("requests", r.caller.Busy()))
 	}
 }
 
@@ -204,13 +220,19 @@
 	}
 }
 
-func (r *Router) close(servers []server) {
+// close ends the servers. Callers come first, while the decision core can still
+// refuse their requests. Then the decision core stops, so that this host sends
+// no heartbeat while its peer address refuses connections.
+func (r *Router) close(servers []server, stopLoop func()) {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	for _, s := range servers {
+	for i, s := range servers {
 		if err := s.http.Shutdown(ctx); err != nil {
 			_ = s.http.Close()
 		}
+		if i == callerIndex {
+			stopLoop()
+		}
 	}
 	if err := r.metrics.Close(); err != nil {
 		r.log.Warn("router: Metrics were not closed.", zap.Error(err))
--- a/router/internal/endpoint/endpoint.go
+++ b/router/internal/endpoint/endpoint.go
@@ -35,6 +35,8 @@
 	codeBroken      = "stream-broken"
 	codeNonsense    = "invalid-reply"
 	codeLate        = "not-started-in-time"
+	codeRefused     = "refused"    // by a service, with HeaderNotRun
+	codeOther       = "other-code" // a code that the engine protocol does not define
 )
 
 const (
@@ -42,8 +44,9 @@
 	controlTimeout = 2 * time.Second // cancel, load, orders
 	cancelTries    = 5
 	cancelPause    = 200 * time.Millisecond
-	maxLine        = 1 << 20 // bytes in one line of a token stream
-	maxReply       = 8 << 20 // bytes in one reply
+	drainTimeout   = 100 * time.Millisecond // of a stream after its end marker
+	maxLine        = 1 << 20                // bytes in one line of a token stream
+	maxReply       = 8 << 20                // bytes in one reply
 )
 
 // Poster takes the events that the shell produces.
@@ -61,7 +64,13 @@
 	services *http.Client
 
 	mu   sync.Mutex
-	runs map[runKey]context.CancelFunc
+	runs map[runKey]*run
+}
+
+// run is the latest call of an attempt.
+type run struct {
+	key    runKey
+	cancel context.CancelFunc
 }
 
 type runKey struct {
@@ -78,40 +87,84 @@
 		// A call with an Idempotency-Key would be repeated by net/http when a
 		// reused connection breaks. Without reuse it never is.
 		services: &http.Client{
-			Transport:     &http.Transport{DialContext: dial, DisableKeepAlives: true},
+			Transport:     &http.Transport{DialContext: dialInTime(clock, dial), DisableKeepAlives: true},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
-		runs: make(map[runKey]context.CancelFunc),
+		runs: make(map[runKey]*run),
 	}
 }
 
-// begin returns the context of a call of an attempt. A later call of the same
-// attempt ends the earlier one.
-func (c *Client) begin(req id.Request, attempt id.Attempt, timeout time.Duration) (context.Context, context.CancelFunc) {
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// notAfterKey is the context key of the time after which a call must not start.
+type notAfterKey struct{}
+
+// errLate tells that a call was not sent because its time had passed.
+var errLate = fmt.Errorf("%w: too late to start", ErrEndpoint)
+
+// dialInTime compares the clock with the call's NotAfter again when the
+// connection has been made, because that can take up to dialTimeout. The
+// transport must use each connection for one call only.
+func dialInTime(clock clockwork.Clock, dial dialFunc) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		if limit, ok := ctx.Value(notAfterKey{}).(time.Time); ok && clock.Now().After(limit) {
+			_ = conn.Close()
+			return nil, errLate
+		}
+		return conn, nil
+	}
+}
+
+// begin registers a call of an attempt and returns its context. A later call of
+// the same attempt ends the earlier one. A timeout of 0 is none.
+func (c *Client) begin(req id.Request, attempt id.Attempt, timeout time.Duration) (context.Context, *run) {
 	ctx, cancel := context.WithCancel(c.ctx)
 	if timeout > 0 {
+		cancel()
 		ctx, cancel = context.WithTimeout(c.ctx, timeout)
 	}
-	key := runKey{req, attempt}
+	r := &run{key: runKey{req, attempt}, cancel: cancel}
 	c.mu.Lock()
-	if old, ok := c.runs[key]; ok {
-		old()
+	defer c.mu.Unlock()
+	if old, ok := c.runs[r.key]; ok {
+		old.cancel()
 	}
-	c.runs[key] = cancel
-	c.mu.Unlock()
-	return ctx, cancel
+	c.runs[r.key] = r
+	return ctx, r
 }
 
-func (c *Client) end(req id.Request, attempt id.Attempt) {
-	key := runKey{req, attempt}
+// finish ends a call and forgets it, unless a later call of the attempt has
+// taken its place.
+func (c *Client) finish(r *run) {
+	r.cancel()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if cancel, ok := c.runs[key]; ok {
-		cancel()
-		delete(c.runs, key)
+	if c.runs[r.key] == r {
+		delete(c.runs, r.key)
 	}
 }
 
+// end ends the latest call of an attempt.
+func (c *Client) end(req id.Request, attempt id.Attempt) {
+	c.mu.Lock()
+	r, ok := c.runs[runKey{req, attempt}]
+	c.mu.Unlock()
+	if ok {
+		c.finish(r)
+	}
+}
+
+// Running returns the number of calls that have not ended.
+func (c *Client) Running() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.runs)
+}
+
 // post sends v as JSON and returns the response. Its body must be closed.
 func (c *Client) post(ctx context.Context, u string, v any) (*http.Response, error) {
 	body, err := json.Marshal(v)
@@ -140,6 +193,9 @@
 // classify tells a connection that was never made, which proves that nothing
 // ran, from everything else.
 func classify(err error) callError {
+	if errors.Is(err, errLate) {
+		return callError{code: codeLate, notRun: true}
+	}
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		return callError{code: codeUnreachable, notRun: true, down: true}
@@ -157,9 +213,19 @@
 	if err != nil || e.Code == "" {
 		return callError{code: codeNonsense}
 	}
+	if !engineCodes[e.Code] {
+		return callError{code: codeOther, notRun: e.NotRun}
+	}
 	return callError{code: e.Code, notRun: e.NotRun}
 }
 
+// engineCodes are the codes that metrics and explanations show. They show any
+// other text of an engine as codeOther, so that it cannot add metrics at will.
+var engineCodes = map[string]bool{
+	engine.CodeFull: true, engine.CodeLeaving: true, engine.CodeKVLost: true, engine.CodeNoRun: true,
+	engine.CodeCancelled: true, engine.CodeBadRequest: true, engine.CodeStaleFence: true,
+}
+
 func (c *Client) fail(req id.Request, attempt id.Attempt, ep id.Endpoint, e callError) {
 	c.poster.Post(core.RunFailed{
 		Request: req, Attempt: attempt, Endpoint: ep,
--- a/router/internal/peer/client.go
+++ b/router/internal/peer/client.go
@@ -21,6 +21,12 @@
 	sendTimeout = 2 * time.Second        // of one batch
 	dialTimeout = 500 * time.Millisecond // of one connection
 	idleSender  = time.Minute            // a sender without messages ends
+
+	// A connection that is silent for pingAfter is tested with a ping. Without it, a
+	// connection that a partition has cut would be used until TCP gives up, which
+	// takes minutes after the partition has healed.
+	pingAfter   = 3 * time.Second
+	pingTimeout = 2 * time.Second
 )
 
 // Sender sends messages to other routers. All messages that wait for a peer go
@@ -45,12 +51,30 @@
 	wake    chan struct{}
 }
 
+// Option changes a Sender.
+type Option func(*http.HTTP2Config)
+
+// WithPing tests a connection with a ping when it has been silent for after, and
+// closes it when the ping is not answered within timeout.
+func WithPing(after, timeout time.Duration) Option {
+	return func(c *http.HTTP2Config) {
+		c.SendPingTimeout = after
+		c.PingTimeout = timeout
+	}
+}
+
 // NewSender returns a sender for this host.
-func NewSender(ctx context.Context, from id.Host, inc id.Incarnation, p Poster) *Sender {
+func NewSender(ctx context.Context, from id.Host, inc id.Incarnation, p Poster, opts ...Option) *Sender {
+	http2 := new(http.HTTP2Config)
+	WithPing(pingAfter, pingTimeout)(http2)
+	for _, o := range opts {
+		o(http2)
+	}
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	transport := &http.Transport{
 		Protocols:   protocols,
+		HTTP2:       http2,
 		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
 	}
 	return &Sender{
--- a/router/internal/settings/field.go
+++ b/router/internal/settings/field.go
@@ -56,7 +56,7 @@
 	{"platform", "timeout", "2s", "Longest platform call, 10ms to 1m.", duration(
 		func(s *Settings) *time.Duration { return &s.PlatformTimeout }, 10*time.Millisecond, time.Minute)},
 	{"limit", "lease-groups", "64", "Lease groups per zone, 1 to 4096; the same on every host.", setLeaseGroups},
-	{"limit", "slot-rate", "2000", "Rate in tokens per second that one share slot of an account carries; the same on every host.", integer(
+	{"limit", "slot-rate", "20000", "Rate in tokens per second that one share slot of an account carries; the same on every host.", integer(
 		func(s *Settings) *int64 { return &s.SlotRate }, 1, maxRate)},
 	{"limit", "reserve-share", "0.5", "Part of each share under the long lease, 0 to 1; the same on every host.", setReserveShare},
 	{"limit", "pooled-lease", "20s", "Short lease, 1s to 10m; the same on every host.", duration(
@@ -70,13 +70,15 @@
 }
 
 func setHost(s *Settings, text string) error {
-	s.Host = id.Host(text)
-	return nil
+	name, err := parseName(text)
+	s.Host = id.Host(name)
+	return err
 }
 
 func setZone(s *Settings, text string) error {
-	s.Zone = id.Zone(text)
-	return nil
+	name, err := parseName(text)
+	s.Zone = id.Zone(name)
+	return err
 }
 
 func setZones(s *Settings, text string) (err error) {
