--- a/load/cmd/ragwort-load/main.go
+++ b/load/cmd/ragwort-load/main.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"ragwortshunt.example/load/internal/runner"
+	"ragwortshunt.example/load/internal/slopes"
 )
 
 func main() {
@@ -27,7 +28,10 @@
 	return &cli.Command{
 		Name:     "ragwort-load",
 		Usage:    "put load on routers and verify every answer",
-		Commands: []*cli.Command{runCommand()},
+		Commands: []*cli.Command{
+			runCommand(),
+			slopes.Command(),
+		},
 	}
 }
 
--- /dev/null
+++ b/load/internal/slopes/tables.go
@@ -0,0 +1,149 @@
+package slopes
+
+import (
+	"runtime"
+	"time"
+
+	"ragwortshunt.example/fleet/core"
+	"ragwortshunt.example/fleet/message"
+	"ragwortshunt.example/fleet/table"
+)
+
+// changed is a table before and after the change of one account.
+type changed struct {
+	oldSnap, newSnap         *table.Snapshot
+	oldManifest, newManifest []byte
+	oldSegments, newSegments map[string][]byte
+}
+
+func newChanged(accounts int) (changed, error) {
+	sh := targetShape()
+	sh.accounts = accounts
+	c := changed{oldSnap: sh.table(), newSnap: sh.table()}
+	row := c.newSnap.Accounts[accountName(7)]
+	row.Rate++
+	c.newSnap.Accounts[row.Name] = row
+	var err error
+	if c.oldManifest, c.oldSegments, err = table.Split(c.oldSnap, 1); err != nil {
+		return c, err
+	}
+	c.newManifest, c.newSegments, err = table.Split(c.newSnap, 2)
+	return c, err
+}
+
+// timed returns the median time of fn in milliseconds, and its allocation in MiB.
+func timed(fn func() error) (ms, allocated float64, err error) {
+	var times []float64
+	for range rounds {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		start := time.Now()
+		if err := fn(); err != nil {
+			return 0, 0, err
+		}
+		times = append(times, float64(time.Since(start).Microseconds())/1000)
+		runtime.ReadMemStats(&after)
+		allocated = float64(after.TotalAlloc-before.TotalAlloc) / mib
+	}
+	return median(times), allocated, nil
+}
+
+// tableSeries measures what one change of the table costs.
+func tableSeries() ([]series, error) {
+	const x = "accounts (10,000 endpoints)"
+	all := []series{
+		{name: "split, at the operator's host", mechanism: "table.Split", x: x, y: "ms"},
+		{name: "open, at each host", mechanism: "table.Open", x: x, y: "ms"},
+		{name: "allocated by open", mechanism: "table.Open", x: x, y: "MiB"},
+		{name: "diff, at the operator's host", mechanism: "table.Diff", x: x, y: "ms"},
+		{name: "install, at each host", mechanism: "core.install", x: x, y: "ms"},
+		{name: "manifest", mechanism: "table.Manifest", x: x, y: "bytes"},
+		{name: "segments that one changed row replaces", mechanism: "table.Split", x: x, y: "bytes"},
+		{name: "request for a newer table", mechanism: "message.TableAsk", x: x, y: "bytes"},
+		{name: "all segments", mechanism: "table.Split", x: x, y: "bytes"},
+	}
+	for _, n := range []int{1000, 5000, 20_000} {
+		values, err := tableFigures(n)
+		if err != nil {
+			return nil, err
+		}
+		for i, v := range values {
+			all[i].points = append(all[i].points, point{float64(n), v})
+		}
+	}
+	return all, nil
+}
+
+// tableFigures returns one figure per series of tableSeries.
+func tableFigures(accounts int) ([]float64, error) {
+	c, err := newChanged(accounts)
+	if err != nil {
+		return nil, err
+	}
+	split, _, err := timed(func() error {
+		_, _, err := table.Split(c.newSnap, 2)
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	open, allocated, err := timed(func() error {
+		_, err := table.Open(c.newManifest, c.newSegments)
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	diff, _, err := timed(func() error {
+		table.Diff(c.oldSnap, c.newSnap)
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	install, err := c.installTime(accounts)
+	if err != nil {
+		return nil, err
+	}
+	sizes, err := c.sizes()
+	return append([]float64{split, open, allocated, diff, install}, sizes...), err
+}
+
+// installTime returns the median time in which a host puts a newer table into
+// force, in milliseconds.
+func (c changed) installTime(accounts int) (float64, error) {
+	sh := targetShape()
+	sh.accounts = accounts
+	r, err := newRig(sh)
+	if err != nil {
+		return 0, err
+	}
+	var times []float64
+	for i := range rounds {
+		r.reset()
+		next := *c.newSnap
+		next.Version = uint64(i + 2)
+		r.post(core.TableOpened{Snapshot: &next, Manifest: c.newManifest, Segments: c.newSegments})
+		times = append(times, float64(r.total("TableOpened").Microseconds())/1000)
+	}
+	return median(times), nil
+}
+
+// sizes returns the bytes of the manifest, of the replaced segments, of the
+// request for them and of all segments.
+func (c changed) sizes() ([]float64, error) {
+	var fetched, whole int
+	ask := message.TableAsk{Have: 1}
+	for name := range c.oldSegments {
+		ask.Segments = append(ask.Segments, name)
+	}
+	for name, data := range c.newSegments {
+		whole += len(data)
+		if _, ok := c.oldSegments[name]; !ok {
+			fetched += len(data)
+		}
+	}
+	asked, err := batchBytes(ask)
+	return []float64{float64(len(c.newManifest)), float64(fetched), float64(asked), float64(whole)}, err
+}
