Keep choices of hosts and cells between events

Cause: each tick hashed all hosts of a zone for each running request, and each request visited the whole table once per zone to count the cells of its model. Change: live hosts, owners of cells and claim shards, cells per model and the role of watcher are kept until the membership, the suspects or the table change.

--- a/fleet/core/cell.go
+++ b/fleet/core/cell.go
@@ -81,10 +81,11 @@
 // cellEndpoints returns the endpoints of a cell. Prefill and decode endpoints
 // are dealt out one by one, so that each part has its share of both.
 func cellEndpoints(snap *table.Snapshot, k cellKey, most int) []schedule.Endpoint {
-	parts := cellParts(snap, k.Model, k.Zone, most)
+	all := table.ModelEndpoints(snap, k.Model, k.Zone)
+	parts := partCount(len(all), most)
 	dealt := make(map[table.Role]int)
 	var out []schedule.Endpoint
-	for _, ep := range table.ModelEndpoints(snap, k.Model, k.Zone) {
+	for _, ep := range all {
 		pool := snap.Pools[ep.Pool]
 		n := dealt[pool.Role]
 		dealt[pool.Role] = n + 1
--- a/fleet/core/core.go
+++ b/fleet/core/core.go
@@ -126,7 +126,8 @@
 	finished  []Record // ring of the last finished requests
 	finishedN int
 
-	suspects  map[id.Host]time.Time     // passed over until
+	suspects  map[id.Host]time.Time // passed over until
+	views     views
 	avoid     map[id.Endpoint]time.Time // service endpoints passed over until
 	calls     map[id.Endpoint]int       // outstanding service calls of this host
 	hostsRead time.Time
--- a/fleet/core/peers.go
+++ b/fleet/core/peers.go
@@ -28,7 +28,7 @@
 
 func (s *step) peerMessage(ev PeerMessage) {
 	changes := member.Heard(s.member, s.now, ev.From, ev.Incarnation)
-	delete(s.suspects, ev.From)
+	s.unsuspect(ev.From)
 	if hb, ok := ev.Message.(message.Heartbeat); ok {
 		changes = append(changes, member.HandleHeartbeat(s.member, s.now, ev.From, ev.Incarnation, hb)...)
 		s.peerVersion(ev.From, hb.TableVersion, hb.ConfirmedAge, hb.ConfirmedAge > 0)
@@ -90,6 +90,7 @@
 		s.emit(Log{Level: LogWarn, Part: partPeer, Text: "Host refuses connections.", Host: h})
 	}
 	s.suspects[h] = s.now.Add(s.cfg.SuspectFor)
+	s.dropViews()
 	for _, r := range s.sortedRequests() {
 		if r.stage == StageQueue && r.host == h {
 			s.refreshQueue(r)
@@ -97,6 +98,15 @@
 	}
 }
 
+// unsuspect ends the suspicion of a host that has been heard.
+func (s *step) unsuspect(h id.Host) {
+	if _, ok := s.suspects[h]; !ok {
+		return
+	}
+	delete(s.suspects, h)
+	s.dropViews()
+}
+
 func (s *step) memberChanges(changes []member.Change) {
 	if len(changes) == 0 {
 		return
--- a/fleet/core/service.go
+++ b/fleet/core/service.go
@@ -7,7 +7,6 @@
 
 	"ragwortshunt.example/fleet/claim"
 	"ragwortshunt.example/fleet/id"
-	"ragwortshunt.example/fleet/member"
 	"ragwortshunt.example/fleet/message"
 	"ragwortshunt.example/fleet/table"
 )
@@ -36,12 +35,7 @@
 // claimOwner returns the live host, of any zone, that groups the claims of a
 // shard. Another host may still write: the conditional update decides.
 func (s *step) claimOwner(account id.Account, key string) id.Host {
-	shard := claim.Shard(s.cfg.Claim, account, key)
-	var live []id.Host
-	for _, z := range s.cfg.Zones {
-		live = append(live, s.liveIn(z)...)
-	}
-	return member.Owner(live, "claim/"+shard)
+	return s.claimerOf(claim.Shard(s.cfg.Claim, account, key))
 }
 
 func (s *step) claimResult(res claim.Result) {
--- a/fleet/core/slot.go
+++ b/fleet/core/slot.go
@@ -7,10 +7,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"ragwortshunt.example/fleet/id"
-	"ragwortshunt.example/fleet/member"
 	"ragwortshunt.example/fleet/message"
 	"ragwortshunt.example/fleet/schedule"
-	"ragwortshunt.example/fleet/table"
 )
 
 // partSlot is the log prefix of this part.
@@ -42,12 +40,6 @@
 	at   time.Time
 }
 
-// cellParts returns the number of cells of a model in a zone.
-func cellParts(snap *table.Snapshot, model id.Model, zone id.Zone, most int) int {
-	n := len(table.ModelEndpoints(snap, model, zone))
-	return (n + most - 1) / most
-}
-
 // askSlot asks the scheduler of the most promising cell for capacity.
 func (s *step) askSlot(r *request) {
 	r.stage = StageQueue
@@ -123,37 +115,6 @@
 	return max(best, 0)
 }
 
-// cellsOf returns the cells of a model that a live host can schedule.
-func (s *step) cellsOf(model id.Model) []cellKey {
-	var out []cellKey
-	for _, z := range s.cfg.Zones {
-		if len(s.liveIn(z)) == 0 {
-			continue
-		}
-		for p := range cellParts(s.snapshot(), model, z, s.cfg.CellEndpoints) {
-			out = append(out, cellKey{Zone: z, Model: model, Part: p})
-		}
-	}
-	return out
-}
-
-// liveIn returns the hosts of a zone that take work, without those that have
-// just refused a connection.
-func (s *step) liveIn(z id.Zone) []id.Host {
-	var out []id.Host
-	for _, h := range member.Live(s.member)[z] {
-		if until, ok := s.suspects[h]; ok && s.now.Before(until) {
-			continue
-		}
-		out = append(out, h)
-	}
-	return out
-}
-
-func (s *step) schedulerOf(k cellKey) id.Host {
-	return member.Owner(s.liveIn(k.Zone), k.String())
-}
-
 func (s *step) sendAsk(r *request) {
 	r.host = s.schedulerOf(r.cell)
 	r.asked = s.now
--- a/fleet/core/tablesync.go
+++ b/fleet/core/tablesync.go
@@ -21,6 +21,7 @@
 // tableState is the table in force and the one being fetched.
 type tableState struct {
 	snapshot  *table.Snapshot
+	endpoints map[modelZone]int // prefill and decode endpoints
 	manifest  []byte
 	segments  map[string][]byte
 	confirmed time.Time // when the platform last confirmed the version in force
@@ -74,12 +75,7 @@
 	if s.table.snapshot == nil {
 		return true
 	}
-	for _, h := range member.Owners(s.liveIn(s.cfg.Zone), "table-watch", s.cfg.Watchers) {
-		if h == s.cfg.Host {
-			return true
-		}
-	}
-	return false
+	return s.hostViews().watcher
 }
 
 // manifestRead handles the result of a watch. A version that is not above the
@@ -198,6 +194,8 @@
 		return
 	}
 	s.table.snapshot = snap
+	s.table.endpoints = countEndpoints(snap)
+	s.dropViews()
 	s.table.manifest = manifest
 	s.table.segments = usedSegments(manifest, segments)
 	s.table.problem = ""
--- a/fleet/member/member.go
+++ b/fleet/member/member.go
@@ -103,13 +103,14 @@
 
 // State is the membership view of one host.
 type State struct {
-	cfg   Config
-	peers map[id.Host]*peer
-	order []id.Host // names of peers, sorted
-	live  map[id.Zone][]id.Host
-	ring  []id.Host             // hosts of the own zone that are not dead, in hash order; nil if out of date
-	watch map[id.Host]time.Time // hosts that this host monitors, with the start of its watch
-	near  map[id.Host]bool      // ring neighbours on both sides
+	cfg     Config
+	peers   map[id.Host]*peer
+	order   []id.Host // names of peers, sorted
+	live    map[id.Zone][]id.Host
+	version uint64                // of what Live returns
+	ring    []id.Host             // hosts of the own zone that are not dead, in hash order; nil if out of date
+	watch   map[id.Host]time.Time // hosts that this host monitors, with the start of its watch
+	near    map[id.Host]bool      // ring neighbours on both sides
 
 	reports   []report
 	pongs     map[id.Host]bool // senders outside the ring neighbours that await an answer
@@ -183,6 +184,9 @@
 	return s.live
 }
 
+// Version changes whenever the result of Live may have changed.
+func Version(s *State) uint64 { return s.version }
+
 // Usable reports whether a host takes new work.
 func Usable(s *State, h id.Host) bool {
 	p, ok := s.peers[h]
@@ -300,6 +304,7 @@
 // invalidate drops the results that are derived from the hosts of a zone.
 func invalidate(s *State, zone id.Zone) {
 	s.live = nil
+	s.version++
 	if zone == s.cfg.Zone {
 		s.ring = nil
 	}
