Check running requests every 50 ms instead of every tick

Cause: each tick of 10 ms sorted and visited all running requests, while the times that it checks (repeated asks, holds, stalls) are 500 ms and more. Change: one pass every 50 ms.

--- a/fleet/core/core.go
+++ b/fleet/core/core.go
@@ -131,7 +131,8 @@
 	avoid     map[id.Endpoint]time.Time // service endpoints passed over until
 	calls     map[id.Endpoint]int       // outstanding service calls of this host
 	hostsRead time.Time
-	heard     bool // a peer has told its table version
+	nextPass  time.Time // over the requests
+	heard     bool      // a peer has told its table version
 	draining  bool
 	stopped   bool
 }
--- a/fleet/core/tick.go
+++ b/fleet/core/tick.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"ragwortshunt.example/fleet/claim"
 	"ragwortshunt.example/fleet/id"
@@ -11,6 +12,10 @@
 	"ragwortshunt.example/fleet/order"
 )
 
+// requestInterval is the time between two passes over the running requests. The
+// times that a pass checks are 500 ms and more.
+const requestInterval = 50 * time.Millisecond
+
 func (s *step) tick() {
 	s.tickHosts()
 	s.tickMembers()
@@ -42,6 +47,10 @@
 }
 
 func (s *step) tickRequests() {
+	if s.now.Before(s.nextPass) {
+		return
+	}
+	s.nextPass = s.now.Add(requestInterval)
 	for _, r := range s.sortedRequests() {
 		switch r.stage {
 		case StageQueue:
--- a/load/internal/slopes/wire.go
+++ b/load/internal/slopes/wire.go
@@ -1,6 +1,7 @@
 package slopes
 
 import (
+	"encoding/json"
 	"fmt"
 	"reflect"
 	"slices"
@@ -8,13 +9,20 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"ragwortshunt.example/fleet/core"
 	"ragwortshunt.example/fleet/id"
 	"ragwortshunt.example/fleet/message"
+	"ragwortshunt.example/fleet/object"
 )
 
 // incarnation has the size of a real one, which is a time in nanoseconds.
 const incarnation id.Incarnation = 1_790_000_000_123_456_789
 
+const (
+	wireRequests = 100
+	wireDecode   = 13 * time.Second // 267 tokens, 51 ms apart
+)
+
 // batchBytes returns the encoded size of one batch.
 func batchBytes(messages ...message.Message) (int, error) {
 	env := message.Envelope{From: "entry-0-000", Incarnation: incarnation}
@@ -37,12 +45,11 @@
 	}
 	byKind := map[string][]message.Message{}
 	r.record = true
-	for range 100 {
+	for range wireRequests {
 		r.start()
-		r.run(100 * time.Millisecond)
+		r.run(core.TickInterval)
 	}
-	r.run(6 * time.Second / 2)
-	for range 4 {
+	for range int(wireDecode / time.Second) {
 		r.tokens()
 		r.run(time.Second)
 	}
@@ -61,7 +68,8 @@
 		}
 		out = append(out, s)
 	}
-	return append(out, r.countSeries(byKind, 100)), nil
+	list, err := listSeries()
+	return append(out, list), err
 }
 
 func sortedKeys(m map[string][]message.Message) []string {
@@ -74,7 +82,8 @@
 }
 
 func batchSeries(kind string, messages []message.Message) (series, error) {
-	out := series{name: "bytes of a batch of " + kind, mechanism: "message.Envelope as CBOR", x: "messages", y: "bytes"}
+	name := fmt.Sprintf("bytes of a batch of %s (%.2f per request)", kind, float64(len(messages))/wireRequests)
+	out := series{name: name, mechanism: "message.Envelope as CBOR", x: "messages", y: "bytes"}
 	for _, n := range []int{1, 10, 100} {
 		if n > len(messages) {
 			break
@@ -88,11 +97,17 @@
 	return out, nil
 }
 
-// countSeries lists the messages of one request; x is the rank of the kind.
-func (r *rig) countSeries(byKind map[string][]message.Message, requests int) series {
-	out := series{name: "messages per request, kinds in the order above", mechanism: "core.send", x: "(kind)", y: "messages"}
-	for i, kind := range sortedKeys(byKind) {
-		out.points = append(out.points, point{float64(i), float64(len(byKind[kind])) / float64(requests)})
+// listSeries measures the platform's host list as a host reads it.
+func listSeries() (series, error) {
+	out := series{name: "host list", mechanism: "core.ListHosts, object.Hosts as JSON", x: "hosts", y: "bytes"}
+	for _, n := range []int{10, 100, 311} {
+		r := &rig{shape: shape{zones: 9, hosts: n}, zones: map[id.Host]id.Zone{}}
+		r.listHosts()
+		data, err := json.Marshal(object.Hosts{Hosts: r.hosts})
+		if err != nil {
+			return out, fmt.Errorf("encode the host list: %w", err)
+		}
+		out.points = append(out.points, point{float64(9 * n), float64(len(data))})
 	}
-	return out
+	return out, nil
 }
