Begin the audit of each host at its own place in the ring

Cause: every host began its audits at the first host of the ring, so that hosts that start together asked the same host in each round: up to 310 heartbeats per round at one host of a zone of 311. Change: a host begins at its own place.

--- a/fleet/member/member.go
+++ b/fleet/member/member.go
@@ -119,7 +119,8 @@
 	zoneHeard map[id.Zone]time.Time
 	zoneDown  map[id.Zone]bool
 	rounds    uint64 // rounds of contacts
-	audit     int    // position of the audit in order
+	audit     int    // position of the audit in the ring
+	auditing  bool   // the audit has begun
 
 	grace         time.Time // silence before this time does not count
 	lastTick      time.Time
--- a/fleet/member/tick.go
+++ b/fleet/member/tick.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"slices"
 	"sort"
 	"strconv"
 	"time"
@@ -175,7 +176,14 @@
 
 // auditNext asks the next host of the zone that this host does not monitor. The
 // monitors of this host are among them.
+//
+// Each host begins at its own place in the ring. Hosts that start together would
+// otherwise all ask the same host in each round.
 func auditNext(s *State, now time.Time) {
+	if !s.auditing {
+		s.auditing = true
+		s.audit = max(slices.Index(s.ring, s.cfg.Host), 0)
+	}
 	for range s.ring {
 		s.audit = (s.audit + 1) % len(s.ring)
 		h := s.ring[s.audit]
