Read the host list less often as the number of hosts grows

Cause: every host read the list each 2 s. Change: the interval grows by 20 ms for each known host, to 58 s at 2,800 hosts: 48 reads/s and 3.2 KB/s. The list is read after 2 s at the earliest when a host is heard that has no address, has returned or has restarted. Figures: worked out from the interval; the tests of core and fake pass.

--- a/fleet/core/core.go
+++ b/fleet/core/core.go
@@ -131,6 +131,7 @@
 	avoid     map[id.Endpoint]time.Time // service endpoints passed over until
 	calls     map[id.Endpoint]int       // outstanding service calls of this host
 	hostsRead time.Time
+	unlisted  bool      // a host has been heard whose address may be unknown
 	nextPass  time.Time // over the requests
 	heard     bool      // a peer has told its table version
 	draining  bool
--- a/fleet/core/peers.go
+++ b/fleet/core/peers.go
@@ -34,7 +34,11 @@
 		s.peerVersion(ev.From, hb.TableVersion, hb.ConfirmedAge, hb.ConfirmedAge > 0)
 	}
 	s.memberChanges(changes)
-	if p, ok := member.PeerOf(s.member, ev.From); ok && p.Incarnation > ev.Incarnation {
+	p, known := member.PeerOf(s.member, ev.From)
+	if known && p.Address == "" {
+		s.unlisted = true
+	}
+	if known && p.Incarnation > ev.Incarnation {
 		s.log(LogWarn, partPeer, "Message of an old incarnation was ignored.")
 		return
 	}
@@ -115,6 +119,9 @@
 		if c.To == message.HostDead || c.Restarted {
 			s.hostGone(c.Host)
 		}
+		if c.Restarted || c.From == message.HostDead {
+			s.unlisted = true // its address may have changed
+		}
 		s.emit(Log{Level: LogInfo, Part: partPeer, Text: changeText(c), Host: c.Host})
 	}
 	s.applyHosts()
--- a/fleet/core/tick.go
+++ b/fleet/core/tick.go
@@ -12,6 +12,10 @@
 	"ragwortshunt.example/fleet/order"
 )
 
+// hostsPerPeer is added to the time between two readings of the host list for each
+// known host.
+const hostsPerPeer = 20 * time.Millisecond
+
 // requestInterval is the time between two passes over the running requests. The
 // times that a pass checks are 500 ms and more.
 const requestInterval = 50 * time.Millisecond
@@ -29,13 +33,24 @@
 }
 
 func (s *step) tickHosts() {
-	if !s.hostsRead.IsZero() && s.now.Sub(s.hostsRead) < s.cfg.HostsInterval {
+	if !s.hostsRead.IsZero() && s.now.Sub(s.hostsRead) < s.hostsInterval() {
 		return
 	}
 	s.hostsRead = s.now
+	s.unlisted = false
 	s.emit(ListHosts{})
 }
 
+// hostsInterval is the time between two readings of the host list. It grows with
+// the number of hosts, as both the readings and the length of the list do. A host
+// that has been heard but not listed has no address, so that the list is read soon.
+func (s *step) hostsInterval() time.Duration {
+	if s.unlisted {
+		return s.cfg.HostsInterval
+	}
+	return s.cfg.HostsInterval + time.Duration(member.Count(s.member))*hostsPerPeer
+}
+
 func (s *step) tickLimits() {
 	resolved, actions := limit.Tick(s.limit, s.now)
 	s.limitActions(actions)
--- a/fleet/member/member.go
+++ b/fleet/member/member.go
@@ -203,6 +203,9 @@
 	return p.public(), true
 }
 
+// Count returns the number of known hosts including the own one.
+func Count(s *State) int { return len(s.order) }
+
 // Peers returns all known hosts including the own one, sorted by name.
 func Peers(s *State) []Peer {
 	out := make([]Peer, 0, len(s.order))
--- a/load/cmd/ragwort-load/main.go
+++ b/load/cmd/ragwort-load/main.go
@@ -26,8 +26,8 @@
 
 func command() *cli.Command {
 	return &cli.Command{
-		Name:     "ragwort-load",
-		Usage:    "put load on routers and verify every answer",
+		Name:  "ragwort-load",
+		Usage: "put load on routers and verify every answer",
 		Commands: []*cli.Command{
 			runCommand(),
 			slopes.Command(),
--- a/load/internal/slopes/rig.go
+++ b/load/internal/slopes/rig.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"reflect"
+	"strconv"
 	"time"
 
 	"ragwortshunt.example/fleet/core"
@@ -235,7 +236,7 @@
 	r.serial++
 	n := r.serial % r.shape.accounts
 	r.post(core.RequestArrived{
-		Request: id.Request(fmt.Sprintf("%s-%x-%x", r.hosts[0].Host, 0x193a0c3f, r.serial)),
+		Request: id.Request(fmt.Sprintf("%s-%s-%x", r.hosts[0].Host, strconv.FormatUint(uint64(incarnation), 36), r.serial)),
 		Route:   r.shape.route(n), Account: accountName(n), Key: id.KeyID(accountName(n)),
 		PromptTokens: 200, MaxTokens: 300, Prefix: 0x9e3779b97f4a7c15 * uint64(r.serial),
 	})
