Open a newer table from the one in force

Cause: each change decoded the whole table at each host: 196 to 294 ms and 48 MiB of allocation at 20,000 accounts and 10,000 endpoints, during which the reducer delivers no tokens. Change: table.OpenFrom decodes the segments in which two manifests differ and copies the maps that change. Content hashes of all segments are checked as before. Changes of pools and routes, removed accounts and all faults go through Open, so that errors are the same.

--- a/fleet/core/tablesync.go
+++ b/fleet/core/tablesync.go
@@ -175,7 +175,7 @@
 // openTable installs a table that is complete, valid and newer than the one in
 // force. Anything else leaves the table in force as it is.
 func (s *step) openTable(manifest []byte, segments map[string][]byte, confirmed time.Time) {
-	snap, err := table.Open(manifest, segments)
+	snap, err := table.OpenFrom(s.table.snapshot, s.table.manifest, manifest, segments)
 	if err != nil {
 		s.table.problem = err.Error()
 		s.table.retryAt = s.now.Add(s.cfg.WatchRetry)
--- a/fleet/table/segment.go
+++ b/fleet/table/segment.go
@@ -117,14 +117,10 @@
 	}
 	p := newParser()
 	for _, name := range m.Segments {
-		segment, ok := segments[name]
-		if !ok {
-			return nil, fmt.Errorf("%w %s of version %d", ErrMissingSegment, name, m.Version)
-		}
-		if SegmentName(segment) != name {
-			return nil, fmt.Errorf("%w %s of version %d", ErrCorruptSegment, name, m.Version)
+		if err := checkSegment(m, name, segments); err != nil {
+			return nil, err
 		}
-		if err := p.read(bytes.NewReader(segment), name); err != nil {
+		if err := p.read(bytes.NewReader(segments[name]), name); err != nil {
 			return nil, err
 		}
 	}
--- a/load/internal/slopes/tables.go
+++ b/load/internal/slopes/tables.go
@@ -1,6 +1,7 @@
 package slopes
 
 import (
+	"maps"
 	"runtime"
 	"time"
 
@@ -56,6 +57,8 @@
 		{name: "split, at the operator's host", mechanism: "table.Split", x: x, y: "ms"},
 		{name: "open, at each host", mechanism: "table.Open", x: x, y: "ms"},
 		{name: "allocated by open", mechanism: "table.Open", x: x, y: "MiB"},
+		{name: "open from the previous version", mechanism: "table.OpenFrom", x: x, y: "ms"},
+		{name: "allocated by it", mechanism: "table.OpenFrom", x: x, y: "MiB"},
 		{name: "diff, at the operator's host", mechanism: "table.Diff", x: x, y: "ms"},
 		{name: "install, at each host", mechanism: "core.install", x: x, y: "ms"},
 		{name: "manifest", mechanism: "table.Manifest", x: x, y: "bytes"},
@@ -95,6 +98,15 @@
 	if err != nil {
 		return nil, err
 	}
+	both := maps.Clone(c.oldSegments)
+	maps.Copy(both, c.newSegments)
+	from, fromAllocated, err := timed(func() error {
+		_, err := table.OpenFrom(c.oldSnap, c.oldManifest, c.newManifest, both)
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
 	diff, _, err := timed(func() error {
 		table.Diff(c.oldSnap, c.newSnap)
 		return nil
@@ -107,7 +119,7 @@
 		return nil, err
 	}
 	sizes, err := c.sizes()
-	return append([]float64{split, open, allocated, diff, install}, sizes...), err
+	return append([]float64{split, open, allocated, from, fromAllocated, diff, install}, sizes...), err
 }
 
 // installTime returns the median time in which a host puts a newer table into
