--- a/fleet/core/tablesync.go
+++ b/fleet/core/tablesync.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"maps"
 	"sort"
 	"time"
 
@@ -193,6 +194,7 @@
 	if snap.Version <= s.version() {
 		return
 	}
+	prev := s.table.snapshot
 	s.table.snapshot = snap
 	s.table.endpoints = countEndpoints(snap)
 	s.dropViews()
@@ -200,7 +202,9 @@
 	s.table.segments = usedSegments(manifest, segments)
 	s.table.problem = ""
 	s.confirm(confirmed)
-	s.applyLimits(snap)
+	if prev == nil || !maps.Equal(prev.Accounts, snap.Accounts) {
+		s.applyLimits(snap)
+	}
 	for _, k := range sortedCells(s.scheduler.cells) {
 		s.configureCell(k, s.scheduler.cells[k])
 	}
--- a/load/internal/slopes/tables.go
+++ b/load/internal/slopes/tables.go
@@ -60,7 +60,8 @@
 		{name: "open from the previous version", mechanism: "table.OpenFrom", x: x, y: "ms"},
 		{name: "allocated by it", mechanism: "table.OpenFrom", x: x, y: "MiB"},
 		{name: "diff, at the operator's host", mechanism: "table.Diff", x: x, y: "ms"},
-		{name: "install, at each host", mechanism: "core.install", x: x, y: "ms"},
+		{name: "install of a changed account, at each host", mechanism: "core.install, limit.SetBudgets", x: x, y: "ms"},
+		{name: "install of a table with the same accounts, at each host", mechanism: "core.install", x: x, y: "ms"},
 		{name: "manifest", mechanism: "table.Manifest", x: x, y: "bytes"},
 		{name: "segments that one changed row replaces", mechanism: "table.Split", x: x, y: "bytes"},
 		{name: "request for a newer table", mechanism: "message.TableAsk", x: x, y: "bytes"},
@@ -114,32 +115,35 @@
 	if err != nil {
 		return nil, err
 	}
-	install, err := c.installTime(accounts)
+	install, same, err := c.installTimes(accounts)
 	if err != nil {
 		return nil, err
 	}
 	sizes, err := c.sizes()
-	return append([]float64{split, open, allocated, from, fromAllocated, diff, install}, sizes...), err
+	return append([]float64{split, open, allocated, from, fromAllocated, diff, install, same}, sizes...), err
 }
 
-// installTime returns the median time in which a host puts a newer table into
-// force, in milliseconds.
-func (c changed) installTime(accounts int) (float64, error) {
+// installTimes returns the median times in which a host puts a newer table into
+// force, in milliseconds: one with a changed account, and one without.
+func (c changed) installTimes(accounts int) (account, same float64, err error) {
 	sh := targetShape()
 	sh.accounts = accounts
 	r, err := newRig(sh)
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
-	var times []float64
-	for i := range rounds {
-		r.reset()
+	times := [2][]float64{}
+	for i := range 4 * rounds {
 		next := *c.newSnap
+		if i/2%2 == 1 {
+			next = *c.oldSnap
+		}
 		next.Version = uint64(i + 2)
+		r.reset()
 		r.post(core.TableOpened{Snapshot: &next, Manifest: c.newManifest, Segments: c.newSegments})
-		times = append(times, float64(r.total("TableOpened").Microseconds())/1000)
+		times[i%2] = append(times[i%2], float64(r.total("TableOpened").Microseconds())/1000)
 	}
-	return median(times), nil
+	return median(times[0]), median(times[1]), nil
 }
 
 // sizes returns the bytes of the manifest, of the replaced segments, of the
--- a/load/internal/slopes/time.go
+++ b/load/internal/slopes/time.go
@@ -43,7 +43,7 @@
 // tickSeries measures what a host does without new requests: ticks, heartbeats,
 // the host list, registration of running requests.
 func tickSeries() ([]series, error) {
-	requests, err := sweep("of running requests", "running requests", []int{0, 100, 300, 1000}, func(sh *shape, _ int) {},
+	requests, err := sweep("of running requests", "running requests", []int{0, 100, 300, 1000}, func(*shape, int) {},
 		func(r *rig, n int) {
 			for range n {
 				r.start()
