--- a/load/internal/slopes/claims.go
+++ b/load/internal/slopes/claims.go
@@ -24,8 +24,8 @@
 	due     []dueCall
 	writes  int
 	bytes   int
-	reads   int
 	ended   int
+	spent   time.Duration
 }
 
 type dueCall struct {
@@ -39,6 +39,7 @@
 	rate := series{name: "writes of claims", mechanism: "claim.work", x: "claims/s", y: "1/s"}
 	stored := series{name: "bytes of all shards after 10 s", mechanism: "claim entries, kept for 24 h", x: "claims", y: "bytes"}
 	written := series{name: "bytes written per write", mechanism: "claim.encode (the whole shard)", x: "claims per shard", y: "bytes"}
+	cpu := series{name: "time of a claim at the owner, settlement included", mechanism: "claim.makePlan, claim.encode", x: "claims per shard", y: "us"}
 	for _, perSecond := range []int{10, 100, 1000, 4000} {
 		c, err := runClaims(perSecond)
 		if err != nil {
@@ -54,8 +55,9 @@
 		stored.points = append(stored.points, point{total, float64(all)})
 		shards := float64(claim.DefaultConfig().Shards)
 		written.points = append(written.points, point{total / 2 / shards, float64(c.bytes) / float64(c.writes)})
+		cpu.points = append(cpu.points, point{total / 2 / shards, float64(c.spent.Microseconds()) / total})
 	}
-	return []series{writes, rate, stored, written}, nil
+	return []series{writes, rate, stored, written, cpu}, nil
 }
 
 func runClaims(perSecond int) (*claimRig, error) {
@@ -77,7 +79,7 @@
 		}
 		c.release()
 		if c.now.Sub(begin)%(10*time.Millisecond) == 0 {
-			c.do(claim.Tick(c.state, c.now))
+			c.do(func() []claim.Action { return claim.Tick(c.state, c.now) })
 		}
 	}
 	return c, nil
@@ -88,9 +90,10 @@
 		Account: accountName(n % 1000), Key: fmt.Sprintf("019b0000-0000-7000-8000-%012x", n),
 		Nonce: fmt.Sprintf("entry-0-000-dlr5xk0p1a2b-%x-1", n), Digest: fmt.Sprintf("%064x", n),
 	}
-	c.do(claim.Claim(c.state, c.now, id.Request(m.Nonce), m, "", c.now))
+	c.do(func() []claim.Action { return claim.Claim(c.state, c.now, id.Request(m.Nonce), m, "", c.now) })
 	c.after(claimRun, func() {
-		c.do(claim.Settle(c.state, c.now, message.ClaimSettle{Claim: m, State: message.ClaimDone, Outcome: make([]byte, 200)}, "entry-0-000"))
+		done := message.ClaimSettle{Claim: m, State: message.ClaimDone, Outcome: make([]byte, 200)}
+		c.do(func() []claim.Action { return claim.Settle(c.state, c.now, done, "entry-0-000") })
 		c.ended++
 	})
 }
@@ -113,23 +116,32 @@
 	c.due = append(later, c.due...)
 }
 
-func (c *claimRig) do(actions []claim.Action) {
+// do makes one call of the package and answers the calls that it asks for.
+func (c *claimRig) do(call func() []claim.Action) {
+	start := time.Now()
+	actions := call()
+	c.spent += time.Since(start)
 	for _, a := range actions {
 		switch a := a.(type) {
 		case claim.Read:
-			c.reads++
-			c.after(storeLatency, func() {
-				o := c.objects[a.Name]
-				o.Name = a.Name
-				c.do(claim.HandleRead(c.state, c.now, o))
-			})
+			c.after(storeLatency, func() { c.answerRead(a) })
 		case claim.Write:
 			c.writes++
 			c.bytes += len(a.Value)
-			c.after(storeLatency, func() {
-				c.objects[a.Name] = claim.ObjectRead{Name: a.Name, Version: a.IfVersion + 1, Value: a.Value}
-				c.do(claim.HandleWrite(c.state, c.now, claim.ObjectWritten{Name: a.Name, Version: a.IfVersion + 1, Outcome: claim.WriteDone}))
-			})
+			c.after(storeLatency, func() { c.answerWrite(a) })
 		}
 	}
 }
+
+func (c *claimRig) answerRead(a claim.Read) {
+	o := c.objects[a.Name]
+	o.Name = a.Name
+	c.do(func() []claim.Action { return claim.HandleRead(c.state, c.now, o) })
+}
+
+func (c *claimRig) answerWrite(a claim.Write) {
+	version := a.IfVersion + 1
+	c.objects[a.Name] = claim.ObjectRead{Name: a.Name, Version: version, Value: a.Value}
+	written := claim.ObjectWritten{Name: a.Name, Version: version, Outcome: claim.WriteDone}
+	c.do(func() []claim.Action { return claim.HandleWrite(c.state, c.now, written) })
+}
--- a/load/internal/slopes/memory.go
+++ b/load/internal/slopes/memory.go
@@ -57,7 +57,25 @@
 	if err != nil {
 		return nil, err
 	}
-	return slices.Concat(accounts, snapshot, endpoints, peers, requests, records), nil
+	receipts, err := rigMemory("requests of the last 11 min (1,000 records)", "limit.received", []int{2000, 6000, 20_000},
+		func(*shape, int) {}, func(r *rig, n int) {
+			for range n {
+				r.whole(1)
+			}
+		})
+	if err != nil {
+		return nil, err
+	}
+	gifts, err := rigMemory("gifts of the last 10 min that were not returned", "limit.given, bucket charges", []int{2000, 6000, 20_000},
+		func(sh *shape, _ int) { sh.hosts = 1 }, func(r *rig, n int) {
+			for i := range n {
+				r.ask(i)
+			}
+		})
+	if err != nil {
+		return nil, err
+	}
+	return slices.Concat(accounts, snapshot, endpoints, peers, requests, records, receipts, gifts), nil
 }
 
 // rigMemory measures the heap that one rig adds, by the size of one quantity.
--- a/load/internal/slopes/time.go
+++ b/load/internal/slopes/time.go
@@ -2,7 +2,12 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
+
+	"ragwortshunt.example/fleet/core"
+	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/message"
 )
 
 const (
@@ -112,7 +117,33 @@
 		}
 		out.points = append(out.points, point{float64(tokens), median(each)})
 	}
-	return []series{out}, nil
+	asks, err := askSeries()
+	return []series{out, asks}, err
+}
+
+// askSeries measures the answer to a host that asks a share holder for tokens.
+func askSeries() (series, error) {
+	const n = 5000
+	out := series{name: "time of a TokenAsk at the share holder", mechanism: "limit.HandleAsk", x: "accounts", y: "us"}
+	for _, accounts := range []int{1000, 5000, 20_000} {
+		sh := targetShape()
+		sh.hosts, sh.accounts = 1, accounts
+		r, err := newRig(sh)
+		if err != nil {
+			return out, err
+		}
+		var each []float64
+		for range rounds {
+			r.reset()
+			for i := range n {
+				r.ask(i)
+			}
+			each = append(each, float64(r.total("TokenAsk").Nanoseconds())/1000/n)
+			r.run(time.Second)
+		}
+		out.points = append(out.points, point{float64(accounts), median(each)})
+	}
+	return out, nil
 }
 
 // whole runs one request to its end.
@@ -126,3 +157,10 @@
 	}
 	r.open = r.open[:0]
 }
+
+// ask lets a host of another zone ask this host for tokens.
+func (r *rig) ask(n int) {
+	r.post(core.PeerMessage{From: r.hosts[1+n%(r.shape.zones-1)].Host, Incarnation: 1, Message: message.TokenAsk{
+		Request: id.Request("entry-1-000-" + strconv.Itoa(n)), Account: accountName(n % r.shape.accounts), Tokens: 5,
+	}})
+}
