--- a/fleet/core/core.go
+++ b/fleet/core/core.go
@@ -156,14 +156,17 @@
 	finished  []Record // ring of the last finished requests
 	finishedN int
 
-	settings  uint64                    // digest of the settings that all hosts must share
-	differing map[id.Host]bool          // hosts whose shared settings differ
-	suspects  map[id.Host]time.Time     // passed over until
+	settings  uint64                // digest of the settings that all hosts must share
+	differing map[id.Host]bool      // hosts whose shared settings differ
+	suspects  map[id.Host]time.Time // passed over until
+	views     views
 	avoid     map[id.Endpoint]time.Time // service endpoints passed over until
 	calls     map[id.Endpoint]int       // outstanding service calls of this host
 	down      map[id.Endpoint]bool      // could not be reached by the last call
 	hostsRead time.Time
 	ticked    time.Time // last tick
+	unlisted  bool      // a host has been heard whose address may be unknown
+	nextPass  time.Time // over the requests
 	heard     bool      // a peer has told its table version
 	draining  bool
 	lastEnd   time.Time // when the last request of a draining host ended
--- a/fleet/core/peers.go
+++ b/fleet/core/peers.go
@@ -32,13 +32,16 @@
 		return
 	}
 	changes := member.Heard(s.member, s.now, ev.From, ev.Incarnation)
-	delete(s.suspects, ev.From)
+	s.unsuspect(ev.From)
 	if hb, ok := ev.Message.(message.Heartbeat); ok {
 		changes = append(changes, member.HandleHeartbeat(s.member, s.now, ev.From, ev.Incarnation, hb)...)
 		s.peerVersion(ev.From, hb.TableVersion, hb.ConfirmedAge, hb.ConfirmedAge > 0)
 		s.compareSettings(ev.From, hb.Settings)
 	}
 	s.memberChanges(changes)
+	if p, known := member.PeerOf(s.member, ev.From); known && p.Address == "" {
+		s.unlisted = true
+	}
 	s.dispatch(ev.From, ev.Message)
 }
 
@@ -103,6 +106,7 @@
 		s.emit(Log{Level: LogWarn, Part: partPeer, Text: "Host refuses connections.", Host: h})
 	}
 	s.suspects[h] = s.now.Add(s.cfg.SuspectFor)
+	s.dropViews()
 	for _, r := range s.sortedRequests() {
 		if r.stage == StageQueue && r.host == h {
 			s.refreshQueue(r)
@@ -110,6 +114,15 @@
 	}
 }
 
+// unsuspect ends the suspicion of a host that has been heard.
+func (s *step) unsuspect(h id.Host) {
+	if _, ok := s.suspects[h]; !ok {
+		return
+	}
+	delete(s.suspects, h)
+	s.dropViews()
+}
+
 func (s *step) memberChanges(changes []member.Change) {
 	if len(changes) == 0 {
 		return
@@ -118,6 +131,9 @@
 		if c.To == message.HostDead || c.Restarted {
 			s.hostGone(c.Host)
 		}
+		if c.Restarted || c.From == message.HostDead {
+			s.unlisted = true // its address may have changed
+		}
 		s.emit(Log{Level: LogInfo, Part: partPeer, Text: changeText(c), Host: c.Host})
 	}
 	s.applyHosts()
--- a/fleet/core/tablesync.go
+++ b/fleet/core/tablesync.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"maps"
 	"sort"
 	"time"
 
@@ -21,6 +22,7 @@
 // tableState is the table in force and the one being fetched.
 type tableState struct {
 	snapshot  *table.Snapshot
+	endpoints map[modelZone]int // prefill and decode endpoints
 	manifest  []byte
 	segments  map[string][]byte
 	confirmed time.Time // when the platform last confirmed the version in force
@@ -91,12 +93,7 @@
 	if s.table.snapshot == nil {
 		return true
 	}
-	for _, h := range member.Owners(s.liveIn(s.cfg.Zone), "table-watch", s.cfg.Watchers) {
-		if h == s.cfg.Host {
-			return true
-		}
-	}
-	return false
+	return s.hostViews().watcher
 }
 
 // manifestRead handles the result of a watch. A version that is not above the
@@ -203,7 +200,7 @@
 // openTable installs a table that is complete, valid and newer than the one in
 // force. Anything else leaves the table in force as it is.
 func (s *step) openTable(manifest []byte, segments map[string][]byte, confirmed time.Time) {
-	snap, err := table.Open(manifest, segments)
+	snap, err := table.OpenFrom(s.table.snapshot, s.table.manifest, manifest, segments)
 	if err != nil {
 		s.table.problem = err.Error()
 		s.table.retryAt = s.now.Add(s.cfg.WatchRetry)
@@ -221,12 +218,17 @@
 	if snap.Version <= s.version() {
 		return
 	}
+	prev := s.table.snapshot
 	s.table.snapshot = snap
+	s.table.endpoints = countEndpoints(snap)
+	s.dropViews()
 	s.table.manifest = manifest
 	s.table.segments = usedSegments(manifest, segments)
 	s.table.problem = ""
 	s.confirm(confirmed)
-	s.applyLimits(snap)
+	if prev == nil || !maps.Equal(prev.Accounts, snap.Accounts) {
+		s.applyLimits(snap)
+	}
 	for _, k := range sortedCells(s.scheduler.cells) {
 		s.configureCell(k, s.scheduler.cells[k])
 	}
--- a/load/cmd/ragwort-load/main.go
+++ b/load/cmd/ragwort-load/main.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"ragwortshunt.example/load/internal/runner"
+	"ragwortshunt.example/load/internal/slopes"
 )
 
 func main() {
@@ -25,9 +26,13 @@
 
 func command() *cli.Command {
 	return &cli.Command{
-		Name:     "ragwort-load",
-		Usage:    "put load on routers and verify every answer",
-		Commands: []*cli.Command{runCommand(), benchCommand()},
+		Name:  "ragwort-load",
+		Usage: "put load on routers and verify every answer",
+		Commands: []*cli.Command{
+			runCommand(),
+			benchCommand(),
+			slopes.Command(),
+		},
 	}
 }
 
