core: have hosts register again with a scheduler that was frozen

Cause: a scheduler that wakes up after a pause too short for membership to notice forgets its cells. Hosts refresh their holds only every few seconds, so that it took their runs for abandoned ones after 5 s and cancelled them. Change: it asks all hosts to register holds and asks again. Heartbeats are built in one place, so that none of a leaving host says that it is alive. TestFrozenScheduler fails before (attempt 2 after the pause) and passes after.

--- a/fleet/core/cell.go
+++ b/fleet/core/cell.go
@@ -188,7 +188,7 @@
 			return
 		}
 	}
-	s.send(from, message.Heartbeat{Zone: s.cfg.Zone, TableVersion: s.version()})
+	s.send(from, s.heartbeat())
 }
 
 func (s *step) slotHold(from id.Host, m message.SlotHold) {
@@ -241,6 +241,26 @@
 	}
 }
 
+// requestHolds asks all hosts to register their running attempts and queued asks
+// again. Load reports would show the attempts as abandoned otherwise.
+func (s *step) requestHolds() {
+	hb := s.heartbeat()
+	hb.Register = true
+	s.broadcast(hb)
+	s.registerAgain(s.cfg.Host)
+}
+
+// registerAgain makes the next pass over the requests repeat what a scheduler has
+// been told.
+func (s *step) registerAgain(scheduler id.Host) {
+	for _, r := range s.requests {
+		if r.host == scheduler {
+			r.held = time.Time{}
+			r.asked = time.Time{}
+		}
+	}
+}
+
 func (s *step) dropCell(k cellKey) {
 	delete(s.scheduler.cells, k)
 	for req, known := range s.scheduler.requests {
--- a/fleet/core/core.go
+++ b/fleet/core/core.go
@@ -75,7 +75,7 @@
 		Order:           order.DefaultConfig(),
 		CellEndpoints:   16,
 		AskRepeat:       500 * time.Millisecond,
-		HoldRefresh:     5 * time.Second,
+		HoldRefresh:     15 * time.Second,
 		SuspectFor:      time.Second,
 		PrefillGrace:    2 * time.Second,
 		DecodeStall:     2 * time.Second,
--- a/fleet/core/peers.go
+++ b/fleet/core/peers.go
@@ -37,6 +37,9 @@
 		changes = append(changes, member.HandleHeartbeat(s.member, s.now, ev.From, ev.Incarnation, hb)...)
 		s.peerVersion(ev.From, hb.TableVersion, hb.ConfirmedAge, hb.ConfirmedAge > 0)
 		s.compareSettings(ev.From, hb.Settings)
+		if hb.Register {
+			s.registerAgain(ev.From)
+		}
 	}
 	s.memberChanges(changes)
 	if p, known := member.PeerOf(s.member, ev.From); known && p.Address == "" {
@@ -158,14 +161,29 @@
 	if len(beats) == 0 {
 		return
 	}
-	hb := message.Heartbeat{
-		Zone: s.cfg.Zone, TableVersion: s.version(), ConfirmedAge: s.confirmedAge(),
-		Reports: member.Reports(s.member), Settings: s.settings,
+	hb := s.heartbeat()
+	hb.ConfirmedAge = s.confirmedAge()
+	hb.Reports = member.Reports(s.member)
+	hb.Settings = s.settings
+	for _, to := range beats {
+		s.send(to, hb)
 	}
+}
+
+// heartbeat returns what every heartbeat of this host carries.
+func (s *step) heartbeat() message.Heartbeat {
+	hb := message.Heartbeat{Zone: s.cfg.Zone, TableVersion: s.version()}
 	if s.draining {
 		hb.State = message.HostLeaving
 	}
-	for _, to := range beats {
-		s.send(to, hb)
+	return hb
+}
+
+// broadcast sends a message to all known hosts but the own one.
+func (s *step) broadcast(m message.Message) {
+	for _, p := range member.Peers(s.member) {
+		if p.Host != s.cfg.Host {
+			s.send(p.Host, m)
+		}
 	}
 }
--- a/fleet/core/proof_test.go
+++ b/fleet/core/proof_test.go
@@ -348,3 +348,27 @@
 		assert.Assert(t, w.ConfirmedAge(h) < 60*time.Second, "%s: %s", h, w.ConfirmedAge(h))
 	}
 }
+
+// TestFrozenScheduler guards against a scheduler that wakes up from a pause too
+// short for membership to notice, has forgotten its cells, and then cancels the
+// runs that nobody has registered with it again.
+func TestFrozenScheduler(t *testing.T) {
+	const scheduler = "tallinn-a-3" // owner of the zone's cell by rendezvous
+	w := newWorld(t, 26)
+	l := steady("large-1", fake.RouteInteractive, 8)
+	l.PromptMax, l.WantMin, l.WantMax, l.Limit = 500, 800, 1000, 1000
+	l.To = 12 * time.Second
+	w.Generate(l)
+	w.At(12*time.Second, func() { w.Pause(scheduler, 1500*time.Millisecond) })
+	assert.NilError(t, w.Run(50*time.Second))
+	ran := 0
+	for _, c := range w.Calls() {
+		rec, ok := w.Explain(c)
+		if !ok || c.Host == scheduler || c.Result != fake.ResultWhole || c.Ended.Sub(fake.Start) < 14*time.Second {
+			continue
+		}
+		ran++
+		assert.Equal(t, rec.Attempt, id.Attempt(1), "%s: %v", c.Request, rec.Trace)
+	}
+	assert.Assert(t, ran > 20, "%d calls ran over the pause", ran)
+}
--- a/fleet/core/tick.go
+++ b/fleet/core/tick.go
@@ -8,7 +8,6 @@
 	"ragwortshunt.example/fleet/id"
 	"ragwortshunt.example/fleet/limit"
 	"ragwortshunt.example/fleet/member"
-	"ragwortshunt.example/fleet/message"
 	"ragwortshunt.example/fleet/order"
 )
 
@@ -29,6 +28,7 @@
 	if !s.ticked.IsZero() && s.now.Sub(s.ticked) > frozenAfter {
 		s.log(LogWarn, partPeer, "Process was frozen.")
 		s.dropCells()
+		s.requestHolds()
 	}
 	s.ticked = s.now
 	s.tickHosts()
@@ -113,12 +113,7 @@
 	member.SetLeaving(s.member)
 	s.limitActions(limit.Drain(s.limit, s.now))
 	s.applyHosts()
-	hb := message.Heartbeat{Zone: s.cfg.Zone, State: message.HostLeaving, TableVersion: s.version()}
-	for _, p := range member.Peers(s.member) {
-		if p.Host != s.cfg.Host {
-			s.send(p.Host, hb)
-		}
-	}
+	s.broadcast(s.heartbeat())
 	s.log(LogInfo, partPeer, "Host is leaving.")
 }
 
--- a/fleet/message/message.go
+++ b/fleet/message/message.go
@@ -68,6 +68,7 @@
 	Reports      []HostReport  `cbor:"5,keyasint,omitempty"`
 	Cells        []CellLoad    `cbor:"6,keyasint,omitempty"`
 	Settings     uint64        `cbor:"7,keyasint,omitempty"` // digest of the settings that all hosts must share
+	Register     bool          `cbor:"8,keyasint,omitempty"` // the sender has lost its cells; register holds and asks again
 }
 
 // SlotAsk asks a scheduler for prefill, transfer and decode capacity.
