--- a/fleet/claim/claim.go
+++ b/fleet/claim/claim.go
@@ -22,7 +22,7 @@
 // many hosts. If the owner does not answer, the asker writes itself.
 //
 // Each Read and Write must be answered exactly once, by HandleRead or
-// HandleWrite: a call that timed out counts as Failed or WriteUnknown.
+// HandleWrite: a call that timed out counts as Failed or object.WriteUnknown.
 package claim
 
 import (
@@ -114,32 +114,6 @@
 func (Send) isAction()   {}
 func (Result) isAction() {}
 
-// ObjectRead is the answer to a Read.
-type ObjectRead struct {
-	Name    string
-	Version uint64 // 0 if the object does not exist
-	Value   []byte
-	Failed  bool
-}
-
-// WriteOutcome tells how a Write ended.
-type WriteOutcome uint8
-
-// The outcomes of a Write.
-const (
-	WriteDone     WriteOutcome = iota + 1
-	WriteConflict              // another version is stored
-	WriteUnknown               // the reply was lost; the update may still take effect
-	WriteFailed                // the platform refused the call
-)
-
-// ObjectWritten is the answer to a Write.
-type ObjectWritten struct {
-	Name    string
-	Version uint64 // new version, with WriteDone
-	Outcome WriteOutcome
-}
-
 // ask is one call of Claim that has no result yet.
 type ask struct {
 	request  id.Request
--- a/fleet/claim/claim_test.go
+++ b/fleet/claim/claim_test.go
@@ -16,6 +16,7 @@
 	"ragwortshunt.example/fleet/claim"
 	"ragwortshunt.example/fleet/id"
 	"ragwortshunt.example/fleet/message"
+	"ragwortshunt.example/fleet/object"
 )
 
 const step = 5 * time.Millisecond
@@ -45,8 +46,8 @@
 	run func()
 }
 
-// object is a stored object of the simulated platform.
-type object struct {
+// stored is one object of the simulated platform.
+type stored struct {
 	version uint64
 	value   []byte
 }
@@ -74,7 +75,7 @@
 	faults  faults
 	hosts   []*host
 	events  []event
-	objects map[string]object
+	objects map[string]stored
 	runs    map[string][]*run // by key
 	next    int
 	writes  int
@@ -83,7 +84,7 @@
 func newWorld(tb rapid.TB, hosts int, seed uint64) *world {
 	w := &world{
 		tb: tb, rng: rand.New(rand.NewPCG(seed, 1)), now: start, cfg: claim.DefaultConfig(),
-		objects: map[string]object{}, runs: map[string][]*run{},
+		objects: map[string]stored{}, runs: map[string][]*run{},
 	}
 	w.faults.maxDelay = step
 	for i := range hosts {
@@ -161,7 +162,7 @@
 }
 
 func (w *world) read(h *host, a claim.Read) {
-	reply := claim.ObjectRead{Name: a.Name, Failed: w.chance(w.faults.refuse)}
+	reply := object.ReadResult{Name: a.Name, Failed: w.chance(w.faults.refuse)}
 	handle := w.only(h, func() []claim.Action { return claim.HandleRead(h.state, w.now, reply) })
 	w.after(w.delay(), func() {
 		reply.Version, reply.Value = w.objects[a.Name].version, w.objects[a.Name].value
@@ -173,32 +174,32 @@
 func (w *world) write(h *host, a claim.Write) {
 	w.writes++
 	assert.Assert(w.tb, len(a.Value) <= 1<<20)
-	r := claim.ObjectWritten{Name: a.Name}
+	r := object.WriteResult{Name: a.Name}
 	handle := w.only(h, func() []claim.Action { return claim.HandleWrite(h.state, w.now, r) })
-	reply := func(out claim.WriteOutcome, version uint64) {
+	reply := func(out object.WriteOutcome, version uint64) {
 		r.Outcome, r.Version = out, version
 		w.after(w.delay(), handle)
 	}
 	if w.chance(w.faults.refuse) {
-		reply(claim.WriteFailed, 0)
+		reply(object.WriteFailed, 0)
 		return
 	}
 	lost, falseConflict := w.chance(w.faults.lostReply), w.chance(w.faults.falseConflict)
 	if lost {
-		reply(claim.WriteUnknown, 0)
+		reply(object.WriteUnknown, 0)
 	}
 	w.after(w.delay(), func() {
 		o := w.objects[a.Name]
 		ok := o.version == a.IfVersion
 		if ok {
-			w.objects[a.Name] = object{version: o.version + 1, value: a.Value}
+			w.objects[a.Name] = stored{version: o.version + 1, value: a.Value}
 		}
 		switch {
 		case lost:
 		case ok && !falseConflict:
-			reply(claim.WriteDone, o.version+1)
+			reply(object.WriteDone, o.version+1)
 		default:
-			reply(claim.WriteConflict, 0)
+			reply(object.WriteConflict, 0)
 		}
 	})
 }
@@ -386,7 +387,7 @@
 	var first claim.Result
 	for len(w.runs["k"]) == 0 || !w.runs["k"][0].done {
 		w.runs["k"] = nil
-		w.objects = map[string]object{}
+		w.objects = map[string]stored{}
 		for _, h := range w.hosts {
 			w.restart(h)
 		}
@@ -412,18 +413,18 @@
 	cfg.Shards = 1
 	s := claim.New(cfg)
 	c := message.Claim{Account: "acct", Key: "k", Nonce: "n1", Digest: "a"}
-	absent := claim.ObjectRead{Name: "s-000"}
+	absent := object.ReadResult{Name: "s-000"}
 	assert.DeepEqual(t, claim.Claim(s, start, "r1", c, "", start), []claim.Action{claim.Read{Name: "s-000"}})
 	held, ok := claim.HandleRead(s, start, absent)[0].(claim.Write)
 	assert.Assert(t, ok)
-	claim.HandleWrite(s, start, claim.ObjectWritten{Name: "s-000", Outcome: claim.WriteUnknown})
+	claim.HandleWrite(s, start, object.WriteResult{Name: "s-000", Outcome: object.WriteUnknown})
 	late := start.Add(3 * time.Second)
 	assert.DeepEqual(t, claim.Tick(s, late), []claim.Action{claim.Result{Request: "r1", Unavailable: true}})
 	actions := claim.HandleRead(s, late, absent)
 	assert.Equal(t, len(actions), 1, "the lost write can still take effect")
 	ended, ok := actions[0].(claim.Write)
 	assert.Assert(t, ok && ended.IfVersion == held.IfVersion && strings.Contains(string(ended.Value), "not-run"))
-	claim.HandleWrite(s, late, claim.ObjectWritten{Name: "s-000", Version: 1, Outcome: claim.WriteDone})
+	claim.HandleWrite(s, late, object.WriteResult{Name: "s-000", Version: 1, Outcome: object.WriteDone})
 	claim.HandleAsk(s, late, "host-1", message.ClaimAsk{Request: "r1", Claim: c}, late)
 	late = late.Add(time.Second)
 	reply := message.ClaimReply{Request: "r1", Nonce: "n1", State: message.ClaimNotRun}
--- a/fleet/claim/shard.go
+++ b/fleet/claim/shard.go
@@ -6,6 +6,7 @@
 
 	"ragwortshunt.example/fleet/id"
 	"ragwortshunt.example/fleet/message"
+	"ragwortshunt.example/fleet/object"
 )
 
 // pending is a claim that waits to be recorded.
@@ -215,7 +216,7 @@
 }
 
 // HandleRead takes over the answer to a Read.
-func HandleRead(s *State, now time.Time, r ObjectRead) []Action {
+func HandleRead(s *State, now time.Time, r object.ReadResult) []Action {
 	sh, ok := s.shards[r.Name]
 	if !ok || !sh.reading {
 		return nil
@@ -239,7 +240,7 @@
 
 // HandleWrite takes over the answer to a Write. After a conflict or a lost reply
 // the object is read back, and the nonces tell which claims have been recorded.
-func HandleWrite(s *State, now time.Time, w ObjectWritten) []Action {
+func HandleWrite(s *State, now time.Time, w object.WriteResult) []Action {
 	sh, ok := s.shards[w.Name]
 	if !ok || sh.write == nil {
 		return nil
@@ -247,7 +248,7 @@
 	p := sh.write
 	sh.write = nil
 	switch w.Outcome {
-	case WriteDone:
+	case object.WriteDone:
 		sh.backoff = 0
 		sh.version = w.Version
 		sh.confirmed = sh.started
@@ -255,7 +256,7 @@
 		actions := conclude(s, now, sh, p)
 		setNextDue(s, now, sh)
 		return append(actions, work(s, now, sh)...)
-	case WriteFailed:
+	case object.WriteFailed:
 		delay(sh, now)
 		return nil
 	default:
--- a/fleet/core/event.go
+++ b/fleet/core/event.go
@@ -93,23 +93,12 @@
 	Sent      time.Time // when the call was made
 }
 
-// WriteOutcome tells what is known of a conditional update.
-type WriteOutcome uint8
-
-// The outcomes of a conditional update.
-const (
-	WriteDone     WriteOutcome = iota + 1
-	WriteConflict              // another version is stored
-	WriteUnknown               // the reply was lost; the write may have taken effect
-	WriteFailed                // the write certainly did not take effect
-)
-
 // ObjectWritten answers WriteObject.
 type ObjectWritten struct {
 	Kind    string
 	Name    string
 	Version uint64
-	Outcome WriteOutcome
+	Outcome object.WriteOutcome
 }
 
 // LoadReported carries a load report of an engine.
--- a/fleet/core/objects.go
+++ b/fleet/core/objects.go
@@ -9,79 +9,30 @@
 )
 
 func (s *step) objectRead(ev ObjectRead) {
+	r := object.ReadResult{Name: ev.Name, Version: ev.Version, Value: ev.Value, Failed: ev.Failed}
 	switch ev.Kind {
 	case object.KindManifest:
 		s.manifestRead(ev)
 	case object.KindSegment:
 		s.segmentRead(ev)
 	case object.KindLease:
-		s.limitActions(limit.HandleRead(s.limit, s.now, limit.LeaseRead{
-			Group: ev.Name, Version: ev.Version, Value: ev.Value, Failed: ev.Failed,
-		}))
+		s.limitActions(limit.HandleRead(s.limit, s.now, r))
 	case object.KindClaim:
-		s.claimActions(claim.HandleRead(s.claims, s.now, claim.ObjectRead{
-			Name: ev.Name, Version: ev.Version, Value: ev.Value, Failed: ev.Failed,
-		}))
+		s.claimActions(claim.HandleRead(s.claims, s.now, r))
 	case object.KindOrder:
-		s.orderActions(order.HandleRead(s.orders, s.now, order.ObjectRead{
-			Name: ev.Name, Version: ev.Version, Value: ev.Value, Failed: ev.Failed,
-		}))
+		s.orderActions(order.HandleRead(s.orders, s.now, r))
 	}
 }
 
 func (s *step) objectWritten(ev ObjectWritten) {
+	w := object.WriteResult{Name: ev.Name, Version: ev.Version, Outcome: ev.Outcome}
 	switch ev.Kind {
 	case object.KindLease:
-		s.limitActions(limit.HandleWrite(s.limit, s.now, limit.LeaseWrite{
-			Group: ev.Name, Version: ev.Version, Outcome: limitOutcome(ev.Outcome),
-		}))
+		s.limitActions(limit.HandleWrite(s.limit, s.now, w))
 	case object.KindClaim:
-		s.claimActions(claim.HandleWrite(s.claims, s.now, claim.ObjectWritten{
-			Name: ev.Name, Version: ev.Version, Outcome: claimOutcome(ev.Outcome),
-		}))
+		s.claimActions(claim.HandleWrite(s.claims, s.now, w))
 	case object.KindOrder:
-		s.orderActions(order.HandleWrite(s.orders, s.now, order.ObjectWritten{
-			Name: ev.Name, Version: ev.Version, Outcome: orderOutcome(ev.Outcome),
-		}))
-	}
-}
-
-func limitOutcome(o WriteOutcome) limit.WriteOutcome {
-	switch o {
-	case WriteDone:
-		return limit.WriteDone
-	case WriteConflict:
-		return limit.WriteConflict
-	case WriteFailed:
-		return limit.WriteFailed
-	default:
-		return limit.WriteUnknown
-	}
-}
-
-func claimOutcome(o WriteOutcome) claim.WriteOutcome {
-	switch o {
-	case WriteDone:
-		return claim.WriteDone
-	case WriteConflict:
-		return claim.WriteConflict
-	case WriteFailed:
-		return claim.WriteFailed
-	default:
-		return claim.WriteUnknown
-	}
-}
-
-func orderOutcome(o WriteOutcome) order.WriteOutcome {
-	switch o {
-	case WriteDone:
-		return order.WriteDone
-	case WriteConflict:
-		return order.WriteConflict
-	case WriteFailed:
-		return order.WriteFailed
-	default:
-		return order.WriteUnknown
+		s.orderActions(order.HandleWrite(s.orders, s.now, w))
 	}
 }
 
--- a/fleet/fake/store.go
+++ b/fleet/fake/store.go
@@ -147,14 +147,14 @@
 	obj := w.store.objects[objectKey(e.Kind, e.Name)]
 	switch {
 	case w.store.down || !reach:
-		ev.Outcome = core.WriteUnknown
+		ev.Outcome = object.WriteUnknown
 	case obj.Version != e.IfVersion:
-		ev.Outcome = core.WriteConflict
+		ev.Outcome = object.WriteConflict
 	default:
 		ev.Version = w.store.put(e.Kind, e.Name, e.Value)
-		ev.Outcome = core.WriteDone
+		ev.Outcome = object.WriteDone
 		if w.store.lost > 0 && w.rng.Float64() < w.store.lost {
-			ev.Outcome, ev.Version = core.WriteUnknown, 0
+			ev.Outcome, ev.Version = object.WriteUnknown, 0
 		}
 	}
 	w.reply(h, inc, ev)
--- a/fleet/limit/lease.go
+++ b/fleet/limit/lease.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/object"
 )
 
 const (
@@ -68,32 +69,6 @@
 	release bool
 }
 
-// LeaseRead is the outcome of a ReadLease.
-type LeaseRead struct {
-	Group   string
-	Version uint64 // 0: the object does not exist
-	Value   []byte
-	Failed  bool
-}
-
-// WriteOutcome is the outcome of a WriteLease.
-type WriteOutcome uint8
-
-// The outcomes of a write.
-const (
-	WriteDone     WriteOutcome = iota + 1
-	WriteConflict              // the version had changed
-	WriteUnknown               // the reply was lost or timed out
-	WriteFailed                // certainly not written
-)
-
-// LeaseWrite is the outcome of a WriteLease.
-type LeaseWrite struct {
-	Group   string
-	Version uint64 // new version if done
-	Outcome WriteOutcome
-}
-
 func newGroup(zone id.Zone, index int) *group {
 	return &group{index: index, name: groupName(zone, index)}
 }
@@ -115,8 +90,8 @@
 }
 
 // HandleRead takes the result of a ReadLease.
-func HandleRead(s *State, now time.Time, r LeaseRead) []Action {
-	g := s.groupNamed(r.Group)
+func HandleRead(s *State, now time.Time, r object.ReadResult) []Action {
+	g := s.groupNamed(r.Name)
 	if g == nil || !g.reading {
 		return nil
 	}
@@ -133,17 +108,17 @@
 
 // HandleWrite takes the result of a WriteLease. After a conflict the object is
 // read back too, because the layers below may have repeated the call.
-func HandleWrite(s *State, now time.Time, w LeaseWrite) []Action {
-	g := s.groupNamed(w.Group)
+func HandleWrite(s *State, now time.Time, w object.WriteResult) []Action {
+	g := s.groupNamed(w.Name)
 	if g == nil || g.write == nil || g.verify {
 		return nil
 	}
 	switch w.Outcome {
-	case WriteDone:
+	case object.WriteDone:
 		s.confirm(g, now, w.Version)
-	case WriteConflict:
+	case object.WriteConflict:
 		g.verify = true
-	case WriteFailed:
+	case object.WriteFailed:
 		g.write = nil
 		g.backOff(s.cfg, now)
 	default:
@@ -323,7 +298,7 @@
 
 // readValue takes over what a read showed. A version that is known already
 // changes nothing, so that the wait for a foreign lease goes on.
-func (s *State) readValue(g *group, now time.Time, r LeaseRead) {
+func (s *State) readValue(g *group, now time.Time, r object.ReadResult) {
 	v, err := s.valueOf(g, r)
 	if w := g.write; w != nil {
 		if err == nil && v.Writer == s.cfg.Host && v.Incarnation == s.cfg.Incarnation && v.Nonce == w.nonce {
@@ -348,7 +323,7 @@
 
 // valueOf decodes a read value. A value that cannot be decoded counts as held
 // by an unknown host for a full lease.
-func (s *State) valueOf(g *group, r LeaseRead) (leaseValue, error) {
+func (s *State) valueOf(g *group, r object.ReadResult) (leaseValue, error) {
 	v, err := decodeValue(r.Value)
 	if r.Version == 0 && g.version == 0 {
 		open := partValue{Released: true}
--- a/fleet/limit/limit.go
+++ b/fleet/limit/limit.go
@@ -65,11 +65,11 @@
 // Action is a call or message that the caller must carry out.
 type Action interface{ isAction() }
 
-// ReadLease asks the caller to read a lease object and to report a LeaseRead.
+// ReadLease asks the caller to read a lease object and to report a object.ReadResult.
 type ReadLease struct{ Group string }
 
 // WriteLease asks the caller to write a lease object if its version is still
-// IfVersion (0: it does not exist) and to report a LeaseWrite.
+// IfVersion (0: it does not exist) and to report a object.WriteResult.
 type WriteLease struct {
 	Group     string
 	IfVersion uint64
--- a/fleet/limit/single_test.go
+++ b/fleet/limit/single_test.go
@@ -10,6 +10,7 @@
 	"ragwortshunt.example/fleet/id"
 	"ragwortshunt.example/fleet/limit"
 	"ragwortshunt.example/fleet/message"
+	"ragwortshunt.example/fleet/object"
 )
 
 var epoch = time.Unix(0, 0)
@@ -38,9 +39,9 @@
 // Its lease was written at -1 s.
 func holding(t *testing.T, b limit.Budget) *limit.State {
 	s := reading(t, singleConfig(), b)
-	actions := limit.HandleRead(s, sec(-1), limit.LeaseRead{Group: "z1.0"})
+	actions := limit.HandleRead(s, sec(-1), object.ReadResult{Name: "z1.0"})
 	assert.Equal(t, len(actions), 1)
-	limit.HandleWrite(s, sec(0), limit.LeaseWrite{Group: "z1.0", Version: 1, Outcome: limit.WriteDone})
+	limit.HandleWrite(s, sec(0), object.WriteResult{Name: "z1.0", Version: 1, Outcome: object.WriteDone})
 	return s
 }
 
@@ -119,7 +120,7 @@
 	assert.Assert(t, !admit(t, s, 58.95, "after", 1))
 	_, actions := limit.Tick(s, sec(58.95))
 	assert.Equal(t, len(actions), 1)
-	limit.HandleWrite(s, sec(70), limit.LeaseWrite{Group: "z1.0", Version: 2, Outcome: limit.WriteDone})
+	limit.HandleWrite(s, sec(70), object.WriteResult{Name: "z1.0", Version: 2, Outcome: object.WriteDone})
 	assert.Assert(t, admit(t, s, 118.8, "renewed", 1))
 	assert.Assert(t, !admit(t, s, 118.9, "lapsed", 1))
 }
@@ -133,7 +134,7 @@
 	_, actions := limit.Tick(s, sec(0.2))
 	assert.Equal(t, len(actions), 1)
 	assert.Assert(t, !admit(t, s, 0.2, "frozen", 1))
-	limit.HandleWrite(s, sec(0.3), limit.LeaseWrite{Group: "z1.0", Outcome: limit.WriteUnknown})
+	limit.HandleWrite(s, sec(0.3), object.WriteResult{Name: "z1.0", Outcome: object.WriteUnknown})
 	assert.Assert(t, !admit(t, s, 0.4, "unknown", 1))
 	assert.Assert(t, !limit.Drained(s))
 	_, actions = limit.Tick(s, sec(0.5))
@@ -162,7 +163,7 @@
 	cfg := singleConfig()
 	s := reading(t, cfg, limit.Budget{Rate: 10, Burst: 100})
 	value := `{"writer":"h9","pooled":{"holder":"h9","wait-ns":60000000000},"reserve":{"holder":"h9","wait-ns":3600000000000}}`
-	actions := limit.HandleRead(s, sec(0), limit.LeaseRead{Group: "z1.0", Version: 4, Value: []byte(value)})
+	actions := limit.HandleRead(s, sec(0), object.ReadResult{Name: "z1.0", Version: 4, Value: []byte(value)})
 	assert.Equal(t, len(actions), 0)
 	_, actions = limit.Tick(s, sec(60))
 	assert.Equal(t, len(actions), 0, "taken before the margin has passed")
--- a/fleet/limit/world_test.go
+++ b/fleet/limit/world_test.go
@@ -10,6 +10,7 @@
 	"ragwortshunt.example/fleet/id"
 	"ragwortshunt.example/fleet/limit"
 	"ragwortshunt.example/fleet/message"
+	"ragwortshunt.example/fleet/object"
 )
 
 // world runs hosts against a stand-in platform and network in virtual time.
@@ -21,7 +22,7 @@
 	queue   eventQueue
 	seq     int
 	hosts   []*host
-	objects map[string]object
+	objects map[string]stored
 	down    bool             // the platform answers nobody
 	cut     map[id.Zone]bool // no traffic leaves the zone
 	faulty  bool             // network and platform lose, delay and repeat
@@ -55,7 +56,7 @@
 	tokens int64
 }
 
-type object struct {
+type stored struct {
 	version uint64
 	value   []byte
 }
@@ -86,7 +87,7 @@
 func newWorld(cfg limit.Config, perZone int, budgets map[id.Account]limit.Budget, seed uint64) *world {
 	w := &world{
 		cfg: cfg, budgets: budgets, rnd: rand.New(rand.NewPCG(seed, 1)),
-		objects: map[string]object{}, cut: map[id.Zone]bool{}, charges: map[id.Account][]*usage{}, open: map[id.Request]opening{},
+		objects: map[string]stored{}, cut: map[id.Zone]bool{}, charges: map[id.Account][]*usage{}, open: map[id.Request]opening{},
 	}
 	for _, zone := range cfg.Zones {
 		for i := range perZone {
@@ -231,7 +232,7 @@
 func (w *world) read(h *host, a limit.ReadLease) {
 	inc := h.inc
 	w.after(w.lag(), func() {
-		r := limit.LeaseRead{Group: a.Group, Failed: w.noPlatform(h)}
+		r := object.ReadResult{Name: a.Group, Failed: w.noPlatform(h)}
 		if o := w.objects[a.Group]; !r.Failed {
 			r.Version, r.Value = o.version, o.value
 		}
@@ -245,18 +246,18 @@
 // before the write takes effect.
 func (w *world) write(h *host, a limit.WriteLease) {
 	inc := h.inc
-	report := func(d time.Duration, version uint64, outcome limit.WriteOutcome) {
-		r := limit.LeaseWrite{Group: a.Group, Version: version, Outcome: outcome}
+	report := func(d time.Duration, version uint64, outcome object.WriteOutcome) {
+		r := object.WriteResult{Name: a.Group, Version: version, Outcome: outcome}
 		w.after(d, func() {
 			w.on(h, inc, func(now time.Time) { w.act(h, limit.HandleWrite(h.st, now, r)) })
 		})
 	}
 	timeout := w.faulty && w.rnd.IntN(10) == 0
 	if timeout {
-		report(w.lag(), 0, limit.WriteUnknown)
+		report(w.lag(), 0, object.WriteUnknown)
 	}
 	w.after(w.lag(), func() {
-		version, outcome := uint64(0), limit.WriteFailed
+		version, outcome := uint64(0), object.WriteFailed
 		if !w.noPlatform(h) {
 			version, outcome = w.store(a)
 		}
@@ -266,13 +267,13 @@
 	})
 }
 
-func (w *world) store(a limit.WriteLease) (uint64, limit.WriteOutcome) {
+func (w *world) store(a limit.WriteLease) (uint64, object.WriteOutcome) {
 	o := w.objects[a.Group]
 	if o.version != a.IfVersion {
-		return 0, limit.WriteConflict
+		return 0, object.WriteConflict
 	}
-	w.objects[a.Group] = object{version: o.version + 1, value: slices.Clone(a.Value)}
-	return o.version + 1, limit.WriteDone
+	w.objects[a.Group] = stored{version: o.version + 1, value: slices.Clone(a.Value)}
+	return o.version + 1, object.WriteDone
 }
 
 func (w *world) send(from *host, a limit.Send) {
--- a/fleet/order/lease.go
+++ b/fleet/order/lease.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/object"
 )
 
 // stored is the value of the order lease of a zone.
@@ -130,7 +131,7 @@
 
 // HandleRead takes over the answer to a Read. If a write of this host has taken
 // effect without a reply, its lease counts from the first such write.
-func HandleRead(s *State, now time.Time, r ObjectRead) []Action {
+func HandleRead(s *State, now time.Time, r object.ReadResult) []Action {
 	l := &s.lease
 	if !l.reading {
 		return nil
@@ -162,7 +163,7 @@
 
 // HandleWrite takes over the answer to a Write. After a conflict or a lost reply
 // the object is read back.
-func HandleWrite(s *State, now time.Time, w ObjectWritten) []Action {
+func HandleWrite(s *State, now time.Time, w object.WriteResult) []Action {
 	l := &s.lease
 	if l.writing == nil {
 		return nil
@@ -170,11 +171,11 @@
 	a := l.writing
 	l.writing = nil
 	switch w.Outcome {
-	case WriteDone:
+	case object.WriteDone:
 		l.backoff = 0
 		l.unresolved = time.Time{}
 		install(s, now, w.Version, a.value, a.start)
-	case WriteFailed:
+	case object.WriteFailed:
 		delay(l, now)
 	default:
 		l.loaded = false
--- a/fleet/order/order.go
+++ b/fleet/order/order.go
@@ -87,32 +87,6 @@
 func (Write) isAction()     {}
 func (SendOrder) isAction() {}
 
-// ObjectRead is the answer to a Read.
-type ObjectRead struct {
-	Name    string
-	Version uint64 // 0 if the object does not exist
-	Value   []byte
-	Failed  bool
-}
-
-// WriteOutcome tells how a Write ended.
-type WriteOutcome uint8
-
-// The outcomes of a Write.
-const (
-	WriteDone     WriteOutcome = iota + 1
-	WriteConflict              // another version is stored
-	WriteUnknown               // the reply was lost; the update may still take effect
-	WriteFailed                // the platform refused the call
-)
-
-// ObjectWritten is the answer to a Write.
-type ObjectWritten struct {
-	Name    string
-	Version uint64 // new version, with WriteDone
-	Outcome WriteOutcome
-}
-
 // Result is the answer to a SendOrder. Without Done and Stale the order has
 // failed, was not sent or got no answer.
 type Result struct {
--- a/fleet/order/order_test.go
+++ b/fleet/order/order_test.go
@@ -15,6 +15,7 @@
 
 	"ragwortshunt.example/fleet/engine"
 	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/object"
 	"ragwortshunt.example/fleet/order"
 	"ragwortshunt.example/fleet/table"
 )
@@ -181,7 +182,7 @@
 }
 
 func (w *world) read(h *host) {
-	r := order.ObjectRead{Name: "z", Failed: w.chance(w.lost) || w.now.Before(h.cut)}
+	r := object.ReadResult{Name: "z", Failed: w.chance(w.lost) || w.now.Before(h.cut)}
 	handle := w.only(h, func() { w.do(h, order.HandleRead(h.state, w.clock(h), r)) })
 	w.at(w.delay(w.maxDelay), nil, func() {
 		r.Version, r.Value = w.version, w.value
@@ -190,19 +191,19 @@
 }
 
 func (w *world) write(h *host, a order.Write) {
-	r := order.ObjectWritten{Name: "z"}
+	r := object.WriteResult{Name: "z"}
 	handle := w.only(h, func() { w.do(h, order.HandleWrite(h.state, w.clock(h), r)) })
-	reply := func(out order.WriteOutcome, version uint64) {
+	reply := func(out object.WriteOutcome, version uint64) {
 		r.Outcome, r.Version = out, version
 		w.at(w.delay(w.maxDelay), h, handle)
 	}
 	if w.now.Before(h.cut) {
-		reply(order.WriteFailed, 0)
+		reply(object.WriteFailed, 0)
 		return
 	}
 	lost, falseConflict := w.chance(w.lost), w.chance(w.lost)
 	if lost {
-		reply(order.WriteUnknown, 0)
+		reply(object.WriteUnknown, 0)
 	}
 	w.at(w.delay(w.maxDelay), nil, func() {
 		done := a.IfVersion == w.version
@@ -212,9 +213,9 @@
 		switch {
 		case lost:
 		case done && !falseConflict:
-			reply(order.WriteDone, w.version)
+			reply(object.WriteDone, w.version)
 		default:
-			reply(order.WriteConflict, 0)
+			reply(object.WriteConflict, 0)
 		}
 	})
 }
--- a/load/internal/slopes/claims.go
+++ b/load/internal/slopes/claims.go
@@ -7,6 +7,7 @@
 	"ragwortshunt.example/fleet/claim"
 	"ragwortshunt.example/fleet/id"
 	"ragwortshunt.example/fleet/message"
+	"ragwortshunt.example/fleet/object"
 )
 
 const (
@@ -20,7 +21,7 @@
 type claimRig struct {
 	state   *claim.State
 	now     time.Time
-	objects map[string]claim.ObjectRead
+	objects map[string]object.ReadResult
 	due     []dueCall
 	writes  int
 	bytes   int
@@ -65,7 +66,7 @@
 	cfg.Host = "entry-0-000"
 	c := &claimRig{
 		state: claim.New(cfg), now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
-		objects: map[string]claim.ObjectRead{},
+		objects: map[string]object.ReadResult{},
 	}
 	begin, sent := c.now, 0
 	total := perSecond * int(claimTime/time.Second)
@@ -141,7 +142,7 @@
 
 func (c *claimRig) answerWrite(a claim.Write) {
 	version := a.IfVersion + 1
-	c.objects[a.Name] = claim.ObjectRead{Name: a.Name, Version: version, Value: a.Value}
-	written := claim.ObjectWritten{Name: a.Name, Version: version, Outcome: claim.WriteDone}
+	c.objects[a.Name] = object.ReadResult{Name: a.Name, Version: version, Value: a.Value}
+	written := object.WriteResult{Name: a.Name, Version: version, Outcome: object.WriteDone}
 	c.do(func() []claim.Action { return claim.HandleWrite(c.state, c.now, written) })
 }
--- a/load/internal/slopes/rig.go
+++ b/load/internal/slopes/rig.go
@@ -174,7 +174,7 @@
 		r.readObject(e)
 	case core.WriteObject:
 		r.queue = append(r.queue, core.ObjectWritten{
-			Kind: e.Kind, Name: e.Name, Version: e.IfVersion + 1, Outcome: core.WriteDone,
+			Kind: e.Kind, Name: e.Name, Version: e.IfVersion + 1, Outcome: object.WriteDone,
 		})
 	case core.SendOrder:
 		r.queue = append(r.queue, core.OrderAnswered{Endpoint: e.Endpoint, Fence: e.Order.Fence, Done: true})
--- a/router/internal/platform/platform.go
+++ b/router/internal/platform/platform.go
@@ -2,7 +2,7 @@
 // list.
 //
 // Every call ends in one event. A conditional update whose reply is lost is
-// reported as core.WriteUnknown; the decision core reads back.
+// reported as object.WriteUnknown; the decision core reads back.
 package platform
 
 import (
@@ -178,28 +178,28 @@
 }
 
 // failedWrite tells a connection that was never made from a lost reply.
-func failedWrite(err error) core.WriteOutcome {
+func failedWrite(err error) object.WriteOutcome {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
-		return core.WriteFailed
+		return object.WriteFailed
 	}
-	return core.WriteUnknown
+	return object.WriteUnknown
 }
 
-func writeOutcome(resp *http.Response) (core.WriteOutcome, uint64) {
+func writeOutcome(resp *http.Response) (object.WriteOutcome, uint64) {
 	switch resp.StatusCode {
 	case http.StatusConflict:
-		return core.WriteConflict, 0
+		return object.WriteConflict, 0
 	case http.StatusTooManyRequests:
-		return core.WriteFailed, 0
+		return object.WriteFailed, 0
 	case http.StatusOK, http.StatusCreated:
 	default:
-		return core.WriteUnknown, 0
+		return object.WriteUnknown, 0
 	}
 	var obj object.Object
 	err := json.NewDecoder(io.LimitReader(resp.Body, maxReply)).Decode(&obj)
 	if err != nil || obj.Version == 0 {
-		return core.WriteUnknown, 0
+		return object.WriteUnknown, 0
 	}
-	return core.WriteDone, obj.Version
+	return object.WriteDone, obj.Version
 }
--- a/router/internal/platform/platform_test.go
+++ b/router/internal/platform/platform_test.go
@@ -103,20 +103,20 @@
 	done := `{"kind":"lease","name":"a b.1","version":5}`
 	cases := map[string]struct {
 		handler http.HandlerFunc
-		outcome core.WriteOutcome
+		outcome object.WriteOutcome
 		version uint64
 	}{
-		"done":             {reply(200, done), core.WriteDone, 5},
-		"created":          {reply(201, done), core.WriteDone, 5},
-		"conflict":         {reply(409, done), core.WriteConflict, 0},
-		"rate limit":       {reply(429, ""), core.WriteFailed, 0},
-		"outage":           {reply(503, ""), core.WriteUnknown, 0},
-		"error":            {reply(500, ""), core.WriteUnknown, 0},
-		"lost reply":       {hangUp, core.WriteUnknown, 0},
-		"timeout":          {silent, core.WriteUnknown, 0},
-		"nonsense":         {reply(200, "{"), core.WriteUnknown, 0},
-		"without version":  {reply(200, "{}"), core.WriteUnknown, 0},
-		"negative version": {reply(200, `{"version":-1}`), core.WriteUnknown, 0},
+		"done":             {reply(200, done), object.WriteDone, 5},
+		"created":          {reply(201, done), object.WriteDone, 5},
+		"conflict":         {reply(409, done), object.WriteConflict, 0},
+		"rate limit":       {reply(429, ""), object.WriteFailed, 0},
+		"outage":           {reply(503, ""), object.WriteUnknown, 0},
+		"error":            {reply(500, ""), object.WriteUnknown, 0},
+		"lost reply":       {hangUp, object.WriteUnknown, 0},
+		"timeout":          {silent, object.WriteUnknown, 0},
+		"nonsense":         {reply(200, "{"), object.WriteUnknown, 0},
+		"without version":  {reply(200, "{}"), object.WriteUnknown, 0},
+		"negative version": {reply(200, `{"version":-1}`), object.WriteUnknown, 0},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -140,7 +140,7 @@
 	t.Run("no connection", func(t *testing.T) {
 		r := newRig(t, closedPort(t), time.Minute)
 		r.Write(core.WriteObject{Kind: object.KindLease, Name: "n"})
-		assert.Equal(t, r.events.next(t).(core.ObjectWritten).Outcome, core.WriteFailed)
+		assert.Equal(t, r.events.next(t).(core.ObjectWritten).Outcome, object.WriteFailed)
 	})
 }
 
