--- a/fleet/fake/fault.go
+++ b/fleet/fake/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"sort"
 	"time"
 
@@ -147,17 +148,32 @@
 
 // WithdrawKey commits a table in which a key is withdrawn.
 func (w *World) WithdrawKey(key id.KeyID) {
+	w.edit(func(t *table.Snapshot) {
+		t.Keys = maps.Clone(t.Keys)
+		k := t.Keys[key]
+		k.State = table.StateWithdrawn
+		t.Keys[key] = k
+	})
+}
+
+// MarkLeaving commits a table in which an endpoint is leaving.
+func (w *World) MarkLeaving(name id.Endpoint) {
+	w.edit(func(t *table.Snapshot) {
+		t.Endpoints = maps.Clone(t.Endpoints)
+		ep := t.Endpoints[name]
+		ep.State = table.StateLeaving
+		t.Endpoints[name] = ep
+	})
+}
+
+// edit commits a changed copy of the table. change replaces the maps that it
+// changes.
+func (w *World) edit(change func(t *table.Snapshot)) {
 	next := *w.cfg.Table
-	next.Keys = make(map[id.KeyID]table.Key, len(w.cfg.Table.Keys))
-	for name, k := range w.cfg.Table.Keys {
-		next.Keys[name] = k
-	}
-	k := next.Keys[key]
-	k.State = table.StateWithdrawn
-	next.Keys[key] = k
+	change(&next)
 	w.cfg.Table = &next
 	if err := w.Apply(&next); err != nil {
-		w.fail("withdraw key: %w", err)
+		w.fail("edit the table: %w", err)
 	}
 }
 
@@ -214,19 +230,3 @@
 		w.after(time.Duration(w.rng.Int64N(int64(cancelWithin))), func() { w.Send(spec) })
 	}
 }
-
-// MarkLeaving commits a table in which an endpoint is leaving.
-func (w *World) MarkLeaving(name id.Endpoint) {
-	next := *w.cfg.Table
-	next.Endpoints = make(map[id.Endpoint]table.Endpoint, len(w.cfg.Table.Endpoints))
-	for n, ep := range w.cfg.Table.Endpoints {
-		next.Endpoints[n] = ep
-	}
-	ep := next.Endpoints[name]
-	ep.State = table.StateLeaving
-	next.Endpoints[name] = ep
-	w.cfg.Table = &next
-	if err := w.Apply(&next); err != nil {
-		w.fail("mark leaving: %w", err)
-	}
-}
--- a/router/internal/caller/model.go
+++ b/router/internal/caller/model.go
@@ -59,12 +59,7 @@
 
 func (s *Server) complete(w http.ResponseWriter, r *http.Request, chat bool) {
 	presented := presentedKey(r.Header)
-	key, refused := s.authenticate(presented)
-	if refused != nil {
-		writeError(w, statusOf(refused.Code), *refused)
-		return
-	}
-	body, ok := s.readBody(w, r)
+	key, body, ok := s.accept(w, r, presented)
 	if !ok {
 		return
 	}
@@ -84,6 +79,18 @@
 	s.runModel(w, r, a, key)
 }
 
+// accept checks the presented key and reads the body. It answers the request and
+// returns false if either fails.
+func (s *Server) accept(w http.ResponseWriter, r *http.Request, presented string) (table.Key, []byte, bool) {
+	key, refused := s.authenticate(presented)
+	if refused != nil {
+		writeError(w, statusOf(refused.Code), *refused)
+		return key, nil, false
+	}
+	body, ok := s.readBody(w, r)
+	return key, body, ok
+}
+
 func (s *Server) isModelRoute(name string) bool {
 	snap := s.table.Load()
 	if snap == nil {
--- a/router/internal/caller/service.go
+++ b/router/internal/caller/service.go
@@ -26,12 +26,7 @@
 // service serves a call of a plain service: /services/{route}/{path below it}.
 func (s *Server) service(w http.ResponseWriter, r *http.Request) {
 	presented := presentedKey(r.Header)
-	key, refused := s.authenticate(presented)
-	if refused != nil {
-		writeError(w, statusOf(refused.Code), *refused)
-		return
-	}
-	body, ok := s.readBody(w, r)
+	key, body, ok := s.accept(w, r, presented)
 	if !ok {
 		return
 	}
--- a/router/internal/endpoint/endpoint_test.go
+++ b/router/internal/endpoint/endpoint_test.go
@@ -17,32 +17,14 @@
 
 	"ragwortshunt.example/fleet/core"
 	"ragwortshunt.example/router/internal/endpoint"
+	"ragwortshunt.example/router/internal/eventtest"
 	"ragwortshunt.example/router/internal/inflight"
 )
 
-// eventTimeout bounds the wait for one event; it only ends a failing test.
-const eventTimeout = 10 * time.Second
-
-// events collects what a shell posts.
-type events chan core.Event
-
-func (e events) Post(ev core.Event) { e <- ev }
-
-func (e events) next(t *testing.T) core.Event {
-	t.Helper()
-	select {
-	case ev := <-e:
-		return ev
-	case <-time.After(eventTimeout):
-		t.Fatal("no event")
-		return nil
-	}
-}
-
 // rig is an endpoint client with one prompt and one service call in store.
 type rig struct {
 	*endpoint.Client
-	events events
+	events eventtest.Events
 	clock  *clockwork.FakeClock
 	store  *inflight.Store
 	cancel context.CancelFunc
@@ -53,7 +35,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	r := &rig{
-		events: make(events, 64), clock: clockwork.NewFakeClock(), store: inflight.New(), cancel: cancel,
+		events: make(eventtest.Events, 64), clock: clockwork.NewFakeClock(), store: inflight.New(), cancel: cancel,
 	}
 	r.store.Add("r-1", &inflight.Item{
 		Prompt: "two words",
@@ -144,12 +126,12 @@
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t)
 			start(r)
-			assert.DeepEqual(t, r.events.next(t), core.Event(failed("not-started-in-time", true, false)))
+			assert.DeepEqual(t, r.events.Next(t), core.Event(failed("not-started-in-time", true, false)))
 		})
 	}
 	r := newRig(t)
 	r.Order(core.SendOrder{Endpoint: "e", Address: address, NotAfter: r.clock.Now().Add(-time.Second)})
-	assert.DeepEqual(t, r.events.next(t), core.Event(core.OrderAnswered{Endpoint: "e"}))
+	assert.DeepEqual(t, r.events.Next(t), core.Event(core.OrderAnswered{Endpoint: "e"}))
 	assert.Equal(t, hits.Load(), int64(0))
 }
 
@@ -171,14 +153,14 @@
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t)
 			r.Prefill(r.prefill(serve(t, c.handler)))
-			assert.DeepEqual(t, r.events.next(t), core.Event(c.want))
+			assert.DeepEqual(t, r.events.Next(t), core.Event(c.want))
 			r.waitIdle(t)
 		})
 	}
 	t.Run("dial failure", func(t *testing.T) {
 		r := newRig(t)
 		r.Prefill(r.prefill(closedPort(t)))
-		assert.DeepEqual(t, r.events.next(t), core.Event(failed("unreachable", true, true)))
+		assert.DeepEqual(t, r.events.Next(t), core.Event(failed("unreachable", true, true)))
 	})
 	t.Run("timeout", func(t *testing.T) {
 		r := newRig(t)
@@ -188,7 +170,7 @@
 		}))
 		e.Timeout = 500 * time.Millisecond
 		r.Prefill(e)
-		assert.DeepEqual(t, r.events.next(t), core.Event(failed("timeout", false, false)))
+		assert.DeepEqual(t, r.events.Next(t), core.Event(failed("timeout", false, false)))
 	})
 }
 
@@ -196,7 +178,7 @@
 // registered for ever after they have ended.
 func (r *rig) waitIdle(t *testing.T) {
 	t.Helper()
-	deadline := time.Now().Add(eventTimeout)
+	deadline := time.Now().Add(eventtest.Timeout)
 	for r.Running() > 0 {
 		assert.Assert(t, time.Now().Before(deadline), "%d calls are still registered", r.Running())
 		time.Sleep(time.Millisecond)
@@ -216,7 +198,7 @@
 	e := r.prefill(address)
 	e.Output = 2
 	r.Prefill(e)
-	assert.DeepEqual(t, r.events.next(t), core.Event(core.PrefillDone{Request: "r-1", Attempt: 1, KV: "kv-9", CachedTokens: 1}))
+	assert.DeepEqual(t, r.events.Next(t), core.Event(core.PrefillDone{Request: "r-1", Attempt: 1, KV: "kv-9", CachedTokens: 1}))
 	assert.Equal(t, body, `{"request-id":"r-1","attempt":1,"model":"","prompt":"two words","output":"a b","prompt-tokens":2,"priority":0}`)
 }
 
@@ -254,7 +236,7 @@
 			r := newRig(t)
 			r.Decode(core.StartDecode{Request: "r-1", Attempt: 1, Endpoint: "e", Address: serve(t, reply(200, c.stream))})
 			for _, want := range c.want {
-				assert.DeepEqual(t, r.events.next(t), want)
+				assert.DeepEqual(t, r.events.Next(t), want)
 			}
 			r.waitIdle(t)
 			assert.Equal(t, len(r.events), 0)
@@ -273,7 +255,7 @@
 		<-req.Context().Done()
 	})
 	r.Decode(core.StartDecode{Request: "r-1", Attempt: 1, Endpoint: "e", Address: address})
-	r.events.next(t)
+	r.events.Next(t)
 	assert.NilError(t, r.clock.BlockUntilContext(t.Context(), 1))
 	r.clock.Advance(time.Second)
 	r.waitIdle(t)
@@ -300,7 +282,7 @@
 	r := newRig(t)
 	r.Decode(core.StartDecode{Request: "r-1", Attempt: 1, Endpoint: "e", Address: address})
 	r.Resume(core.ResumeDecode{Request: "r-1", Attempt: 1, Endpoint: "e", Address: address, From: 4})
-	assert.DeepEqual(t, r.events.next(t), core.Event(core.TokensArrived{Request: "r-1", Attempt: 1, Offset: 4, End: true, Finish: "stop"}))
+	assert.DeepEqual(t, r.events.Next(t), core.Event(core.TokensArrived{Request: "r-1", Attempt: 1, Offset: 4, End: true, Finish: "stop"}))
 	assert.Equal(t, from, "/v1/runs/r-1/1?from=4")
 	r.waitIdle(t)
 	assert.Equal(t, len(r.events), 0)
@@ -372,10 +354,10 @@
 	})
 	r := newRig(t)
 	r.Poll(core.PollLoad{Endpoint: "e", Address: address, After: 6})
-	report := r.events.next(t).(core.LoadReported).Report
+	report := r.events.Next(t).(core.LoadReported).Report
 	assert.Equal(t, report.FreeBlocks, int64(5))
 	assert.Equal(t, len(report.Runs), 1)
-	assert.DeepEqual(t, r.events.next(t), core.Event(core.CacheChanged{Endpoint: "e", Seq: 7, Prefix: 99, Evicted: true}))
+	assert.DeepEqual(t, r.events.Next(t), core.Event(core.CacheChanged{Endpoint: "e", Seq: 7, Prefix: 99, Evicted: true}))
 }
 
 // TestOrder tells a stale fencing number from a lost reply.
@@ -393,7 +375,7 @@
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t)
 			r.Order(core.SendOrder{Endpoint: "e", Address: serve(t, c.handler), NotAfter: r.clock.Now().Add(time.Second)})
-			assert.DeepEqual(t, r.events.next(t), core.Event(core.OrderAnswered{Endpoint: "e", Done: c.done, Stale: c.stale}))
+			assert.DeepEqual(t, r.events.Next(t), core.Event(core.OrderAnswered{Endpoint: "e", Done: c.done, Stale: c.stale}))
 		})
 	}
 }
--- a/router/internal/endpoint/service_test.go
+++ b/router/internal/endpoint/service_test.go
@@ -35,7 +35,7 @@
 	})
 	r := newRig(t)
 	r.Call(r.call(address))
-	done := r.events.next(t).(core.ServiceDone)
+	done := r.events.Next(t).(core.ServiceDone)
 	assert.Equal(t, done.Status, http.StatusCreated)
 	assert.Equal(t, got.Method+" "+got.URL.String()+" "+body, "POST /issue?batch=7 label")
 	for name, want := range map[string]string{
@@ -74,13 +74,13 @@
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t)
 			r.Call(r.call(serve(t, c.handler)))
-			assert.DeepEqual(t, r.events.next(t), core.Event(c.want))
+			assert.DeepEqual(t, r.events.Next(t), core.Event(c.want))
 		})
 	}
 	t.Run("dial failure", func(t *testing.T) {
 		r := newRig(t)
 		r.Call(r.call(closedPort(t)))
-		assert.DeepEqual(t, r.events.next(t), core.Event(failed("unreachable", true, true)))
+		assert.DeepEqual(t, r.events.Next(t), core.Event(failed("unreachable", true, true)))
 	})
 	t.Run("timeout after the write", func(t *testing.T) {
 		r := newRig(t)
@@ -90,7 +90,7 @@
 		}))
 		e.Timeout = 500 * time.Millisecond
 		r.Call(e)
-		assert.DeepEqual(t, r.events.next(t), core.Event(failed("timeout", false, false)))
+		assert.DeepEqual(t, r.events.Next(t), core.Event(failed("timeout", false, false)))
 	})
 }
 
@@ -140,18 +140,18 @@
 	address, requests := rawServer(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 	r := newRig(t)
 	r.Call(r.call(address))
-	_, ok := r.events.next(t).(core.ServiceDone)
+	_, ok := r.events.Next(t).(core.ServiceDone)
 	assert.Assert(t, ok)
 	for range 3 {
 		r.Call(r.call(address))
-		_, ok := r.events.next(t).(core.ServiceDone)
+		_, ok := r.events.Next(t).(core.ServiceDone)
 		assert.Assert(t, ok)
 	}
 	assert.Equal(t, requests.Load(), int64(4))
 
 	address, requests = rawServer(t)
 	r.Call(r.call(address))
-	assert.DeepEqual(t, r.events.next(t), core.Event(failed("stream-broken", false, false)))
+	assert.DeepEqual(t, r.events.Next(t), core.Event(failed("stream-broken", false, false)))
 	assert.Equal(t, requests.Load(), int64(1))
 }
 
@@ -175,7 +175,7 @@
 	e.NotAfter = r.clock.Now().Add(500 * time.Millisecond)
 	client := endpoint.New(t.Context(), steppingClock{r.clock}, r.events, r.store)
 	client.Call(e)
-	assert.DeepEqual(t, r.events.next(t), core.Event(failed("not-started-in-time", true, false)))
+	assert.DeepEqual(t, r.events.Next(t), core.Event(failed("not-started-in-time", true, false)))
 	assert.Equal(t, hits.Load(), int64(0))
 }
 
@@ -186,7 +186,7 @@
 			address, _ := rawServer(t, fmt.Sprintf("HTTP/1.1 %s X\r\nContent-Length: 0\r\n\r\n", status))
 			r := newRig(t)
 			r.Call(r.call(address))
-			assert.DeepEqual(t, r.events.next(t), core.Event(failed("invalid-reply", false, false)))
+			assert.DeepEqual(t, r.events.Next(t), core.Event(failed("invalid-reply", false, false)))
 		})
 	}
 }
@@ -195,7 +195,7 @@
 func TestLargeOutcomeIsNotKept(t *testing.T) {
 	r := newRig(t)
 	r.Call(r.call(serve(t, reply(200, strings.Repeat("x", 4096)))))
-	done := r.events.next(t).(core.ServiceDone)
+	done := r.events.Next(t).(core.ServiceDone)
 	assert.Equal(t, len(done.Outcome), 0)
 	item, _ := r.store.Get("r-1")
 	assert.Equal(t, len(item.Reply().Body), 4096)
--- a/router/internal/peer/peer_test.go
+++ b/router/internal/peer/peer_test.go
@@ -17,33 +17,16 @@
 	"ragwortshunt.example/fleet/core"
 	"ragwortshunt.example/fleet/id"
 	"ragwortshunt.example/fleet/message"
+	"ragwortshunt.example/router/internal/eventtest"
 	"ragwortshunt.example/router/internal/peer"
 )
 
-// eventTimeout bounds the wait for one event; it only ends a failing test.
-const eventTimeout = 10 * time.Second
-
 const deliverPath = "/ragwortshunt.peer/Deliver"
 
-type events chan core.Event
-
-func (e events) Post(ev core.Event) { e <- ev }
-
-func (e events) next(t *testing.T) core.Event {
-	t.Helper()
-	select {
-	case ev := <-e:
-		return ev
-	case <-time.After(eventTimeout):
-		t.Fatal("no event")
-		return nil
-	}
-}
-
 // serve returns the address of a peer and the events that it posts.
-func serve(t *testing.T) (string, events) {
+func serve(t *testing.T) (string, eventtest.Events) {
 	t.Helper()
-	out := make(events, 4096)
+	out := make(eventtest.Events, 4096)
 	srv := httptest.NewUnstartedServer(peer.NewHandler(out))
 	srv.Config.Protocols = new(http.Protocols)
 	srv.Config.Protocols.SetHTTP1(true)
@@ -56,11 +39,11 @@
 	return srv.Listener.Addr().String(), out
 }
 
-func newSender(t *testing.T, opts ...peer.Option) (*peer.Sender, events) {
+func newSender(t *testing.T, opts ...peer.Option) (*peer.Sender, eventtest.Events) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	out := make(events, 64)
+	out := make(eventtest.Events, 64)
 	return peer.NewSender(ctx, "h-1", 9, out, opts...), out
 }
 
@@ -111,7 +94,7 @@
 		fill(t, m, i)
 		sender.Send(core.SendPeer{To: "h-2", Address: address, Message: m.Interface().(message.Message)})
 		want := core.PeerMessage{From: "h-1", Incarnation: 9, Message: m.Interface().(message.Message)}
-		assert.DeepEqual(t, received.next(t), core.Event(want))
+		assert.DeepEqual(t, received.Next(t), core.Event(want))
 		sent++
 	}
 	assert.Equal(t, sent, v.NumField()-2) // all but the sender and its incarnation
@@ -126,7 +109,7 @@
 		sender.Send(core.SendPeer{To: "h-2", Address: address, Message: message.TokenAsk{Tokens: int64(i)}})
 	}
 	for i := range count {
-		ev := received.next(t).(core.PeerMessage)
+		ev := received.Next(t).(core.PeerMessage)
 		assert.Equal(t, ev.Message.(message.TokenAsk).Tokens, int64(i))
 	}
 }
@@ -138,7 +121,7 @@
 	assert.NilError(t, l.Close())
 	sender, failures := newSender(t)
 	sender.Send(core.SendPeer{To: "h-3", Address: l.Addr().String(), Message: message.TokenAsk{}})
-	assert.DeepEqual(t, failures.next(t), core.Event(core.PeerFailed{Host: "h-3"}))
+	assert.DeepEqual(t, failures.Next(t), core.Event(core.PeerFailed{Host: "h-3"}))
 }
 
 // TestFrozenPeer guards against one peer that does not answer and holds up the
@@ -152,7 +135,7 @@
 	for i := range 20 {
 		sender.Send(core.SendPeer{To: "h-3", Address: frozen.Addr().String(), Message: message.TokenAsk{}})
 		sender.Send(core.SendPeer{To: "h-2", Address: address, Message: message.TokenAsk{Tokens: int64(i)}})
-		assert.Equal(t, received.next(t).(core.PeerMessage).Message.(message.TokenAsk).Tokens, int64(i))
+		assert.Equal(t, received.Next(t).(core.PeerMessage).Message.(message.TokenAsk).Tokens, int64(i))
 	}
 	assert.Equal(t, len(failures), 0)
 }
@@ -215,9 +198,9 @@
 		sender.Send(core.SendPeer{To: "h-2", Address: through, Message: message.TokenAsk{Tokens: n}})
 	}
 	send(1)
-	received.next(t)
+	received.Next(t)
 	close(cut)
-	deadline := time.After(eventTimeout)
+	deadline := time.After(eventtest.Timeout)
 	for {
 		send(2)
 		select {
@@ -237,16 +220,16 @@
 	second, receivedSecond := serve(t)
 	sender, _ := newSender(t)
 	sender.Send(core.SendPeer{To: "h-2", Address: first, Message: message.TokenAsk{Tokens: 1}})
-	receivedFirst.next(t)
+	receivedFirst.Next(t)
 	sender.Send(core.SendPeer{To: "h-2", Address: second, Message: message.TokenAsk{Tokens: 2}})
-	receivedSecond.next(t)
+	receivedSecond.Next(t)
 	assert.Equal(t, len(receivedFirst), 0)
 }
 
 // deliver posts raw bytes as an envelope and returns the HTTP status.
 func deliver(t *testing.T, address string, body []byte) int {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(t.Context(), eventTimeout)
+	ctx, cancel := context.WithTimeout(t.Context(), eventtest.Timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+deliverPath, bytes.NewReader(body))
 	assert.NilError(t, err)
@@ -275,7 +258,7 @@
 	assert.NilError(t, err)
 	assert.Equal(t, deliver(t, address, body), http.StatusOK)
 	want := core.PeerMessage{From: "h-1", Message: message.TokenAsk{Account: "a", Tokens: 7}}
-	assert.DeepEqual(t, received.next(t), core.Event(want))
+	assert.DeepEqual(t, received.Next(t), core.Event(want))
 }
 
 // TestBadEnvelopes guards against envelopes that are taken in part.
--- a/router/internal/platform/platform_test.go
+++ b/router/internal/platform/platform_test.go
@@ -19,31 +19,14 @@
 
 	"ragwortshunt.example/fleet/core"
 	"ragwortshunt.example/fleet/object"
+	"ragwortshunt.example/router/internal/eventtest"
 	"ragwortshunt.example/router/internal/platform"
 )
 
-// eventTimeout bounds the wait for one event; it only ends a failing test.
-const eventTimeout = 10 * time.Second
-
-type events chan core.Event
-
-func (e events) Post(ev core.Event) { e <- ev }
-
-func (e events) next(t *testing.T) core.Event {
-	t.Helper()
-	select {
-	case ev := <-e:
-		return ev
-	case <-time.After(eventTimeout):
-		t.Fatal("no event")
-		return nil
-	}
-}
-
 // rig is a client of one platform.
 type rig struct {
 	*platform.Client
-	events events
+	events eventtest.Events
 	clock  *clockwork.FakeClock
 	logs   *observer.ObservedLogs
 	cancel context.CancelFunc
@@ -54,7 +37,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	zapCore, logs := observer.New(zap.DebugLevel)
-	r := &rig{events: make(events, 64), clock: clockwork.NewFakeClock(), logs: logs, cancel: cancel}
+	r := &rig{events: make(eventtest.Events, 64), clock: clockwork.NewFakeClock(), logs: logs, cancel: cancel}
 	r.Client = platform.New(ctx, base, "ragwortshunt/h-1", timeout, r.clock, zap.New(zapCore), r.events)
 	return r
 }
@@ -131,7 +114,7 @@
 				c.handler(w, req)
 			}), timeout)
 			r.Write(core.WriteObject{Kind: object.KindLease, Name: "a b.1", IfVersion: 4, Value: []byte("v")})
-			assert.DeepEqual(t, r.events.next(t), core.Event(core.ObjectWritten{
+			assert.DeepEqual(t, r.events.Next(t), core.Event(core.ObjectWritten{
 				Kind: object.KindLease, Name: "a b.1", Version: c.version, Outcome: c.outcome,
 			}))
 			assert.Equal(t, <-calls, "PUT /objects/lease/a%20b.1?if-version=4 v ragwortshunt/h-1")
@@ -140,7 +123,7 @@
 	t.Run("no connection", func(t *testing.T) {
 		r := newRig(t, closedPort(t), time.Minute)
 		r.Write(core.WriteObject{Kind: object.KindLease, Name: "n"})
-		assert.Equal(t, r.events.next(t).(core.ObjectWritten).Outcome, object.WriteFailed)
+		assert.Equal(t, r.events.Next(t).(core.ObjectWritten).Outcome, object.WriteFailed)
 	})
 }
 
@@ -170,7 +153,7 @@
 			r := newRig(t, serve(t, c.handler), time.Minute)
 			r.Read(core.ReadObject{Kind: object.KindClaim, Name: "n"})
 			c.want.Kind, c.want.Name, c.want.Sent = object.KindClaim, "n", r.clock.Now()
-			assert.DeepEqual(t, r.events.next(t), core.Event(c.want))
+			assert.DeepEqual(t, r.events.Next(t), core.Event(c.want))
 		})
 	}
 }
@@ -184,8 +167,8 @@
 		time.Sleep(60 * time.Millisecond)
 		w.WriteHeader(http.StatusNotModified)
 	}), 40*time.Millisecond)
-	r.Read(core.ReadObject{Kind: object.KindManifest, Name: object.ManifestName, After: 6, Wait: eventTimeout})
-	ev := r.events.next(t).(core.ObjectRead)
+	r.Read(core.ReadObject{Kind: object.KindManifest, Name: object.ManifestName, After: 6, Wait: eventtest.Timeout})
+	ev := r.events.Next(t).(core.ObjectRead)
 	assert.Assert(t, ev.Unchanged && !ev.Failed)
 	assert.Equal(t, ev.Version, uint64(6))
 	assert.Equal(t, url, "/watch/manifest/table?after=6&wait-ms=10000")
@@ -194,7 +177,7 @@
 func TestHosts(t *testing.T) {
 	r := newRig(t, serve(t, reply(200, `{"hosts":[{"host":"h-2","zone":"z","address":"10.0.0.2:1","leaving":true}]}`)), time.Minute)
 	r.List()
-	assert.DeepEqual(t, r.events.next(t), core.Event(core.HostsListed{
+	assert.DeepEqual(t, r.events.Next(t), core.Event(core.HostsListed{
 		Hosts: []object.Host{{Host: "h-2", Zone: "z", Address: "10.0.0.2:1", Leaving: true}},
 	}))
 }
@@ -206,7 +189,7 @@
 	read := func() {
 		t.Helper()
 		r.Read(core.ReadObject{Kind: object.KindClaim, Name: "n"})
-		r.events.next(t)
+		r.events.Next(t)
 		r.clock.Advance(time.Second)
 	}
 	for range 5 {
