--- a/fleet/core/event.go
+++ b/fleet/core/event.go
@@ -120,8 +120,8 @@
 	Stale    bool
 }
 
-// TableOpened carries a table that the platform shell or a peer has provided
-// and that has been decoded and verified outside the reducer's hot path.
+// TableOpened installs a table that has been opened and verified elsewhere, for
+// example by a benchmark. Platform and peers deliver manifests and segments.
 type TableOpened struct {
 	Snapshot *table.Snapshot
 	Manifest []byte
--- a/fleet/message/message.go
+++ b/fleet/message/message.go
@@ -66,9 +66,9 @@
 	TableVersion uint64        `cbor:"3,keyasint,omitempty"`
 	ConfirmedAge time.Duration `cbor:"4,keyasint,omitempty"` // age of the last confirmation of the table by the platform
 	Reports      []HostReport  `cbor:"5,keyasint,omitempty"`
-	Cells        []CellLoad    `cbor:"6,keyasint,omitempty"`
-	Settings     uint64        `cbor:"7,keyasint,omitempty"` // digest of the settings that all hosts must share
-	Register     bool          `cbor:"8,keyasint,omitempty"` // the sender has lost its cells; register holds and asks again
+	// Key 6 was the load of cells, which answers of schedulers carry now.
+	Settings uint64 `cbor:"7,keyasint,omitempty"` // digest of the settings that all hosts must share
+	Register bool   `cbor:"8,keyasint,omitempty"` // the sender has lost its cells; register holds and asks again
 }
 
 // SlotAsk asks a scheduler for prefill, transfer and decode capacity.
@@ -128,8 +128,8 @@
 	Phase        Phase       `cbor:"7,keyasint"`
 	PromptTokens int64       `cbor:"8,keyasint"`
 	OutputTokens int64       `cbor:"9,keyasint"`
-	Direct       bool        `cbor:"10,keyasint,omitempty"` // placed without a grant
-	Part         int         `cbor:"11,keyasint,omitempty"` // cell of the model in the scheduler's zone
+	// Key 10 marked placements without a grant, which no longer exist.
+	Part int `cbor:"11,keyasint,omitempty"` // cell of the model in the scheduler's zone
 }
 
 // TokenAsk asks another holder of an account's share for tokens.
--- a/fleet/object/object.go
+++ b/fleet/object/object.go
@@ -25,7 +25,6 @@
 	KindLease    = "lease"    // share leases, named "<zone>.<group>"
 	KindClaim    = "claim"    // claims, named by shard
 	KindOrder    = "order"    // order leases, named by zone
-	KindStatus   = "status"   // status of hosts, named by host
 )
 
 // ManifestName is the name of the one manifest object.
--- a/fleet/schedule/schedule_test.go
+++ b/fleet/schedule/schedule_test.go
@@ -417,7 +417,7 @@
 	assert.Equal(t, len(cancels(schedule.HandleReport(c, at(4900*ms), r))), 0)
 	acts := schedule.HandleReport(c, at(5*time.Second), r)
 	assert.DeepEqual(t, cancels(acts), []schedule.Cancel{{Endpoint: "d", Request: "x", Attempt: 1}})
-	schedule.HandleHold(c, at(5*time.Second), "h", message.SlotHold{Request: "y", Attempt: 1, Decode: "d", Phase: message.PhaseDecode, Direct: true})
+	schedule.HandleHold(c, at(5*time.Second), "h", message.SlotHold{Request: "y", Attempt: 1, Decode: "d", Phase: message.PhaseDecode})
 	r.Runs = []schedule.Run{{Request: "y", Attempt: 1}}
 	schedule.HandleReport(c, at(5100*ms), r)
 	assert.Equal(t, schedule.Load(c, at(5100*ms)).FreeSlots, 1)
