caller: name prompt prefixes as the engines' cache events do

The router hashed the first 64 words, engines the first memory block, so that prefix affinity never applied to real engines (the fakes take any number).

--- a/router/internal/caller/caller_test.go
+++ b/router/internal/caller/caller_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -13,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"gotest.tools/v3/assert"
 
 	"ragwortshunt.example/fleet/core"
@@ -77,7 +79,8 @@
 			"chat": {Name: "chat", Model: "m"}, "free": {Name: "free", Model: "m", Open: true, Account: "a"},
 			"issue": {Name: "issue", Pool: "p"}, "board": {Name: "board", Pool: "p", Open: true, Account: "a"},
 		},
-		Keys: map[id.KeyID]table.Key{},
+		Pools: map[id.Pool]table.Pool{"prefill": {Name: "prefill", Role: table.RolePrefill, Model: "m", BlockTokens: 3}},
+		Keys:  map[id.KeyID]table.Key{},
 	}
 	for i, keyID := range []id.KeyID{"active", "revoked"} {
 		random := bytes.NewReader(bytes.Repeat([]byte{byte(i + 1)}, 64))
@@ -241,6 +244,21 @@
 	}
 }
 
+// TestPromptPrefix guards against prefixes that do not match the cache events of
+// engines, which name the first memory block of a prompt.
+func TestPromptPrefix(t *testing.T) {
+	r := newRig(t, core.Refuse{Code: core.CodeLeaving, NotRun: true})
+	for prompt, prefix := range map[string]uint64{
+		"a b":         0,
+		"a b c":       xxhash.Sum64String("a b c"),
+		"a  b c\\n d": xxhash.Sum64String("a b c"),
+	} {
+		body := fmt.Sprintf(`{"model":"free","prompt":"%s"}`, prompt)
+		r.send(t, http.MethodPost, "/v1/completions", body)
+		assert.Equal(t, r.next(t).(core.RequestArrived).Prefix, prefix, prompt)
+	}
+}
+
 func TestNoTable(t *testing.T) {
 	r := newRig(t, core.Refuse{Code: core.CodeNoTable, NotRun: true, RetryAfter: 1500 * time.Millisecond})
 	r.SetTable(nil)
--- a/router/internal/caller/model.go
+++ b/router/internal/caller/model.go
@@ -19,10 +19,6 @@
 	"ragwortshunt.example/router/internal/inflight"
 )
 
-// prefixWords is the length of the block by which prompts are compared for
-// prefix affinity.
-const prefixWords = 64
-
 // maxOutputTokens is the largest output limit that a request may state.
 const maxOutputTokens = 1 << 20
 
@@ -149,18 +145,34 @@
 }
 
 // promptPrefix returns the number of tokens of a prompt and the hash of its
-// first block. A word counts as one token.
-func promptPrefix(prompt string) (tokens int64, prefix uint64) {
+// first memory block, which names the block in the cache events of engines. A
+// word counts as one token. A prompt without a whole block has no prefix.
+func promptPrefix(prompt string, blockTokens int64) (tokens int64, prefix uint64) {
 	words := strings.Fields(prompt)
-	if len(words) >= prefixWords {
-		prefix = xxhash.Sum64String(strings.Join(words[:prefixWords], " "))
+	if blockTokens > 0 && int64(len(words)) >= blockTokens {
+		prefix = xxhash.Sum64String(strings.Join(words[:blockTokens], " "))
 	}
 	return int64(len(words)), prefix
 }
 
+// blockTokens returns the size of the memory blocks of the prefill engines that
+// serve a route, or 0.
+func (s *Server) blockTokens(route id.Route) int64 {
+	snap := s.table.Load()
+	if snap == nil {
+		return 0
+	}
+	for _, pool := range snap.Pools {
+		if pool.Role == table.RolePrefill && pool.Model == snap.Routes[route].Model {
+			return pool.BlockTokens
+		}
+	}
+	return 0
+}
+
 func (s *Server) runModel(w http.ResponseWriter, r *http.Request, a ask, key table.Key) {
 	req := s.newRequest()
-	tokens, prefix := promptPrefix(a.prompt)
+	tokens, prefix := promptPrefix(a.prompt, s.blockTokens(id.Route(a.route)))
 	c := s.open(core.RequestArrived{
 		Request: req, Route: id.Route(a.route), Account: key.Account, Key: key.ID,
 		PromptTokens: tokens, MaxTokens: a.maxTokens, Prefix: prefix,
