Let a host that starts during an outage reach the peers that know it

Cause: a host learns addresses only from the platform's host list. One that restarted while the platform was down heard its peers but could not answer, so that it had no table. TestStartInOutage did not see it, because the fake network delivered messages without an address; it now drops them, and the test failed. Change: heartbeats carry the sender's address, which counts until the list gives one. The test passes. Cost: about 16 bytes a heartbeat.

--- a/fleet/core/core.go
+++ b/fleet/core/core.go
@@ -30,6 +30,7 @@
 type Config struct {
 	Host        id.Host
 	Incarnation id.Incarnation
+	Address     string // ip:port at which other hosts reach this one
 	Zone        id.Zone
 	Zones       []id.Zone // all zones, sorted; the same on every host
 
--- a/fleet/core/peers.go
+++ b/fleet/core/peers.go
@@ -172,7 +172,7 @@
 
 // heartbeat returns what every heartbeat of this host carries.
 func (s *step) heartbeat() message.Heartbeat {
-	hb := message.Heartbeat{Zone: s.cfg.Zone, TableVersion: s.version()}
+	hb := message.Heartbeat{Zone: s.cfg.Zone, TableVersion: s.version(), Address: s.cfg.Address}
 	if s.draining {
 		hb.State = message.HostLeaving
 	}
--- a/fleet/fake/host.go
+++ b/fleet/fake/host.go
@@ -35,6 +35,7 @@
 	h.inbox = nil
 	h.version = 0
 	cfg := core.DefaultConfig(h.name, h.inc, h.zone, w.cfg.Zones)
+	cfg.Address = string(h.name)
 	if w.cfg.Tune != nil {
 		w.cfg.Tune(&cfg)
 	}
@@ -127,6 +128,9 @@
 		return
 	}
 	d, reachable := w.delay(h.zone, to.zone)
+	if e.Address != string(to.name) {
+		return // the sender does not know the address
+	}
 	if !reachable || w.loss > 0 && w.rng.Float64() < w.loss {
 		return
 	}
--- a/fleet/member/hear.go
+++ b/fleet/member/hear.go
@@ -174,6 +174,11 @@
 	changes := Heard(s, now, from, inc)
 	changes = append(changes, takeState(s, now, s.peers[from], m.State)...)
 	p := s.peers[from]
+	if p.Address == "" {
+		// The list may be out of reach since this host started. Its entry replaces
+		// the address later.
+		p.Address = m.Address
+	}
 	buildRing(s, now)
 	if !s.near[from] && now.Sub(p.sent) >= s.cfg.Beat*3/4 {
 		s.pongs[from] = true
--- a/fleet/member/member.go
+++ b/fleet/member/member.go
@@ -64,7 +64,7 @@
 type Peer struct {
 	Host        id.Host
 	Zone        id.Zone
-	Address     string         // ip:port; empty until the host has been listed
+	Address     string         // ip:port; empty until the host has been listed or has told it
 	Incarnation id.Incarnation // 0 until the host has been heard or reported
 	State       message.HostState
 }
--- a/fleet/message/message.go
+++ b/fleet/message/message.go
@@ -69,6 +69,7 @@
 	// Key 6 was the load of cells, which answers of schedulers carry now.
 	Settings uint64 `cbor:"7,keyasint,omitempty"` // digest of the settings that all hosts must share
 	Register bool   `cbor:"8,keyasint,omitempty"` // the sender has lost its cells; register holds and asks again
+	Address  string `cbor:"9,keyasint,omitempty"` // ip:port of the sender, for hosts that cannot read the host list
 }
 
 // SlotAsk asks a scheduler for prefill, transfer and decode capacity.
--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -54,6 +54,7 @@
 
 func newCoreConfig(s *settings.Settings, inc id.Incarnation) core.Config {
 	cfg := core.DefaultConfig(s.Host, inc, s.Zone, s.Zones)
+	cfg.Address = s.PeerAddress
 	cfg.Limit.Groups = s.LeaseGroups
 	cfg.Limit.SlotRate = s.SlotRate
 	cfg.Limit.ReserveShare = s.ReserveShare
