--- a/fleet/core/request.go
+++ b/fleet/core/request.go
@@ -86,14 +86,17 @@
 	trace []TraceLine
 }
 
+const microsPerMilli = 1000
+
 // TraceLine is one step in the life of a request.
 type TraceLine struct {
-	After time.Duration `json:"after"` // since arrival
-	Text  string        `json:"text"`
+	AfterMS float64 `json:"after-ms"` // since arrival, in milliseconds
+	Text    string  `json:"text"`
 }
 
 func (r *request) note(now time.Time, format string, args ...any) {
-	line := TraceLine{After: now.Sub(r.arrived), Text: fmt.Sprintf(format, args...)}
+	ms := float64(now.Sub(r.arrived).Microseconds()) / microsPerMilli
+	line := TraceLine{AfterMS: ms, Text: fmt.Sprintf(format, args...)}
 	r.trace = append(r.trace, line)
 }
 
--- a/load/internal/bench/run.go
+++ b/load/internal/bench/run.go
@@ -89,7 +89,7 @@
 		seen[why]++
 		text := fmt.Sprintf("%s %s: %s, %s, prompt %d, sent at %s\n", call.Request, why, call.Account, call.Host, call.Prompt, call.Sent.Sub(fake.Start)-warmUp)
 		for _, line := range rec.Trace {
-			text += fmt.Sprintf("  %s %s\n", line.After, line.Text)
+			text += fmt.Sprintf("  %9.3f ms %s\n", line.AfterMS, line.Text)
 		}
 		out = append(out, text)
 	}
