core: cancel runs in one place, derive the wasted prefill from the stage

Entry host and scheduler had a copy each of looking up an endpoint and cancelling a run on it. Whether a prefill had finished was kept beside the stage that says so. Two comments are put right.

--- a/fleet/core/cell.go
+++ b/fleet/core/cell.go
@@ -130,7 +130,7 @@
 		case schedule.Send:
 			s.send(a.To, s.withWait(k, a.Message))
 		case schedule.Cancel:
-			s.cancelEndpoint(a)
+			s.cancelRun(a.Request, a.Attempt, a.Endpoint)
 		}
 	}
 }
@@ -154,12 +154,13 @@
 	return m
 }
 
-func (s *step) cancelEndpoint(a schedule.Cancel) {
-	ep, ok := s.snapshot().Endpoints[a.Endpoint]
+// cancelRun frees what an attempt holds on an endpoint that the table still has.
+func (s *step) cancelRun(req id.Request, attempt id.Attempt, name id.Endpoint) {
+	ep, ok := s.snapshot().Endpoints[name]
 	if !ok {
 		return
 	}
-	s.emit(CancelRun{Request: a.Request, Attempt: a.Attempt, Endpoint: a.Endpoint, Address: ep.Address})
+	s.emit(CancelRun{Request: req, Attempt: attempt, Endpoint: name, Address: ep.Address})
 }
 
 func (s *step) slotAsk(from id.Host, m message.SlotAsk) {
--- a/fleet/core/effect.go
+++ b/fleet/core/effect.go
@@ -78,7 +78,7 @@
 	Address  string
 	NotAfter time.Time
 	Timeout  time.Duration
-	Repeat   bool // the reply is kept back until the claim is settled
+	Repeat   bool // the reply is recorded with the claim, for repeats of the call
 }
 
 // Deliver passes tokens to the caller, in order and once.
--- a/fleet/core/request.go
+++ b/fleet/core/request.go
@@ -76,7 +76,6 @@
 
 	ran        bool // an earlier attempt may have run
 	running    bool // the current attempt has been handed to an endpoint
-	prefilled  bool // a prefill has finished
 	delivered  int64
 	waiting    map[int64]TokensArrived // parts ahead of the delivered offset
 	firstToken time.Time
--- a/fleet/core/run.go
+++ b/fleet/core/run.go
@@ -89,7 +89,6 @@
 	r.stage = StageDecode
 	r.progress = s.now
 	r.held = s.now
-	r.prefilled = true
 	r.note(s.now, "prefill done, %d tokens cached", ev.CachedTokens)
 	s.send(r.host, message.SlotUpdate{Request: r.Request, Attempt: r.attempt, Phase: message.PhaseDecode})
 	s.emit(StartDecode{
@@ -231,11 +230,9 @@
 	if notRun {
 		r.running = false
 	}
-	wasted := r.prefilled && r.stage == StageDecode
-	if wasted {
+	if r.stage == StageDecode {
 		s.emit(Count{Name: MetricWastedPrefill, Account: r.account, N: r.PromptTokens})
 	}
-	r.prefilled = false
 	s.releaseAttempt(r, ep)
 	s.emit(Count{Name: MetricRetried, Account: r.account, Code: code, N: 1})
 	r.avoid = ep
--- a/fleet/core/slot.go
+++ b/fleet/core/slot.go
@@ -261,8 +261,10 @@
 	if r.isService() {
 		return
 	}
-	s.cancelOn(r, r.prefill)
-	s.cancelOn(r, r.decode)
+	if r.running {
+		s.cancelRun(r.Request, r.attempt, r.prefill)
+		s.cancelRun(r.Request, r.attempt, r.decode)
+	}
 	if r.host != "" && r.attempt > 0 {
 		s.send(r.host, message.SlotUpdate{
 			Request: r.Request, Attempt: r.attempt, Phase: message.PhaseCancelled,
@@ -277,17 +279,6 @@
 	clear(r.waiting)
 }
 
-func (s *step) cancelOn(r *request, ep id.Endpoint) {
-	if ep == "" || !r.running {
-		return
-	}
-	e, ok := s.snapshot().Endpoints[ep]
-	if !ok {
-		return
-	}
-	s.emit(CancelRun{Request: r.Request, Attempt: r.attempt, Endpoint: ep, Address: e.Address})
-}
-
 // registerHold tells the cell's scheduler of a running attempt.
 func (s *step) registerHold(r *request) {
 	owner := s.schedulerOf(r.cell)
--- a/fleet/core/tick.go
+++ b/fleet/core/tick.go
@@ -13,12 +13,11 @@
 
 // frozenAfter is the gap between two ticks from which the process counts as
 // having been frozen.
-const (
-	frozenAfter = time.Second
-	// hostsPerPeer is added to the time between two readings of the host list for each
-	// known host.
-	hostsPerPeer = 20 * time.Millisecond
-)
+const frozenAfter = time.Second
+
+// hostsPerPeer is added to the time between two readings of the host list for each
+// known host.
+const hostsPerPeer = 20 * time.Millisecond
 
 // requestInterval is the time between two passes over the running requests. The
 // times that a pass checks are 500 ms and more.
