Serve the users' platform: adapter, relay mode of the decision core, deploy file

Cause: the product spoke only its own protocols.

Change: platform/ (wire names, callers, endpoints, store), fleet/route, fleet/retry and fleet/registry for what the core lacked, Config.Relay in the core, and deploy/system.toml. Ruled out: a second router program (two decision cores).

--- a/fleet/core/cell.go
+++ b/fleet/core/cell.go
@@ -157,7 +157,7 @@
 // cancelRun frees what an attempt holds on an endpoint that the table still has.
 func (s *step) cancelRun(req id.Request, attempt id.Attempt, name id.Endpoint) {
 	ep, ok := s.snapshot().Endpoints[name]
-	if !ok {
+	if !ok && !s.cfg.Relay {
 		return
 	}
 	s.emit(CancelRun{Request: req, Attempt: attempt, Endpoint: name, Address: ep.Address})
@@ -272,7 +272,7 @@
 }
 
 func (s *step) pollCell(c *ownedCell) {
-	if s.now.Sub(c.polled) < s.cfg.LoadInterval {
+	if s.cfg.LoadInterval <= 0 || s.now.Sub(c.polled) < s.cfg.LoadInterval {
 		return
 	}
 	c.polled = s.now
--- a/fleet/core/core.go
+++ b/fleet/core/core.go
@@ -19,11 +19,13 @@
 	"ragwortshunt.example/fleet/member"
 	"ragwortshunt.example/fleet/message"
 	"ragwortshunt.example/fleet/order"
+	"ragwortshunt.example/fleet/retry"
 	"ragwortshunt.example/fleet/schedule"
 	"ragwortshunt.example/fleet/table"
 )
 
-// TickInterval is the interval at which the shell sends Tick.
+// TickInterval is the interval at which the shell sends Tick, unless Config.TickEvery
+// sets another.
 const TickInterval = 10 * time.Millisecond
 
 // Config holds the fixed parameters of one host.
@@ -34,11 +36,15 @@
 	Zone        id.Zone
 	Zones       []id.Zone // all zones, sorted; the same on every host
 
+	Relay     bool          // requests and configuration come in the platform's own protocol; see relay.go
+	TickEvery time.Duration // between two Ticks
+
 	Limit    limit.Config
 	Schedule schedule.Config
 	Member   member.Config
 	Claim    claim.Config
 	Order    order.Config
+	Retry    retry.Config
 
 	CellEndpoints   int           // most endpoints in one cell
 	AskRepeat       time.Duration // an unanswered SlotAsk is sent again
@@ -69,6 +75,7 @@
 		Incarnation:     inc,
 		Zone:            zone,
 		Zones:           zones,
+		TickEvery:       TickInterval,
 		Limit:           limit.DefaultConfig(),
 		Schedule:        schedule.DefaultConfig(),
 		Member:          member.DefaultConfig(),
@@ -150,6 +157,7 @@
 	limit     *limit.State
 	claims    *claim.State
 	orders    *order.State
+	retries   *retry.State
 	scheduler schedulerState
 	cells     map[cellKey]cellView // cells as seen from the entry host
 
@@ -183,6 +191,7 @@
 		limit:     limit.New(cfg.Limit),
 		claims:    claim.New(cfg.Claim),
 		orders:    order.New(cfg.Order),
+		retries:   retry.New(cfg.Retry),
 		scheduler: newSchedulerState(),
 		cells:     make(map[cellKey]cellView),
 		requests:  make(map[id.Request]*request),
--- a/fleet/core/effect.go
+++ b/fleet/core/effect.go
@@ -179,6 +179,8 @@
 	Request id.Request
 	Host    id.Host
 	Code    string
+	Account id.Account
+	Trace   string // steps of the request with their times
 }
 
 // LogLevel is the severity of a log line.
--- a/fleet/core/event.go
+++ b/fleet/core/event.go
@@ -21,10 +21,11 @@
 	Account        id.Account // owner of the key; empty without a key
 	Key            id.KeyID   // empty without a key
 	PromptTokens   int64
-	MaxTokens      int64  // output limit; 0 for services
-	Prefix         uint64 // hash of the first block of the prompt
-	IdempotencyKey string // services
-	Digest         string // digest of method, path and body; services
+	MaxTokens      int64         // output limit; 0 for services
+	Prefix         uint64        // hash of the first block of the prompt
+	IdempotencyKey string        // services
+	Digest         string        // digest of method, path and body; services
+	Timeout        time.Duration // time in which the caller wants the answer; 0 is no bound
 }
 
 // CallerGone tells that the caller of a request has disconnected.
@@ -56,6 +57,7 @@
 	Code     string // stable code, kebab case
 	NotRun   bool   // the endpoint did not start the work
 	Down     bool   // the endpoint could not be reached
+	Answered bool   // the endpoint shell holds a reply of the endpoint for the caller
 }
 
 // ServiceDone tells that a plain service has answered. The reply itself stays
--- a/fleet/core/request.go
+++ b/fleet/core/request.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"strconv"
+	"strings"
 	"time"
 
 	"ragwortshunt.example/fleet/claim"
@@ -53,6 +55,7 @@
 	route    table.Route
 	account  id.Account
 	arrived  time.Time
+	deadline time.Time // the caller waits until then; zero is no bound
 	stage    Stage
 	notAfter time.Time // end of the lease that the admission rests on
 	admitted bool
@@ -76,11 +79,14 @@
 
 	ran        bool // an earlier attempt may have run
 	running    bool // the current attempt has been handed to an endpoint
+	runs       int  // attempts that may have run
+	answered   bool // the endpoint shell holds a reply that can be passed on
 	delivered  int64
 	waiting    map[int64]TokensArrived // parts ahead of the delivered offset
 	firstToken time.Time
 	lastToken  time.Time
 	gone       bool // the caller has gone; a service call still runs
+	relayed    bool // see Config.Relay
 
 	trace []TraceLine
 }
@@ -110,7 +116,13 @@
 
 // mayHaveRun tells whether an endpoint may have started work on the request.
 func (r *request) mayHaveRun() bool {
-	return r.ran || r.running
+	return r.ran || r.running && !r.onlyRead()
+}
+
+// onlyRead tells whether the current attempt has got no further than a prefill of
+// a platform on which a prefill does not count as a run.
+func (r *request) onlyRead() bool {
+	return r.relayed && r.stage == StagePrefill
 }
 
 func (s *step) requestArrived(ev RequestArrived) {
@@ -119,12 +131,19 @@
 		return
 	}
 	r := &request{RequestArrived: ev, arrived: s.now, account: ev.Account, waiting: make(map[int64]TokensArrived)}
+	r.relayed = s.cfg.Relay
 	s.requests[ev.Request] = r
-	r.note(s.now, "arrived for route %s", ev.Route)
+	r.note(s.now, "arrived for route %s, prompt %d, output limit %d", ev.Route, ev.PromptTokens, ev.MaxTokens)
 	if code, text := s.inadmissible(r); code != "" {
 		s.refuse(r, code, text, retryAfter(code))
 		return
 	}
+	s.setDeadline(r)
+	s.countRequest(r)
+	if s.isUnlimited(r) {
+		s.admitted(r, s.now.Add(unlimitedValid))
+		return
+	}
 	r.stage = StageTokens
 	d, actions := limit.Admit(s.limit, s.now, r.Request, r.account, r.cost())
 	s.limitActions(actions)
@@ -166,7 +185,7 @@
 	if route.Model != "" && route.MaxTokens > 0 && r.MaxTokens > route.MaxTokens {
 		return CodeTooManyTokens, fmt.Sprintf("max_tokens is above the route's limit of %d", route.MaxTokens)
 	}
-	if r.isService() && !route.Idempotent && r.IdempotencyKey == "" {
+	if r.isService() && !route.Idempotent && !r.relayed && r.IdempotencyKey == "" {
 		return CodeKeyMissing, "this route needs an Idempotency-Key header"
 	}
 	return "", ""
@@ -213,7 +232,7 @@
 	switch {
 	case !r.isService():
 		s.askSlot(r)
-	case r.route.Idempotent:
+	case r.route.Idempotent || r.relayed:
 		s.callService(r)
 	default:
 		s.askClaim(r)
@@ -244,16 +263,37 @@
 		claim.Abandon(s.claims, r.Request)
 	}
 	s.keepRecord(r, result)
+	s.logEnd(r, result)
 	delete(s.requests, r.Request)
 	s.emit(Closed{Request: r.Request})
 }
 
+// logEnd writes the one line that tells how a request came to its end.
+func (s *step) logEnd(r *request, result string) {
+	var trace strings.Builder
+	for i, l := range r.trace {
+		if i > 0 {
+			trace.WriteString("; ")
+		}
+		trace.WriteString(strconv.FormatFloat(l.AfterMS, 'f', 1, 64))
+		trace.WriteString(" ms ")
+		trace.WriteString(l.Text)
+	}
+	s.emit(Log{
+		Level: LogInfo, Part: partRequest, Text: "Request ended.", Request: r.Request,
+		Account: r.account, Code: result, Trace: trace.String(),
+	})
+}
+
 // usedTokens returns the tokens that the request has consumed. A prompt counts
 // once, from the moment at which its prefill may have started.
 func (r *request) usedTokens() int64 {
 	if !r.mayHaveRun() {
 		return 0
 	}
+	if r.relayed {
+		return r.cost()
+	}
 	return r.PromptTokens + r.delivered
 }
 
@@ -266,7 +306,7 @@
 	}
 	r.note(s.now, "caller gone in stage %s", r.stage)
 	r.gone = true
-	if r.stage == StageCall {
+	if r.stage == StageCall && !s.cancelCall(r) {
 		return
 	}
 	s.releaseAttempt(r, "")
--- a/fleet/core/run.go
+++ b/fleet/core/run.go
@@ -43,7 +43,7 @@
 	s.emit(StartPrefill{
 		Request: r.Request, Attempt: r.attempt, Model: r.route.Model,
 		Endpoint: r.prefill, Address: ep.Address, Priority: r.priority(),
-		Tokens: r.PromptTokens + r.delivered, Output: r.delivered,
+		Tokens: r.readTokens(), Output: r.delivered,
 		NotAfter: s.now.Add(valid), Timeout: r.timeout,
 	})
 }
@@ -62,7 +62,7 @@
 	if rate <= 0 {
 		rate = defaultPrefillRate
 	}
-	tokens := r.PromptTokens + r.delivered
+	tokens := r.readTokens()
 	expected := time.Duration(float64(tokens) / float64(rate) * float64(time.Second))
 	return 3*expected + s.cfg.PrefillGrace
 }
@@ -87,6 +87,7 @@
 		return
 	}
 	r.stage = StageDecode
+	r.runs++
 	r.progress = s.now
 	r.held = s.now
 	r.note(s.now, "prefill done, %d tokens cached", ev.CachedTokens)
@@ -94,7 +95,7 @@
 	s.emit(StartDecode{
 		Request: r.Request, Attempt: r.attempt, Model: r.route.Model,
 		Endpoint: r.decode, Address: to.Address, Source: from.Address, KV: ev.KV,
-		Tokens: r.PromptTokens + r.delivered, From: r.delivered,
+		Tokens: r.readTokens(), From: r.delivered,
 		MaxTokens: r.MaxTokens, Priority: r.priority(),
 	})
 }
@@ -189,6 +190,7 @@
 	if !ok || r.attempt != ev.Attempt {
 		return
 	}
+	r.answered = r.answered || ev.Answered
 	if r.stage == StageCall {
 		s.serviceFailed(r, ev)
 		return
@@ -196,6 +198,10 @@
 	if r.stage != StagePrefill && r.stage != StageDecode {
 		return
 	}
+	if r.relayed {
+		s.relayFailed(r, ev)
+		return
+	}
 	if s.resume(r, ev) {
 		return
 	}
@@ -278,5 +284,9 @@
 	if s.now.Sub(r.progress) < bound {
 		return
 	}
+	if r.relayed {
+		s.relayStalled(r, ep)
+		return
+	}
 	s.attemptFailed(r, ep, codeStalled, false)
 }
--- a/fleet/core/service.go
+++ b/fleet/core/service.go
@@ -92,7 +92,7 @@
 	r.note(s.now, "attempt %d: call on %s", r.attempt, ep.Name)
 	s.emit(CallService{
 		Request: r.Request, Attempt: r.attempt, Endpoint: ep.Name, Address: ep.Address,
-		NotAfter: s.callNotAfter(r), Timeout: s.cfg.ServiceTimeout, Repeat: !r.route.Idempotent,
+		NotAfter: s.callNotAfter(r), Timeout: s.callTimeout(r), Repeat: !r.route.Idempotent,
 	})
 }
 
@@ -124,7 +124,7 @@
 	if fa, fb := s.isAvoided(a.Name), s.isAvoided(b.Name); fa != fb {
 		return fb
 	}
-	if za, zb := a.Zone == s.cfg.Zone, b.Zone == s.cfg.Zone; za != zb {
+	if za, zb := s.isNear(a), s.isNear(b); za != zb {
 		return za
 	}
 	if ca, cb := s.calls[a.Name], s.calls[b.Name]; ca != cb {
@@ -133,6 +133,13 @@
 	return a.Name < b.Name
 }
 
+func (s *step) isNear(ep table.Endpoint) bool {
+	if s.cfg.Relay {
+		return ep.Near
+	}
+	return ep.Zone == s.cfg.Zone
+}
+
 func (s *step) isAvoided(ep id.Endpoint) bool {
 	until, ok := s.avoid[ep]
 	return ok && s.now.Before(until)
@@ -166,13 +173,19 @@
 func (s *step) serviceFailed(r *request, ev RunFailed) {
 	s.endCall(r)
 	r.note(s.now, "call failed on %s: %s (not-run %t)", ev.Endpoint, ev.Code, ev.NotRun)
-	s.avoid[ev.Endpoint] = s.now.Add(avoidFailed)
+	if !ev.Answered {
+		s.avoid[ev.Endpoint] = s.now.Add(avoidFailed)
+	}
 	r.avoid = ev.Endpoint
 	r.running = false
 	if !ev.NotRun {
 		r.ran = true
 	}
 	r.failures++
+	if r.relayed {
+		s.relayCallFailed(r, ev)
+		return
+	}
 	mayRepeat := ev.NotRun || r.route.Idempotent
 	if mayRepeat && r.failures <= s.cfg.MaxFailures && !r.gone {
 		s.callService(r)
@@ -189,7 +202,7 @@
 // settleClaim records the end of a claimed run. A run of unknown outcome keeps
 // its claim, so that the key cannot run again.
 func (s *step) settleClaim(r *request, state message.ClaimState, outcome []byte) {
-	if r.route.Idempotent || !r.isService() || r.ran && state == message.ClaimNotRun {
+	if r.relayed || r.route.Idempotent || !r.isService() || r.ran && state == message.ClaimNotRun {
 		return
 	}
 	owner := s.claimOwner(r.account, r.IdempotencyKey)
--- a/fleet/core/slot.go
+++ b/fleet/core/slot.go
@@ -151,8 +151,8 @@
 		Account:      r.account,
 		Model:        r.route.Model,
 		Class:        r.route.Class,
-		PromptTokens: r.PromptTokens + r.delivered,
-		OutputTokens: r.MaxTokens - r.delivered,
+		PromptTokens: r.readTokens(),
+		OutputTokens: r.PromptTokens + r.MaxTokens - r.readTokens(),
 		Prefix:       r.Prefix,
 		Waited:       s.now.Sub(r.arrived),
 		FirstToken:   r.route.FirstToken,
@@ -272,7 +272,7 @@
 		})
 	}
 	if r.running {
-		r.ran = true
+		r.ran = r.ran || !r.onlyRead()
 		r.running = false
 	}
 	r.prefill, r.decode = "", ""
--- a/fleet/core/tablesync.go
+++ b/fleet/core/tablesync.go
@@ -61,7 +61,7 @@
 // tickTable keeps a watch on the manifest if this host is one of the watchers of
 // its zone, or has no table yet.
 func (s *step) tickTable() {
-	if s.table.watching || s.now.Before(s.table.retryAt) {
+	if s.cfg.Relay || s.table.watching || s.now.Before(s.table.retryAt) {
 		return
 	}
 	if !s.isWatcher() {
@@ -261,7 +261,7 @@
 
 func (s *step) applyOrders() {
 	snap := s.snapshot()
-	if snap == nil {
+	if snap == nil || s.cfg.Relay {
 		return
 	}
 	var wants []order.Want
@@ -293,6 +293,9 @@
 
 func (s *step) revoked(r *request) (code, text string) {
 	snap := s.snapshot()
+	if r.relayed {
+		return s.relayRevoked(r)
+	}
 	if _, ok := snap.Routes[r.Route]; !ok {
 		return CodeRouteRemoved, "the route has been removed"
 	}
@@ -310,6 +313,9 @@
 // same one passes on the confirmation by the platform.
 func (s *step) peerVersion(from id.Host, version uint64, age time.Duration, confirmed bool) {
 	s.heard = true
+	if s.cfg.Relay {
+		return
+	}
 	if version > s.version() {
 		s.askTable(from)
 		return
--- a/fleet/core/tick.go
+++ b/fleet/core/tick.go
@@ -76,6 +76,9 @@
 	}
 	s.nextPass = s.now.Add(requestInterval)
 	for _, r := range s.sortedRequests() {
+		if s.pastDeadline(r) {
+			continue
+		}
 		switch r.stage {
 		case StageQueue:
 			s.refreshQueue(r)
--- a/fleet/limit/lease.go
+++ b/fleet/limit/lease.go
@@ -339,8 +339,8 @@
 // adopt takes over one part of a newer version. A part that names a tenure of
 // this process that never began belongs to nobody, and starts empty.
 func (s *State) adopt(p *part, v partValue, now time.Time) {
-	own := !v.Released && v.Holder == s.cfg.Host && v.Incarnation == s.cfg.Incarnation
-	if own && p.mine && p.term == v.Term {
+	own := !v.Released && v.Holder == s.cfg.Host && (v.Incarnation == s.cfg.Incarnation || s.cfg.Reclaim)
+	if own && p.mine && p.term == v.Term && v.Incarnation == s.cfg.Incarnation {
 		return
 	}
 	p.lose()
--- a/fleet/table/table.go
+++ b/fleet/table/table.go
@@ -67,6 +67,10 @@
 	Address string // ip:port
 	Fencing Fencing
 	State   State
+
+	// Near tells that the endpoint is in the availability zone of this host, where
+	// endpoints register themselves. It has no column.
+	Near bool
 }
 
 // Route is what a caller addresses: the "model" field of a model request, or
@@ -84,6 +88,11 @@
 	CanWait       bool          // demoted instead of refused when late
 	MaxStaleness  time.Duration // longest service without confirmation of the table; 0 is no bound
 	MaxTokens     int64         // largest output limit of one request
+
+	// The fields below come from a platform's own configuration. They have no column.
+	Timeout  time.Duration // longest time until the end of the answer; 0 is no bound
+	Attempts int           // endpoints on which one request may run; 0 is the default
+	Once     bool          // an answer that has begun is not continued on another endpoint; model routes
 }
 
 // Key is one caller key. The secret itself is not stored.
--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -15,12 +15,9 @@
 
 	"ragwortshunt.example/fleet/core"
 	"ragwortshunt.example/fleet/id"
-	"ragwortshunt.example/router/internal/caller"
-	"ragwortshunt.example/router/internal/endpoint"
-	"ragwortshunt.example/router/internal/inflight"
+	"ragwortshunt.example/fleet/retry"
 	"ragwortshunt.example/router/internal/operator"
 	"ragwortshunt.example/router/internal/peer"
-	"ragwortshunt.example/router/internal/platform"
 	"ragwortshunt.example/router/internal/reactor"
 	"ragwortshunt.example/router/internal/settings"
 )
@@ -34,6 +31,7 @@
 	closeTimeout      = 2 * time.Second
 	lingerTime        = time.Second // callers may use the connection of the last answer again
 	gaugeInterval     = time.Second
+	balancerNotice    = 2200 * time.Millisecond // the balancer asks for readiness once a second and needs two misses
 )
 
 // Router is one router process.
@@ -43,7 +41,7 @@
 	clock    clockwork.Clock
 	reactor  *reactor.Reactor
 	dispatch *Dispatcher
-	caller   *caller.Server
+	shells   Shells
 	operator *operator.Server
 	metrics  *operator.Metrics
 }
@@ -53,7 +51,11 @@
 type Lifetime struct{ context.Context }
 
 func newCoreConfig(s *settings.Settings, inc id.Incarnation) core.Config {
-	cfg := core.DefaultConfig(s.Host, inc, s.Zone, s.Zones)
+	domain, domains := s.Zone, s.Zones
+	if s.Protocol == settings.ProtocolObjects {
+		domain, domains = s.SchedulingDomain(), s.SchedulingDomains()
+	}
+	cfg := core.DefaultConfig(s.Host, inc, domain, domains)
 	cfg.Address = s.PeerAddress
 	cfg.Limit.Groups = s.LeaseGroups
 	cfg.Limit.SlotRate = s.SlotRate
@@ -63,9 +65,29 @@
 	cfg.CellEndpoints = s.CellEndpoints
 	cfg.Claim.Shards = s.ClaimShards
 	cfg.Claim.Retention = s.Retention
+	if s.Protocol == settings.ProtocolObjects {
+		relayConfig(&cfg, s)
+	}
 	return cfg
 }
 
+const (
+	relayTick     = 20 * time.Millisecond // between two Ticks; they cost processor time on an idle host
+	relayHandOver = time.Second           // the platform kills a process a few seconds after it asked it to stop
+	relayKVLife   = 500 * time.Millisecond
+)
+
+// relayConfig sets what differs on the users' platform.
+func relayConfig(cfg *core.Config, s *settings.Settings) {
+	cfg.Relay = true
+	cfg.TickEvery = relayTick
+	cfg.HandOver = relayHandOver
+	cfg.LoadInterval = 0
+	cfg.Schedule.KVSurvival = relayKVLife
+	cfg.Limit.Reclaim = true
+	cfg.Retry = retry.Config{Ratio: s.RetryRatio, Window: s.RetryWindow, Extra: s.RetryExtra}
+}
+
 // newIncarnation derives the incarnation from the wall clock: hosts keep nothing
 // over a restart.
 func newIncarnation(clock clockwork.Clock) id.Incarnation {
@@ -76,23 +98,6 @@
 	return reactor.New(cfg, clock)
 }
 
-func newCaller(s *settings.Settings, inc id.Incarnation, r *reactor.Reactor, store *inflight.Store) *caller.Server {
-	return caller.New(caller.Config{
-		Host: s.Host, Incarnation: inc, MaxBody: s.MaxBody, DefaultLimit: s.DefaultLimit,
-		BodyTimeout: bodyTimeout,
-	}, r, store)
-}
-
-func newEndpoint(life Lifetime, clock clockwork.Clock, r *reactor.Reactor, store *inflight.Store) *endpoint.Client {
-	return endpoint.New(life, clock, r, store)
-}
-
-func newPlatform(
-	life Lifetime, s *settings.Settings, clock clockwork.Clock, log *zap.Logger, r *reactor.Reactor,
-) *platform.Client {
-	return platform.New(life, s.PlatformURL, "ragwortshunt/"+string(s.Host), s.PlatformTimeout, clock, log, r)
-}
-
 func newSender(life Lifetime, s *settings.Settings, inc id.Incarnation, r *reactor.Reactor) *peer.Sender {
 	return peer.NewSender(life, s.Host, inc, r)
 }
@@ -116,6 +121,9 @@
 		return err
 	}
 	go r.reactor.Run(loop)
+	if r.shells.Follow != nil {
+		go r.shells.Follow(loop)
+	}
 	go r.updateGauges(loop)
 	r.log.Info("router: Started.", zap.String("host", string(r.settings.Host)))
 	failed := serve(servers)
@@ -134,6 +142,12 @@
 	listener net.Listener
 }
 
+// listenSpec is an address with what it serves.
+type listenSpec struct {
+	address string
+	handler http.Handler
+}
+
 // callerIndex is the index of the server for callers in the result of listen.
 const callerIndex = 0
 
@@ -142,14 +156,14 @@
 	h2c := new(http.Protocols)
 	h2c.SetHTTP1(true)
 	h2c.SetUnencryptedHTTP2(true)
-	specs := []struct {
-		address string
-		handler http.Handler
-	}{
-		{r.settings.CallerAddress, r.caller.Handler()},
+	specs := []listenSpec{
+		{r.settings.CallerAddress, r.shells.Caller.Handler()},
 		{r.settings.OperatorAddress, r.operator.Handler()},
 		{r.settings.PeerAddress, peer.NewHandler(r.reactor)},
 	}
+	if r.shells.Ready != nil {
+		specs = append(specs, listenSpec{r.settings.ReadyAddress, r.shells.Ready})
+	}
 	errorLog, err := zap.NewStdLogAt(r.log, zap.WarnLevel)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrApp, err)
@@ -195,7 +209,10 @@
 // have a connection give it up.
 func (r *Router) drain(callers net.Listener) {
 	r.log.Info("router: Shutdown has begun.")
-	r.caller.Drain()
+	r.shells.Caller.Drain()
+	if r.shells.Ready != nil {
+		r.clock.Sleep(balancerNotice)
+	}
 	r.reactor.Post(core.DrainRequested{})
 	deadline := r.clock.NewTimer(r.settings.DrainTimeout)
 	defer deadline.Stop()
@@ -207,14 +224,14 @@
 		r.clock.Sleep(lingerTime)
 		r.waitCallers()
 	case <-deadline.Chan():
-		r.log.Warn("router: Drain timeout has passed.", zap.Int("requests", r.caller.Busy()))
+		r.log.Warn("router: Drain timeout has passed.", zap.Int("requests", r.shells.Caller.Busy()))
 	}
 }
 
 // waitCallers waits until the last answers have been written.
 func (r *Router) waitCallers() {
 	for range 100 {
-		if r.caller.Busy() == 0 {
+		if r.shells.Caller.Busy() == 0 {
 			return
 		}
 		r.clock.Sleep(closeTimeout / 100)
@@ -252,7 +269,7 @@
 			steps, busy := r.reactor.Load()
 			r.metrics.Gauge("decision-events", float64(steps))
 			r.metrics.Gauge("decision-seconds", busy.Seconds())
-			r.metrics.Gauge("open-requests", float64(r.caller.Busy()))
+			r.metrics.Gauge("open-requests", float64(r.shells.Caller.Busy()))
 		}
 	}
 }
--- a/router/internal/app/dispatch.go
+++ b/router/internal/app/dispatch.go
@@ -6,21 +6,16 @@
 	"go.uber.org/zap"
 
 	"ragwortshunt.example/fleet/core"
-	"ragwortshunt.example/router/internal/caller"
-	"ragwortshunt.example/router/internal/endpoint"
 	"ragwortshunt.example/router/internal/operator"
 	"ragwortshunt.example/router/internal/peer"
-	"ragwortshunt.example/router/internal/platform"
 )
 
 // Dispatcher hands each effect to the shell that carries it out.
 type Dispatcher struct {
-	log      *zap.Logger
-	caller   *caller.Server
-	endpoint *endpoint.Client
-	platform *platform.Client
-	peer     *peer.Sender
-	metrics  *operator.Metrics
+	log     *zap.Logger
+	shells  Shells
+	peer    *peer.Sender
+	metrics *operator.Metrics
 
 	stopped chan struct{}
 	once    sync.Once
@@ -28,10 +23,10 @@
 
 // NewDispatcher returns a dispatcher to the given shells.
 func NewDispatcher(
-	log *zap.Logger, c *caller.Server, e *endpoint.Client, p *platform.Client, s *peer.Sender, m *operator.Metrics,
+	log *zap.Logger, shells Shells, s *peer.Sender, m *operator.Metrics,
 ) *Dispatcher {
 	return &Dispatcher{
-		log: log, caller: c, endpoint: e, platform: p, peer: s, metrics: m,
+		log: log, shells: shells, peer: s, metrics: m,
 		stopped: make(chan struct{}),
 	}
 }
@@ -47,21 +42,21 @@
 	case core.SendPeer:
 		d.peer.Send(e)
 	case core.Deliver:
-		d.caller.Handle(e.Request, e)
+		d.shells.Caller.Handle(e.Request, e)
 	case core.Finish:
-		d.caller.Handle(e.Request, e)
+		d.shells.Caller.Handle(e.Request, e)
 	case core.Reply:
-		d.caller.Handle(e.Request, e)
+		d.shells.Caller.Handle(e.Request, e)
 	case core.Refuse:
-		d.caller.Handle(e.Request, e)
+		d.shells.Caller.Handle(e.Request, e)
 	case core.Closed:
-		d.caller.Forget(e.Request)
+		d.shells.Caller.Forget(e.Request)
 	case core.ReadObject:
-		d.platform.Read(e)
+		d.shells.Platform.Read(e)
 	case core.WriteObject:
-		d.platform.Write(e)
+		d.shells.Platform.Write(e)
 	case core.ListHosts:
-		d.platform.List()
+		d.shells.Platform.List()
 	case core.Log:
 		operator.WriteLog(d.log, e)
 	case core.Count:
@@ -69,7 +64,7 @@
 	case core.Observe:
 		d.metrics.Observe(e)
 	case core.TableInstalled:
-		d.caller.SetTable(e.Snapshot)
+		d.shells.SetTable(e)
 	case core.Stopped:
 		d.once.Do(func() { close(d.stopped) })
 	default:
@@ -80,18 +75,30 @@
 func (d *Dispatcher) handleEndpoint(e core.Effect) {
 	switch e := e.(type) {
 	case core.StartPrefill:
-		d.endpoint.Prefill(e)
+		d.shells.Endpoint.Prefill(e)
 	case core.StartDecode:
-		d.endpoint.Decode(e)
-	case core.ResumeDecode:
-		d.endpoint.Resume(e)
+		d.shells.Endpoint.Decode(e)
 	case core.CancelRun:
-		d.endpoint.Cancel(e)
+		d.shells.Endpoint.Cancel(e)
 	case core.CallService:
-		d.endpoint.Call(e)
+		d.shells.Endpoint.Call(e)
+	default:
+		d.handleOwnEndpoint(e)
+	}
+}
+
+// handleOwnEndpoint carries out what only the project's own protocol has.
+func (d *Dispatcher) handleOwnEndpoint(e core.Effect) {
+	own, ok := d.shells.Endpoint.(OwnEndpointShell)
+	if !ok {
+		return
+	}
+	switch e := e.(type) {
+	case core.ResumeDecode:
+		own.Resume(e)
 	case core.PollLoad:
-		d.endpoint.Poll(e)
+		own.Poll(e)
 	case core.SendOrder:
-		d.endpoint.Order(e)
+		own.Order(e)
 	}
 }
--- /dev/null
+++ b/router/internal/app/shells.go
@@ -0,0 +1,110 @@
+package app
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"ragwortshunt.example/fleet/core"
+	"ragwortshunt.example/fleet/id"
+	objectcaller "ragwortshunt.example/platform/caller"
+	"ragwortshunt.example/platform/deployment"
+	objectendpoint "ragwortshunt.example/platform/endpoint"
+	"ragwortshunt.example/platform/exchange"
+	"ragwortshunt.example/platform/store"
+	objectwire "ragwortshunt.example/platform/wire"
+	"ragwortshunt.example/router/internal/caller"
+	"ragwortshunt.example/router/internal/endpoint"
+	"ragwortshunt.example/router/internal/inflight"
+	"ragwortshunt.example/router/internal/platform"
+	"ragwortshunt.example/router/internal/reactor"
+	"ragwortshunt.example/router/internal/settings"
+)
+
+// CallerShell serves callers.
+type CallerShell interface {
+	Handler() http.Handler
+	Handle(req id.Request, e core.Effect)
+	Forget(req id.Request)
+	Drain()
+	Busy() int
+}
+
+// EndpointShell calls engines and services.
+type EndpointShell interface {
+	Prefill(e core.StartPrefill)
+	Decode(e core.StartDecode)
+	Cancel(e core.CancelRun)
+	Call(e core.CallService)
+}
+
+// OwnEndpointShell is an EndpointShell of the project's own protocol, which the
+// platform's protocol has no use for.
+type OwnEndpointShell interface {
+	EndpointShell
+	Resume(e core.ResumeDecode)
+	Poll(e core.PollLoad)
+	Order(e core.SendOrder)
+}
+
+// PlatformShell calls the platform's store.
+type PlatformShell interface {
+	Read(e core.ReadObject)
+	Write(e core.WriteObject)
+	List()
+}
+
+// Shells are the parts of a router that depend on the protocol.
+type Shells struct {
+	Caller   CallerShell
+	Endpoint EndpointShell
+	Platform PlatformShell
+
+	Ready    http.Handler                // for the platform's balancer; nil if it asks operators' readiness
+	SetTable func(e core.TableInstalled) // tells the caller shell of a table that the decision core has installed
+	Follow   func(ctx context.Context)   // follows the platform's configuration; nil if the decision core does
+}
+
+func newShells(
+	life Lifetime, s *settings.Settings, inc id.Incarnation, clock clockwork.Clock, log *zap.Logger, r *reactor.Reactor,
+) Shells {
+	if s.Protocol == settings.ProtocolObjects {
+		return newObjectShells(life, s, clock, log, r)
+	}
+	bodies := inflight.New()
+	c := caller.New(caller.Config{
+		Host: s.Host, Incarnation: inc, MaxBody: s.MaxBody, DefaultLimit: s.DefaultLimit,
+		BodyTimeout: bodyTimeout,
+	}, r, bodies)
+	return Shells{
+		Caller:   c,
+		Endpoint: endpoint.New(life, clock, r, bodies),
+		Platform: platform.New(life, s.PlatformURL, "ragwortshunt/"+string(s.Host), s.PlatformTimeout, clock, log, r),
+		SetTable: func(e core.TableInstalled) { c.SetTable(e.Snapshot) },
+	}
+}
+
+func newObjectShells(
+	life Lifetime, s *settings.Settings, clock clockwork.Clock, log *zap.Logger, r *reactor.Reactor,
+) Shells {
+	exchanges := exchange.NewStore()
+	c := objectcaller.New(r, clock, log, exchanges)
+	objects := store.New(life, s.PlatformURL, clock, log, r)
+	site := deployment.Site{
+		Zone: string(s.Zone), Domain: s.SchedulingDomain(), PrefillRate: s.PrefillRate, BlockTokens: s.BlockTokens,
+	}
+	feed := store.NewFeed(objects, site, c.SetView)
+	return Shells{
+		Caller:   c,
+		Endpoint: objectendpoint.New(life, clock, log, r, exchanges),
+		Platform: objects,
+		Ready:    c.ReadyHandler(),
+		SetTable: func(core.TableInstalled) {},
+		Follow: func(ctx context.Context) {
+			go objects.Register(ctx, string(s.Host), objectwire.Host{Zone: string(site.Domain), Address: s.PeerAddress})
+			feed.Run(ctx)
+		},
+	}
+}
--- a/router/internal/app/wire.go
+++ b/router/internal/app/wire.go
@@ -7,14 +7,13 @@
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
-	"ragwortshunt.example/router/internal/inflight"
 	"ragwortshunt.example/router/internal/settings"
 )
 
 // New returns a router that is ready to run.
 func New(life Lifetime, s *settings.Settings, log *zap.Logger, clock clockwork.Clock) *Router {
 	wire.Build(
-		newIncarnation, newCoreConfig, newReactor, inflight.New, newCaller, newEndpoint, newPlatform,
+		newIncarnation, newCoreConfig, newReactor, newShells,
 		newSender, newMetrics, newOperator, NewDispatcher,
 		wire.Struct(new(Router), "*"),
 	)
--- a/router/internal/app/wire_gen.go
+++ b/router/internal/app/wire_gen.go
@@ -9,7 +9,6 @@
 import (
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
-	"ragwortshunt.example/router/internal/inflight"
 	"ragwortshunt.example/router/internal/settings"
 )
 
@@ -20,13 +19,10 @@
 	incarnation := newIncarnation(clock)
 	config := newCoreConfig(s, incarnation)
 	reactor := newReactor(config, clock)
-	store := inflight.New()
-	callerServer := newCaller(s, incarnation, reactor, store)
-	client := newEndpoint(life, clock, reactor, store)
-	platformClient := newPlatform(life, s, clock, log, reactor)
+	shells := newShells(life, s, incarnation, clock, log, reactor)
 	sender := newSender(life, s, incarnation, reactor)
 	metrics := newMetrics(s)
-	dispatcher := NewDispatcher(log, callerServer, client, platformClient, sender, metrics)
+	dispatcher := NewDispatcher(log, shells, sender, metrics)
 	operatorServer := newOperator(reactor, metrics)
 	router := &Router{
 		settings: s,
@@ -34,7 +30,7 @@
 		clock:    clock,
 		reactor:  reactor,
 		dispatch: dispatcher,
-		caller:   callerServer,
+		shells:   shells,
 		operator: operatorServer,
 		metrics:  metrics,
 	}
--- a/router/internal/command/command.go
+++ b/router/internal/command/command.go
@@ -6,10 +6,14 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/urfave/cli/v3"
+	"go.uber.org/zap"
 
 	"ragwortshunt.example/router/internal/app"
 	"ragwortshunt.example/router/internal/operator"
@@ -142,11 +146,35 @@
 		return err
 	}
 	defer log.Sync()
+	if s.MemoryLimit > 0 {
+		debug.SetMemoryLimit(s.MemoryLimit)
+	}
 	life, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	go reload(life, cmd.String("settings"), log)
 	return app.New(app.Lifetime{Context: life}, s, log, clockwork.NewRealClock()).Run(ctx)
 }
 
+// reload checks the settings file whenever the process is told that it has changed.
+// Changes take effect at the next start.
+func reload(ctx context.Context, path string, log *zap.Logger) {
+	changed := make(chan os.Signal, 1)
+	signal.Notify(changed, syscall.SIGHUP)
+	defer signal.Stop(changed)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+		if _, err := settings.Load(path); err != nil {
+			log.Error("settings: Changed file is invalid and was ignored.", zap.Error(err))
+			continue
+		}
+		log.Info("settings: Changed file is valid; it takes effect at the next start.")
+	}
+}
+
 func check(_ context.Context, cmd *cli.Command) error {
 	s, err := settings.Load(cmd.String("settings"))
 	if err != nil {
--- a/router/internal/operator/log.go
+++ b/router/internal/operator/log.go
@@ -9,7 +9,7 @@
 	"ragwortshunt.example/fleet/core"
 )
 
-// NewLogger returns a logger that writes JSON lines to standard error. level is
+// NewLogger returns a logger that writes JSON lines to standard output. level is
 // one of debug, info, warn and error.
 func NewLogger(level string) (*zap.Logger, error) {
 	l, err := zapcore.ParseLevel(level)
@@ -18,6 +18,8 @@
 	}
 	cfg := zap.NewProductionConfig()
 	cfg.Level = zap.NewAtomicLevelAt(l)
+	cfg.OutputPaths = []string{"stdout"}
+	cfg.Sampling = nil
 	cfg.DisableCaller = true
 	cfg.DisableStacktrace = true
 	cfg.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
@@ -45,6 +47,12 @@
 	if e.Code != "" {
 		fields = append(fields, zap.String("code", e.Code))
 	}
+	if e.Account != "" {
+		fields = append(fields, zap.String("account", string(e.Account)))
+	}
+	if e.Trace != "" {
+		fields = append(fields, zap.String("trace", e.Trace))
+	}
 	ce.Write(fields...)
 }
 
--- a/router/internal/reactor/reactor.go
+++ b/router/internal/reactor/reactor.go
@@ -30,6 +30,7 @@
 	clock   clockwork.Clock
 	state   *core.State
 	handler Handler
+	tick    time.Duration
 	rng     *rand.Rand
 	events  chan core.Event
 	queries chan func(st *core.State, now time.Time)
@@ -52,6 +53,7 @@
 	r := &Reactor{
 		clock:   clock,
 		state:   core.New(cfg, clock.Now()),
+		tick:    cfg.TickEvery,
 		rng:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		events:  make(chan core.Event, queueLength),
 		queries: make(chan func(*core.State, time.Time)),
@@ -105,7 +107,7 @@
 // Run reduces events until ctx ends.
 func (r *Reactor) Run(ctx context.Context) {
 	defer close(r.done)
-	ticker := r.clock.NewTicker(core.TickInterval)
+	ticker := r.clock.NewTicker(r.tick)
 	defer ticker.Stop()
 	for {
 		select {
--- a/router/internal/settings/field.go
+++ b/router/internal/settings/field.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"go.uber.org/zap/zapcore"
@@ -41,17 +43,21 @@
 	{"host", "zones", "", "All availability zones, separated by commas; the same on every host.", setZones},
 	{"host", "drain-timeout", "10m", "Longest graceful shutdown, 1s to 24h.", duration(
 		func(s *Settings) *time.Duration { return &s.DrainTimeout }, time.Second, 24*time.Hour)},
+	{"host", "memory-limit", "0", "Memory that the process tries to stay within, in bytes; 0 is no limit.", integer(
+		func(s *Settings) *int64 { return &s.MemoryLimit }, 0, 1<<40)},
 	{"caller", "address", "", "ip:port on which callers are served.", address(
 		func(s *Settings) *string { return &s.CallerAddress })},
 	{"caller", "max-body-bytes", "1048576", "Largest request body in bytes, 1024 to 67108864.", integer(
 		func(s *Settings) *int64 { return &s.MaxBody }, 1024, maxBodyLimit)},
 	{"caller", "default-max-tokens", "256", "Output limit of a request that states none, in tokens, 1 to 1048576.", integer(
 		func(s *Settings) *int64 { return &s.DefaultLimit }, 1, maxTokensLimit)},
+	{"caller", "ready-address", "-", "ip:port on which the platform's balancer asks for readiness; - is none.", setReadyAddress},
 	{"peer", "address", "", "ip:port on which other hosts are served.", address(
 		func(s *Settings) *string { return &s.PeerAddress })},
 	{"operator", "address", "", "ip:port of health, status, explain and metrics.", address(
 		func(s *Settings) *string { return &s.OperatorAddress })},
 	{"operator", "log-level", "info", "debug, info, warn or error.", setLogLevel},
+	{"platform", "protocol", "native", "native: the project's own protocols; objects: those of the users' platform.", setProtocol},
 	{"platform", "url", "", "URL of the platform's object API.", setPlatform},
 	{"platform", "timeout", "2s", "Longest platform call, 10ms to 1m.", duration(
 		func(s *Settings) *time.Duration { return &s.PlatformTimeout }, 10*time.Millisecond, time.Minute)},
@@ -63,7 +69,18 @@
 		func(s *Settings) *time.Duration { return &s.PooledLease }, time.Second, 10*time.Minute)},
 	{"limit", "reserve-lease", "20m", "Long lease, 1s to 24h; the same on every host.", duration(
 		func(s *Settings) *time.Duration { return &s.ReserveLease }, time.Second, 24*time.Hour)},
+	{"schedule", "domain", "-", "Hosts and endpoints of one domain share cells, rates and heartbeats; - is the availability zone.", setDomain},
+	{"schedule", "domains", "-", "All domains, separated by commas; the same on every host; - is all availability zones.", setDomains},
+	{"schedule", "block-tokens", "16", "Tokens in one memory block of an engine whose platform does not state it, 1 to 65536.", integer(
+		func(s *Settings) *int64 { return &s.BlockTokens }, 1, 65536)},
+	{"schedule", "prefill-rate", "33000", "Prompt tokens per second of an engine whose platform does not state it.", integer(
+		func(s *Settings) *int64 { return &s.PrefillRate }, 1, maxRate)},
 	{"schedule", "cell-endpoints", "16", "Most endpoints in one cell, 2 to 64; the same on every host.", setCellEndpoints},
+	{"retry", "ratio", "0.2", "Repeated dispatches per request of a service, over all hosts, 0 to 1.", setRetryRatio},
+	{"retry", "window", "10s", "Span over which repeated dispatches are counted, 1s to 10m.", duration(
+		func(s *Settings) *time.Duration { return &s.RetryWindow }, time.Second, 10*time.Minute)},
+	{"retry", "extra", "10", "Repeated dispatches of a service in each window on top of the ratio, over all hosts.", integer(
+		func(s *Settings) *int64 { return &s.RetryExtra }, 0, maxRate)},
 	{"claim", "shards", "256", "Claim objects in the platform, 1 to 4096; the same on every host and never changed while claims are kept.", setClaimShards},
 	{"claim", "retention", "24h", "How long claims of non-idempotent calls are kept, 1m to 720h.", duration(
 		func(s *Settings) *time.Duration { return &s.Retention }, time.Minute, 720*time.Hour)},
@@ -91,6 +108,57 @@
 	return err
 }
 
+func setProtocol(s *Settings, text string) error {
+	switch p := Protocol(text); p {
+	case ProtocolNative, ProtocolObjects:
+		s.Protocol = p
+		return nil
+	}
+	return fmt.Errorf("%q is not native or objects", text)
+}
+
+// unset is the value of a key that is left out where an empty value would be
+// taken for a missing one.
+const unset = "-"
+
+func setReadyAddress(s *Settings, text string) (err error) {
+	if text != unset {
+		s.ReadyAddress, err = parseAddress(text)
+	}
+	return err
+}
+
+func setDomain(s *Settings, text string) error {
+	if text == unset {
+		return nil
+	}
+	name, err := parseName(text)
+	s.Domain = id.Zone(name)
+	return err
+}
+
+// setDomains takes a list in which a domain may stand more than once.
+func setDomains(s *Settings, text string) error {
+	if text == unset {
+		return nil
+	}
+	for _, part := range strings.Split(text, ",") {
+		name, err := parseName(strings.TrimSpace(part))
+		if err != nil {
+			return err
+		}
+		if d := id.Zone(name); !slices.Contains(s.Domains, d) {
+			s.Domains = append(s.Domains, d)
+		}
+	}
+	slices.Sort(s.Domains)
+	return nil
+}
+
+func setRetryRatio(s *Settings, text string) error {
+	return setShare(&s.RetryRatio, text)
+}
+
 func setLogLevel(s *Settings, text string) error {
 	if _, err := zapcore.ParseLevel(text); err != nil {
 		return fmt.Errorf("%q is not a log level", text)
@@ -100,11 +168,15 @@
 }
 
 func setReserveShare(s *Settings, text string) error {
+	return setShare(&s.ReserveShare, text)
+}
+
+func setShare(dst *float64, text string) error {
 	v, err := strconv.ParseFloat(text, 64)
 	if err != nil || !(v >= 0 && v <= 1) {
 		return fmt.Errorf("%q is not a number from 0 to 1", text)
 	}
-	s.ReserveShare = v
+	*dst = v
 	return nil
 }
 
--- a/router/internal/settings/settings.go
+++ b/router/internal/settings/settings.go
@@ -34,6 +34,17 @@
 	PeerAddress     string
 	OperatorAddress string
 
+	Protocol     Protocol
+	ReadyAddress string  // empty: readiness is served to operators alone
+	Domain       id.Zone // empty: the availability zone
+	Domains      []id.Zone
+	BlockTokens  int64
+	PrefillRate  int64 // tokens per second
+	RetryRatio   float64
+	RetryWindow  time.Duration
+	RetryExtra   int64
+	MemoryLimit  int64 // bytes; 0 is none
+
 	PlatformURL     string
 	PlatformTimeout time.Duration
 
@@ -52,6 +63,15 @@
 	LogLevel      string
 }
 
+// Protocol is the protocol of callers, endpoints and platform.
+type Protocol string
+
+// The protocols.
+const (
+	ProtocolNative  Protocol = "native"  // the project's own
+	ProtocolObjects Protocol = "objects" // that of the users' platform
+)
+
 // Problem is one error in a settings file.
 type Problem struct {
 	File string
@@ -68,6 +88,23 @@
 	return fmt.Sprintf("%s:%d: %s: %s", p.File, p.Line, p.Key, p.Text)
 }
 
+// SchedulingDomain returns the domain of this host, which is its availability zone
+// unless the settings say otherwise.
+func (s *Settings) SchedulingDomain() id.Zone {
+	if s.Domain == "" {
+		return s.Zone
+	}
+	return s.Domain
+}
+
+// SchedulingDomains returns all domains.
+func (s *Settings) SchedulingDomains() []id.Zone {
+	if len(s.Domains) == 0 {
+		return s.Zones
+	}
+	return s.Domains
+}
+
 // Load reads and checks a file. The error joins all problems.
 func Load(path string) (*Settings, error) {
 	data, err := os.ReadFile(path)
