--- a/fleet/registry/registry.go
+++ b/fleet/registry/registry.go
@@ -21,7 +21,7 @@
 
 // Config holds the times of a registry.
 type Config struct {
-	Outage time.Duration // silence of the platform from which lapsed entries get a grace
+	Outage time.Duration // failure of the platform from which lapsed entries get a grace
 	Grace  time.Duration // time in which live endpoints register again after an outage
 }
 
@@ -51,6 +51,7 @@
 	cfg     Config
 	entries map[string]*record
 	contact time.Time // last answer of the platform
+	failed  bool      // a call has failed since
 	grace   time.Time // lapsed entries are kept until
 }
 
@@ -64,14 +65,19 @@
 	return &State{cfg: cfg, entries: make(map[string]*record)}
 }
 
-// Contact notes that the platform has answered without a change.
+// Contact notes that the platform has answered. The pause before an answer says
+// nothing, because a watch is silent while nothing changes.
 func Contact(s *State, now time.Time) {
-	if !s.contact.IsZero() && now.Sub(s.contact) > s.cfg.Outage {
+	if s.failed && now.Sub(s.contact) > s.cfg.Outage {
 		s.grace = now.Add(s.cfg.Grace)
 	}
+	s.failed = false
 	s.contact = now
 }
 
+// Fail notes that a call to the platform has failed.
+func Fail(s *State) { s.failed = true }
+
 // List installs the complete list of entries, and tells whether it differs from
 // the entries known before.
 func List(s *State, now time.Time, entries []Entry) bool {
--- /dev/null
+++ b/fleet/registry/registry_test.go
@@ -0,0 +1,88 @@
+package registry_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/registry"
+	"ragwortshunt.example/fleet/table"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func entry(name string) registry.Entry {
+	return registry.Entry{Name: name, Service: "s", Endpoint: table.Endpoint{
+		Name: registry.EndpointName(name, "1"), State: table.StateActive,
+	}}
+}
+
+func names(s *registry.State) []string {
+	out := []string{}
+	for _, e := range registry.Entries(s) {
+		out = append(out, e.Name)
+	}
+	return out
+}
+
+// TestQuietWatch guards against taking the silence of a watch without changes for
+// an outage: an endpoint whose entry was removed then went on getting work.
+func TestQuietWatch(t *testing.T) {
+	s := registry.New(registry.DefaultConfig())
+	registry.List(s, at(0), []registry.Entry{entry("a"), entry("b")})
+	changed := registry.Apply(s, at(10*time.Second), []registry.Change{{Entry: registry.Entry{Name: "a"}, Gone: true}})
+	assert.Assert(t, changed)
+	assert.DeepEqual(t, names(s), []string{"b"})
+}
+
+// TestOutage guards against losing the endpoints whose entries lapsed because
+// nobody could renew them, and against keeping those that do not come back.
+func TestOutage(t *testing.T) {
+	s := registry.New(registry.DefaultConfig())
+	registry.List(s, at(0), []registry.Entry{entry("a"), entry("b")})
+	registry.Fail(s)
+	registry.List(s, at(5*time.Second), nil)
+	assert.DeepEqual(t, names(s), []string{"a", "b"})
+	registry.Apply(s, at(6*time.Second), []registry.Change{{Entry: entry("a")}})
+	assert.Assert(t, !registry.Expire(s, at(6500*time.Millisecond)))
+	registry.Contact(s, at(7100*time.Millisecond))
+	assert.Assert(t, registry.Expire(s, at(7200*time.Millisecond)))
+	assert.DeepEqual(t, names(s), []string{"a"})
+}
+
+// TestOutageGoesOn guards against dropping entries at the end of the grace while
+// the platform has failed again and could not list them.
+func TestOutageGoesOn(t *testing.T) {
+	s := registry.New(registry.DefaultConfig())
+	registry.List(s, at(0), []registry.Entry{entry("a")})
+	registry.Fail(s)
+	registry.List(s, at(5*time.Second), nil)
+	registry.Fail(s)
+	assert.Assert(t, !registry.Expire(s, at(9*time.Second)))
+	assert.DeepEqual(t, names(s), []string{"a"})
+}
+
+// TestLeavingStays guards against a grace for an endpoint that has announced its
+// leave.
+func TestLeavingStays(t *testing.T) {
+	s := registry.New(registry.DefaultConfig())
+	leaving := entry("a")
+	leaving.State = table.StateLeaving
+	registry.List(s, at(0), []registry.Entry{leaving})
+	registry.Fail(s)
+	assert.Assert(t, registry.List(s, at(5*time.Second), nil))
+	assert.DeepEqual(t, names(s), []string{})
+}
+
+// TestRestart guards against a restarted endpoint that inherits what is known of
+// its predecessor.
+func TestRestart(t *testing.T) {
+	first, second := registry.EndpointName("i-1", "a"), registry.EndpointName("i-1", "b")
+	assert.Assert(t, first != second)
+	assert.Equal(t, registry.Instance(first), "i-1")
+	assert.Equal(t, registry.Instance(id.Endpoint("plain")), "")
+}
