core: reject grants on endpoints that the host knows to be leaving

Ruled out: a late watch on the entry hosts; they had the change within 5 ms. Change: the entry host gives such a grant back as failed and asks again.

--- a/fleet/core/relay.go
+++ b/fleet/core/relay.go
@@ -5,6 +5,7 @@
 
 	"ragwortshunt.example/fleet/id"
 	"ragwortshunt.example/fleet/member"
+	"ragwortshunt.example/fleet/message"
 	"ragwortshunt.example/fleet/retry"
 	"ragwortshunt.example/fleet/table"
 )
@@ -136,6 +137,32 @@
 	s.relayGiveUp(r, ev.Code)
 }
 
+// unusable returns the first endpoint that this host knows to be leaving or gone.
+func (s *step) unusable(eps ...id.Endpoint) id.Endpoint {
+	for _, name := range eps {
+		if ep, ok := s.snapshot().Endpoints[name]; !ok || ep.State != table.StateActive {
+			return name
+		}
+	}
+	return ""
+}
+
+// rejectGrant gives back a grant on an endpoint that is leaving. A scheduler that
+// has lost contact with the platform does not know it.
+func (s *step) rejectGrant(r *request, from id.Host, m message.SlotGrant, ep id.Endpoint) {
+	r.note(s.now, "attempt %d: %s granted %s, which is leaving", r.attempt, from, ep)
+	s.send(from, message.SlotUpdate{
+		Request: m.Request, Attempt: m.Attempt, Phase: message.PhaseCancelled, Failed: ep,
+	})
+	r.avoid = ep
+	r.failures++
+	if r.failures >= relayTries {
+		s.refuse(r, CodeNoEndpoint, "the scheduler knows no usable endpoint", time.Second)
+		return
+	}
+	s.askSlot(r)
+}
+
 // relayStalled ends a silent prefill, and a silent stream that may go on elsewhere.
 // A stream that must not be repeated is waited for until the caller's deadline.
 func (s *step) relayStalled(r *request, ep id.Endpoint) {
--- a/fleet/core/slot.go
+++ b/fleet/core/slot.go
@@ -210,6 +210,10 @@
 		s.declineGrant(r, from, m)
 		return
 	}
+	if ep := s.unusable(m.Prefill, m.Decode); r.relayed && ep != "" {
+		s.rejectGrant(r, from, m, ep)
+		return
+	}
 	r.host = from
 	r.prefill, r.decode = m.Prefill, m.Decode
 	r.tried = nil
