schedule: place decode runs by expected memory, bound queueing by the callers' patience

Ruled out: slots (12 of 24 taken at most), prefill (queue below 20 ms). Change: with Config.Projected the cell adds up the expected memory of all runs of an engine over time; requests wait for 65 % of their callers' patience at most and are refused at once when the queue before them lasts longer; late ones go last.

--- a/fleet/core/event.go
+++ b/fleet/core/event.go
@@ -25,6 +25,7 @@
 	Prefix         uint64        // hash of the first block of the prompt
 	IdempotencyKey string        // services
 	Digest         string        // digest of method, path and body; services
+	Expected       int64         // output tokens that the caller expects; 0 is unknown
 	Timeout        time.Duration // time in which the caller wants the answer; 0 is no bound
 }
 
--- a/fleet/core/relay.go
+++ b/fleet/core/relay.go
@@ -31,6 +31,9 @@
 	// relayTries bounds the endpoints that may turn one request down before it is
 	// refused.
 	relayTries = 4
+	// queuePercent is the part of a caller's patience that a request may spend in a
+	// queue.
+	queuePercent = 65
 )
 
 // readTokens returns the tokens that a prefill of the next attempt reads.
@@ -41,6 +44,22 @@
 	return r.PromptTokens + r.delivered
 }
 
+// patience returns how long the request may queue. The rest of the time in which
+// the caller waits for the first event is for prefill and transfer, and for the
+// answer that tells the caller when to come back.
+func (r *request) patience() time.Duration {
+	return r.route.Patience * queuePercent / 100
+}
+
+// earlier returns the time that the caller had already waited when the request
+// came, if it was refused before and has come back.
+func (r *request) earlier() time.Duration {
+	if !r.relayed || r.Timeout <= 0 || r.route.Timeout <= 0 {
+		return 0
+	}
+	return max(r.route.Timeout-r.Timeout, 0)
+}
+
 // setDeadline bounds the request by the caller's time and by its route's.
 func (s *step) setDeadline(r *request) {
 	bound := r.Timeout
--- a/fleet/core/slot.go
+++ b/fleet/core/slot.go
@@ -159,6 +159,9 @@
 		CanWait:      r.route.CanWait || r.delivered > 0,
 		Avoid:        r.avoid,
 		Part:         r.cell.Part,
+		Expected:     r.Expected,
+		Patience:     r.patience(),
+		Earlier:      r.earlier(),
 	})
 }
 
@@ -301,6 +304,6 @@
 	s.send(owner, message.SlotHold{
 		Request: r.Request, Attempt: r.attempt, Account: r.account, Model: r.route.Model,
 		Prefill: r.prefill, Decode: r.decode, Phase: phase,
-		PromptTokens: r.PromptTokens, OutputTokens: r.MaxTokens, Part: r.cell.Part,
+		PromptTokens: r.PromptTokens, OutputTokens: r.MaxTokens, Part: r.cell.Part, Expected: r.Expected,
 	})
 }
--- a/fleet/message/message.go
+++ b/fleet/message/message.go
@@ -87,6 +87,9 @@
 	CanWait      bool          `cbor:"11,keyasint,omitempty"` // demote instead of refusing when late
 	Avoid        id.Endpoint   `cbor:"12,keyasint,omitempty"` // endpoint of a failed attempt
 	Part         int           `cbor:"13,keyasint,omitempty"` // cell of the model in the scheduler's zone
+	Expected     int64         `cbor:"14,keyasint,omitempty"` // expected output tokens; 0 is unknown
+	Patience     time.Duration `cbor:"15,keyasint,omitempty"` // longest queueing time; 0 is no bound
+	Earlier      time.Duration `cbor:"16,keyasint,omitempty"` // time that the caller had spent before the request came to its host
 }
 
 // SlotGrant reserves both engines for one attempt.
@@ -130,7 +133,8 @@
 	PromptTokens int64       `cbor:"8,keyasint"`
 	OutputTokens int64       `cbor:"9,keyasint"`
 	// Key 10 marked placements without a grant, which no longer exist.
-	Part int `cbor:"11,keyasint,omitempty"` // cell of the model in the scheduler's zone
+	Part     int   `cbor:"11,keyasint,omitempty"` // cell of the model in the scheduler's zone
+	Expected int64 `cbor:"12,keyasint,omitempty"` // expected output tokens; 0 is unknown
 }
 
 // TokenAsk asks another holder of an account's share for tokens.
--- a/fleet/schedule/ask.go
+++ b/fleet/schedule/ask.go
@@ -31,7 +31,7 @@
 	if c.cfg.Policy.Placement != PlacementReserve {
 		return append(acts, c.grantBlind(e))
 	}
-	if c.hopeless(e) {
+	if c.hopeless(e) || c.outlasts(e) {
 		return append(acts, c.refuse(e, ReasonTooLate))
 	}
 	acts, ok := c.makeRoom(acts, e)
@@ -73,6 +73,7 @@
 		class:     m.Class,
 		prompt:    clampTokens(m.PromptTokens),
 		output:    clampTokens(m.OutputTokens),
+		expected:  expectedOutput(m.OutputTokens, m.Expected),
 		prefix:    m.Prefix,
 		avoid:     m.Avoid,
 		canWait:   m.CanWait,
@@ -87,15 +88,26 @@
 		c.smallSeen = c.now
 		c.smallEver = true
 	}
-	c.setTimes(e, max(m.Waited, 0), m.FirstToken)
+	c.setTimes(e, m)
 	return e
 }
 
+// expectedOutput returns the expected output tokens, which are the limit if nothing
+// is known.
+func expectedOutput(limit, expected int64) int64 {
+	if expected <= 0 {
+		return clampTokens(limit)
+	}
+	return clampTokens(min(expected, limit))
+}
+
 // setTimes derives the latest start from the first-token target. A target that
 // not even an idle cell could meet bounds the time in the queue instead, because
 // a refusal would come back for every retry.
-func (c *Cell) setTimes(e *entry, waited, target time.Duration) {
-	e.arrived = c.now - waited
+func (c *Cell) setTimes(e *entry, m message.SlotAsk) {
+	target := m.FirstToken
+	e.arrived = c.now - max(m.Waited, 0)
+	e.patience = m.Patience
 	limit := e.limit(c)
 	e.latest, e.giveUp = limit, limit
 	waits := c.classIndex(e.class) == deferrable
@@ -103,7 +115,7 @@
 		return
 	}
 	work := e.prefillTime + tokenTime(e.prompt, c.capacity.linkRate) + c.cfg.FirstTokenMargin
-	e.latest = e.arrived + target - work
+	e.latest = e.arrived - max(m.Earlier, 0) + target - work
 	if target < work {
 		e.latest = e.arrived + target
 	}
@@ -141,6 +153,20 @@
 	return c.now+free+ahead > e.latest
 }
 
+// outlasts tells whether the requests before e will keep it waiting for longer than
+// its caller has patience. It answers bursts: a request that cannot be served is
+// better refused at once, so that its caller can come back when there is room.
+func (c *Cell) outlasts(e *entry) bool {
+	if e.patience <= 0 {
+		return false
+	}
+	late := e.latest < c.now || c.classIndex(e.class) == deferrable
+	if !late && c.now+c.queueWait(false) <= e.latest {
+		return false
+	}
+	return c.now+c.queueWait(true) > e.limit(c)
+}
+
 // refuseUnplaceable refuses queued requests after a loss of endpoints.
 func (c *Cell) refuseUnplaceable(acts []Action) []Action {
 	var lost []*entry
@@ -192,7 +218,12 @@
 }
 
 // limit is the end of the longest queueing time.
-func (e *entry) limit(c *Cell) time.Duration { return e.arrived + c.cfg.MaxDeferrableWait }
+func (e *entry) limit(c *Cell) time.Duration {
+	if e.patience > 0 {
+		return e.arrived + min(e.patience, c.cfg.MaxDeferrableWait)
+	}
+	return e.arrived + c.cfg.MaxDeferrableWait
+}
 
 // demote lets a request wait behind all deferrable requests of its account that
 // can still meet their target.
--- a/fleet/schedule/config.go
+++ b/fleet/schedule/config.go
@@ -48,6 +48,9 @@
 	RebuildTime    time.Duration // a new scheduler waits this long for holds
 	RebuildPercent int64         // slots of an endpoint that may be granted meanwhile
 
+	Projected     bool  // place decode runs by the memory that they are expected to need
+	MemoryPercent int64 // part of an endpoint's memory that expected needs may fill
+
 	MaxQueue          int           // requests
 	ScanLimit         int           // queue heads that one round of grants passes over
 	ScanLane          int           // requests of one lane that are tried when memory is short
@@ -86,6 +89,7 @@
 		EndedMemory:        5 * time.Second,
 		RebuildTime:        1500 * time.Millisecond,
 		RebuildPercent:     25,
+		MemoryPercent:      100,
 		MaxQueue:           2000,
 		ScanLimit:          64,
 		ScanLane:           8,
--- a/fleet/schedule/endpoint.go
+++ b/fleet/schedule/endpoint.go
@@ -40,6 +40,8 @@
 	backOffUntil time.Duration
 	probe        *entry // the only grant while fails > 0
 
+	decoding []*entry // with a reservation for their decode
+
 	queue []*entry // granted prefills, in order
 	links []*entry // transfers that are planned or under way
 	cache prefixCache
--- a/fleet/schedule/entry.go
+++ b/fleet/schedule/entry.go
@@ -32,15 +32,17 @@
 	own     bool // granted by this cell
 
 	prompt, output, tokens int64 // prompt, output limit, output so far
+	expected               int64 // output
 	prefix                 uint64
 	avoid                  id.Endpoint
 	canWait                bool
 	large                  bool
 
-	asked   time.Duration
-	arrived time.Duration // at its host
-	latest  time.Duration // latest start that meets the target, or the order of arrival
-	giveUp  time.Duration // refused or demoted after this time
+	asked    time.Duration
+	patience time.Duration // longest queueing time of this request; 0 is no bound of its own
+	arrived  time.Duration // at its host
+	latest   time.Duration // latest start that meets the target, or the order of arrival
+	giveUp   time.Duration // refused or demoted after this time
 
 	lane      *lane
 	laneIndex int
--- a/fleet/schedule/place.go
+++ b/fleet/schedule/place.go
@@ -126,13 +126,13 @@
 			why = obstacleOther
 			continue
 		}
-		if ep.freeBlocks() < ep.blocksFor(e.prompt+e.output) {
+		if !c.hasRoom(ep, e) {
 			if why == obstacleSlot {
 				why = obstacleMemory
 			}
 			continue
 		}
-		if best != nil && !roomier(ep, best) {
+		if best != nil && !c.roomier(ep, best, e) {
 			continue
 		}
 		if !c.planSend(e, pl, ep) {
@@ -148,7 +148,10 @@
 	return obstacleNone
 }
 
-func roomier(a, b *endpoint) bool {
+func (c *Cell) roomier(a, b *endpoint, e *entry) bool {
+	if c.cfg.Projected {
+		return c.peakWith(a, e) < c.peakWith(b, e)
+	}
 	if a.freeSlots() != b.freeSlots() {
 		return a.freeSlots() > b.freeSlots()
 	}
--- a/fleet/schedule/run.go
+++ b/fleet/schedule/run.go
@@ -173,6 +173,7 @@
 		phase:       m.Phase,
 		prompt:      clampTokens(m.PromptTokens),
 		output:      clampTokens(m.OutputTokens),
+		expected:    expectedOutput(m.OutputTokens, m.Expected),
 		deadline:    c.now + c.cfg.HoldLapse,
 		decodeSince: c.now,
 		laneIndex:   -1,
@@ -210,6 +211,7 @@
 		e.decode = d
 		e.decodeBlocks = d.blocksFor(e.prompt + e.output)
 		d.take(e, e.decodeBlocks)
+		d.decoding = append(d.decoding, e)
 	}
 	e.runIndex = len(c.runs)
 	c.runs = append(c.runs, e)
@@ -240,6 +242,9 @@
 	if d := e.decode; d != nil {
 		d.dropLink(e)
 		d.give(e, e.decodeBlocks)
+		if i := slices.Index(d.decoding, e); i >= 0 {
+			d.decoding = slices.Delete(d.decoding, i, i+1)
+		}
 		e.decode = nil
 		e.decodeBlocks = 0
 		c.releases.count++
--- a/fleet/schedule/schedule.go
+++ b/fleet/schedule/schedule.go
@@ -88,6 +88,8 @@
 	releases  releaseRate
 	turn      int     // round-robin position
 	aside     []*lane // scratch space of grantQueued
+
+	projections []projection // scratch space of peakWith
 }
 
 // New returns a cell without endpoints. With rebuild set, a predecessor may
--- a/fleet/table/table.go
+++ b/fleet/table/table.go
@@ -91,6 +91,7 @@
 
 	// The fields below come from a platform's own configuration. They have no column.
 	Timeout  time.Duration // longest time until the end of the answer; 0 is no bound
+	Patience time.Duration // callers give up when the first event takes longer; 0 is no bound
 	Attempts int           // endpoints on which one request may run; 0 is the default
 	Once     bool          // an answer that has begun is not continued on another endpoint; model routes
 }
--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -75,6 +75,9 @@
 	relayTick     = 20 * time.Millisecond // between two Ticks; they cost processor time on an idle host
 	relayHandOver = time.Second           // the platform kills a process a few seconds after it asked it to stop
 	relayKVLife   = 500 * time.Millisecond
+	// relayTokenTime is the time between two output tokens of the platform's engines.
+	relayTokenTime = 4500 * time.Microsecond
+	relayMemory    = 97 // percent of an engine's memory that expected needs may fill
 )
 
 // relayConfig sets what differs on the users' platform.
@@ -84,6 +87,12 @@
 	cfg.HandOver = relayHandOver
 	cfg.LoadInterval = 0
 	cfg.Schedule.KVSurvival = relayKVLife
+	cfg.Schedule.Projected = true
+	cfg.Schedule.MemoryPercent = relayMemory
+	cfg.Schedule.TokenTime = relayTokenTime
+	cfg.Schedule.DeferrableShare = 0 // late requests go last; they are refused before their callers give up
+	cfg.Schedule.RetryLeast = time.Second
+	cfg.Schedule.RetryMost = 4 * time.Second
 	cfg.Limit.Reclaim = true
 	cfg.Retry = retry.Config{Ratio: s.RetryRatio, Window: s.RetryWindow, Extra: s.RetryExtra}
 }
