limit: use the tolerance of rates that the platform states

Cause: with bucket bounds of exactly rate and burst, requests were refused that the platform counts as within the rate (its bound in a window of 8 s has an overrun of 10 % and a slack of 190,000 tokens for the summing over hosts). Ruled out: more slots per account (peers were asked, all were empty).

--- a/fleet/core/core.go
+++ b/fleet/core/core.go
@@ -133,7 +133,7 @@
 // claims. Hosts that differ in them can break the bound on an account's rate.
 func (c Config) sharedDigest() uint64 {
 	shared := fmt.Sprint(
-		c.Zones, c.Limit.Groups, c.Limit.SlotRate, c.Limit.ReserveShare,
+		c.Zones, c.Limit.Groups, c.Limit.SlotRate, c.Limit.ReserveShare, c.Limit.Tolerance,
 		c.Limit.PooledLease, c.Limit.ReserveLease, c.CellEndpoints, c.Claim.Shards,
 	)
 	return xxhash.Sum64String(shared)
--- a/fleet/core/tablesync.go
+++ b/fleet/core/tablesync.go
@@ -254,7 +254,7 @@
 func (s *step) applyLimits(snap *table.Snapshot) {
 	budgets := make(map[id.Account]limit.Budget, len(snap.Accounts))
 	for name, a := range snap.Accounts {
-		budgets[name] = limit.Budget{Rate: a.Rate, Burst: a.Burst}
+		budgets[name] = s.cfg.Limit.Tolerance.Widen(limit.Budget{Rate: a.Rate, Burst: a.Burst})
 	}
 	limit.SetBudgets(s.limit, s.now, budgets)
 }
--- a/fleet/limit/limit.go
+++ b/fleet/limit/limit.go
@@ -54,6 +54,7 @@
 	Margin       time.Duration // allowance for clock drift over a lease
 	AskTimeout   time.Duration // longest wait for tokens of peers
 	NoTransfer   bool          // never ask peers; for measurements
+	Tolerance    Tolerance     // by which budgets are widened
 	Reclaim      bool          // a lease of an earlier process of this host is taken at once; the platform must have ended that process
 }
 
--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -15,6 +15,7 @@
 
 	"ragwortshunt.example/fleet/core"
 	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/limit"
 	"ragwortshunt.example/fleet/retry"
 	"ragwortshunt.example/router/internal/operator"
 	"ragwortshunt.example/router/internal/peer"
@@ -62,6 +63,7 @@
 	cfg.Limit.ReserveShare = s.ReserveShare
 	cfg.Limit.PooledLease = s.PooledLease
 	cfg.Limit.ReserveLease = s.ReserveLease
+	cfg.Limit.Tolerance = limit.Tolerance{Window: s.OverrunWindow, Overrun: s.Overrun, Slack: s.Slack}
 	cfg.CellEndpoints = s.CellEndpoints
 	cfg.Claim.Shards = s.ClaimShards
 	cfg.Claim.Retention = s.Retention
--- a/router/internal/settings/field.go
+++ b/router/internal/settings/field.go
@@ -69,6 +69,13 @@
 		func(s *Settings) *time.Duration { return &s.PooledLease }, time.Second, 10*time.Minute)},
 	{"limit", "reserve-lease", "20m", "Long lease, 1s to 24h; the same on every host.", duration(
 		func(s *Settings) *time.Duration { return &s.ReserveLease }, time.Second, 24*time.Hour)},
+	{"limit", "overrun", "0", "Part of an account's rate and burst by which the platform lets it exceed them in a window, 0 to 1; the same on every host.", func(s *Settings, text string) error {
+		return setShare(&s.Overrun, text)
+	}},
+	{"limit", "overrun-slack", "0", "Tokens by which the platform lets an account exceed its rate and burst in a window; the same on every host.", integer(
+		func(s *Settings) *int64 { return &s.Slack }, 0, maxRate)},
+	{"limit", "overrun-window", "10s", "Window of the two settings above, 1s to 10m; the same on every host.", duration(
+		func(s *Settings) *time.Duration { return &s.OverrunWindow }, time.Second, 10*time.Minute)},
 	{"schedule", "domain", "-", "Hosts and endpoints of one domain share cells, rates and heartbeats; - is the availability zone.", setDomain},
 	{"schedule", "domains", "-", "All domains, separated by commas; the same on every host; - is all availability zones.", setDomains},
 	{"schedule", "block-tokens", "16", "Tokens in one memory block of an engine whose platform does not state it, 1 to 65536.", integer(
--- a/router/internal/settings/settings.go
+++ b/router/internal/settings/settings.go
@@ -55,6 +55,9 @@
 	LeaseGroups   int
 	SlotRate      int64 // tokens per second
 	ReserveShare  float64
+	Overrun       float64 // of a rate, as part of the tokens of a window
+	Slack         int64   // tokens per window
+	OverrunWindow time.Duration
 	PooledLease   time.Duration
 	ReserveLease  time.Duration
 	CellEndpoints int
