limit: know the other hosts before shares are taken

Cause: hosts that start together know only themselves, so that each tried to take all 16 groups; the losers did not read again before the winner's lease of 10 s would have lapsed, because the holder was not known to live. Requests of the first two seconds were refused (182, all within the rate). Ruled out: empty buckets (they had 10 s to fill). Change: a starting host reads a fresh host list every 300 ms; a group is read again when its holder becomes known.

--- a/fleet/core/effect.go
+++ b/fleet/core/effect.go
@@ -154,7 +154,9 @@
 }
 
 // ListHosts reads the platform's list of hosts. The answer is HostsListed.
-type ListHosts struct{}
+type ListHosts struct {
+	Fresh bool // the list must not lag
+}
 
 // PollLoad reads the load report of an engine. The answer is LoadReported.
 type PollLoad struct {
--- a/fleet/core/tick.go
+++ b/fleet/core/tick.go
@@ -19,6 +19,9 @@
 // known host.
 const hostsPerPeer = 20 * time.Millisecond
 
+// startHostsInterval is the time between two readings while many hosts start.
+const startHostsInterval = 300 * time.Millisecond
+
 // requestInterval is the time between two passes over the running requests. The
 // times that a pass checks are 500 ms and more.
 const requestInterval = 50 * time.Millisecond
@@ -47,13 +50,23 @@
 	}
 	s.hostsRead = s.now
 	s.unlisted = false
-	s.emit(ListHosts{})
+	s.emit(ListHosts{Fresh: s.starting()})
+}
+
+// starting tells whether the host may be one of many that have just started and
+// register at the same moment. A host that does not know the others would take all
+// shares.
+func (s *step) starting() bool {
+	return s.cfg.Relay && s.now.Sub(s.started) < s.cfg.StartWait
 }
 
 // hostsInterval is the time between two readings of the host list. It grows with
 // the number of hosts, as both the readings and the length of the list do. A host
 // that has been heard but not listed has no address, so that the list is read soon.
 func (s *step) hostsInterval() time.Duration {
+	if s.starting() {
+		return startHostsInterval
+	}
 	if s.unlisted {
 		return s.cfg.HostsInterval
 	}
--- a/fleet/limit/hosts.go
+++ b/fleet/limit/hosts.go
@@ -23,6 +23,11 @@
 	}
 	for i, g := range s.groups {
 		g.prefer(now, s.holder(s.cfg.Zone, i))
+		if g.known && g.rereadAt.IsZero() {
+			// The holder may have become known only now.
+			g.rereads = 0
+			s.planReread(g, now)
+		}
 	}
 	return s.stepGroups(now)
 }
--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -76,6 +76,7 @@
 const (
 	relayTick     = 20 * time.Millisecond // between two Ticks; they cost processor time on an idle host
 	relayHandOver = time.Second           // the platform kills a process a few seconds after it asked it to stop
+	relayHosts    = 3 * time.Second
 	relayKVLife   = 500 * time.Millisecond
 	// relayTokenTime is the time between two output tokens of the platform's engines.
 	relayTokenTime = 4500 * time.Microsecond
@@ -88,6 +89,7 @@
 	cfg.TickEvery = relayTick
 	cfg.HandOver = relayHandOver
 	cfg.LoadInterval = 0
+	cfg.HostsInterval = relayHosts
 	cfg.Schedule.KVSurvival = relayKVLife
 	cfg.Schedule.Projected = true
 	cfg.Schedule.MemoryPercent = relayMemory
--- a/router/internal/app/dispatch.go
+++ b/router/internal/app/dispatch.go
@@ -56,7 +56,7 @@
 	case core.WriteObject:
 		d.shells.Platform.Write(e)
 	case core.ListHosts:
-		d.shells.Platform.List()
+		d.shells.Platform.List(e)
 	case core.Log:
 		operator.WriteLog(d.log, e)
 	case core.Count:
--- a/router/internal/app/shells.go
+++ b/router/internal/app/shells.go
@@ -53,7 +53,7 @@
 type PlatformShell interface {
 	Read(e core.ReadObject)
 	Write(e core.WriteObject)
-	List()
+	List(e core.ListHosts)
 }
 
 // Shells are the parts of a router that depend on the protocol.
--- a/router/internal/platform/platform.go
+++ b/router/internal/platform/platform.go
@@ -75,7 +75,7 @@
 }
 
 // List starts a read of the host list.
-func (c *Client) List() {
+func (c *Client) List(core.ListHosts) {
 	go func() {
 		var list object.Hosts
 		status, err := c.get(c.base+"/hosts", c.timeout, &list)
--- a/router/internal/platform/platform_test.go
+++ b/router/internal/platform/platform_test.go
@@ -176,7 +176,7 @@
 
 func TestHosts(t *testing.T) {
 	r := newRig(t, serve(t, reply(200, `{"hosts":[{"host":"h-2","zone":"z","address":"10.0.0.2:1","leaving":true}]}`)), time.Minute)
-	r.List()
+	r.List(core.ListHosts{})
 	assert.DeepEqual(t, r.events.Next(t), core.Event(core.HostsListed{
 		Hosts: []object.Host{{Host: "h-2", Zone: "z", Address: "10.0.0.2:1", Leaving: true}},
 	}))
