endpoint: connect to the decode engine before the prompt is read

Ruled out: lapsed handles (no decode was turned down), full engines. Change: the connection to the decode engine is made before the prefill starts and is used for the decode.

--- a/fleet/core/effect.go
+++ b/fleet/core/effect.go
@@ -32,6 +32,10 @@
 	Output   int64     // delivered output tokens
 	NotAfter time.Time // do not start later than this
 	Timeout  time.Duration
+
+	// The endpoint that will decode. The prefill is in vain if it cannot be reached.
+	Decode        id.Endpoint
+	DecodeAddress string
 }
 
 // StartDecode imports the KV cache and streams tokens. The answers are
--- a/fleet/core/run.go
+++ b/fleet/core/run.go
@@ -45,6 +45,7 @@
 		Endpoint: r.prefill, Address: ep.Address, Priority: r.priority(),
 		Tokens: r.readTokens(), Output: r.delivered,
 		NotAfter: s.now.Add(valid), Timeout: r.timeout,
+		Decode: r.decode, DecodeAddress: s.snapshot().Endpoints[r.decode].Address,
 	})
 }
 
