limit: take shares 100 ms after the hosts are known; reclaimed buckets begin with a part of the tolerance

Cause: after a loss of power of all hosts each waited 0.5 s before it read its leases, and began with empty buckets: 99 requests within their rate were refused with 429.

--- a/fleet/limit/lease.go
+++ b/fleet/limit/lease.go
@@ -8,9 +8,6 @@
 )
 
 const (
-	// settleDelay is how long a host must be preferred before it reads a lease,
-	// so that a starting host does not read every group of its zone.
-	settleDelay = 500 * time.Millisecond
 	// handoverDelay is how long another host must be preferred before the
 	// holder hands a group over.
 	handoverDelay = 2 * time.Second
@@ -205,7 +202,7 @@
 
 func (s *State) wants(g *group, now time.Time) bool {
 	return !s.draining && len(s.budgets) > 0 &&
-		g.preferred == s.cfg.Host && !now.Before(g.since.Add(settleDelay))
+		g.preferred == s.cfg.Host && !now.Before(g.since.Add(s.cfg.Settle))
 }
 
 func (s *State) leaving(g *group, now time.Time) bool {
@@ -289,7 +286,7 @@
 		case p.mine:
 			p.expiry = w.sentAt.Add(s.cfg.lease(kind) - s.cfg.Margin)
 		case w.take[k]:
-			p.start(now, kind, s.shares[g.index], w.value.part(kind).Term)
+			p.start(s.cfg, now, kind, s.shares[g.index], w.value.part(kind).Term)
 			p.expiry = w.sentAt.Add(s.cfg.lease(kind) - s.cfg.Margin)
 		}
 	}
@@ -445,7 +442,7 @@
 }
 
 // start begins the own use of a part that was free.
-func (p *part) start(now time.Time, k partKind, shares []share, term uint64) {
+func (p *part) start(cfg Config, now time.Time, k partKind, shares []share, term uint64) {
 	p.mine = true
 	p.foreign = false
 	p.term = term
@@ -457,6 +454,8 @@
 			tokens = sh.parts[k].Burst
 		case p.record.Released:
 			tokens = p.record.Levels[sh.account]
+		case cfg.Reclaim && p.record.Holder == cfg.Host && p.record.Incarnation != cfg.Incarnation:
+			tokens = cfg.Tolerance.restart(sh.parts[k])
 		}
 		p.buckets[sh.account] = newBucket(now, sh.parts[k], tokens)
 	}
--- a/fleet/limit/limit.go
+++ b/fleet/limit/limit.go
@@ -52,6 +52,7 @@
 	PooledLease  time.Duration // lease of the pooled part
 	ReserveLease time.Duration // lease of the reserve part
 	Margin       time.Duration // allowance for clock drift over a lease
+	Settle       time.Duration // a host must be preferred so long before it reads a lease, so that a starting host does not read every group
 	AskTimeout   time.Duration // longest wait for tokens of peers
 	NoTransfer   bool          // never ask peers; for measurements
 	Tolerance    Tolerance     // by which budgets are widened
@@ -130,6 +131,7 @@
 		PooledLease:  20 * time.Second,
 		ReserveLease: 20 * time.Minute,
 		Margin:       250 * time.Millisecond,
+		Settle:       500 * time.Millisecond,
 		AskTimeout:   150 * time.Millisecond,
 	}
 }
--- a/fleet/limit/tolerance.go
+++ b/fleet/limit/tolerance.go
@@ -11,9 +11,24 @@
 	Slack   int64         // tokens per window
 }
 
-// usedShare is the part of a tolerance that hosts use. The rest covers the time
-// between an admission and its arrival at an endpoint.
-const usedShare = 0.9
+// usedShare is the part of a tolerance by which budgets are widened. The rest covers
+// the time between an admission and its arrival at an endpoint, and the tokens with
+// which the buckets of restarted hosts begin.
+const usedShare = 0.7
+
+// restartPercent is the part of a bucket with which the successor of a dead process
+// begins. The predecessor may have spent a whole burst just before, so that these
+// tokens come from the tolerance: less than a fifth of it for each restart of all
+// hosts.
+const restartPercent = 20
+
+// restart returns the tokens with which a bucket of a reclaimed part begins.
+func (t Tolerance) restart(b Budget) int64 {
+	if t.Window <= 0 {
+		return 0
+	}
+	return b.Burst * restartPercent / 100
+}
 
 // Widen returns the budget that keeps an account within its budget and the
 // tolerance: in each window it admits at most
--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -77,6 +77,7 @@
 	relayTick     = 20 * time.Millisecond // between two Ticks; they cost processor time on an idle host
 	relayHandOver = time.Second           // the platform kills a process a few seconds after it asked it to stop
 	relayHosts    = 3 * time.Second
+	relaySettle   = 100 * time.Millisecond
 	relayKVLife   = 500 * time.Millisecond
 	// relayTokenTime is the time between two output tokens of the platform's engines.
 	relayTokenTime = 4500 * time.Microsecond
@@ -98,6 +99,7 @@
 	cfg.Schedule.RetryLeast = time.Second
 	cfg.Schedule.RetryMost = 4 * time.Second
 	cfg.Limit.Reclaim = true
+	cfg.Limit.Settle = relaySettle
 	cfg.Retry = retry.Config{Ratio: s.RetryRatio, Window: s.RetryWindow, Extra: s.RetryExtra}
 }
 
