store: two hosts of a domain watch briskly and tell the others

Change: two watchers (rendezvous) watch for 1.2 s, the others for 10 s; heartbeats carry the newest revisions read, and a host that hears of a newer one reads anew. Changes that follow each other come with one call.

--- a/fleet/core/effect.go
+++ b/fleet/core/effect.go
@@ -162,6 +162,15 @@
 	Fresh bool // the list must not lag
 }
 
+// FollowPlatform sets how closely the platform's configuration is watched. A few
+// hosts of a zone watch it briskly and tell the others of changes that these may
+// have missed.
+type FollowPlatform struct{ Brisk bool }
+
+// RefreshPlatform tells that a peer has read newer revisions of the platform's
+// configuration.
+type RefreshPlatform struct{ Seen [SourceCount]uint64 }
+
 // PollLoad reads the load report of an engine. The answer is LoadReported.
 type PollLoad struct {
 	Endpoint id.Endpoint
@@ -221,26 +230,28 @@
 // Stopped ends a graceful shutdown: no request and no share is left.
 type Stopped struct{}
 
-func (SendPeer) isEffect()       {}
-func (StartPrefill) isEffect()   {}
-func (StartDecode) isEffect()    {}
-func (ResumeDecode) isEffect()   {}
-func (CancelRun) isEffect()      {}
-func (CallService) isEffect()    {}
-func (Deliver) isEffect()        {}
-func (Finish) isEffect()         {}
-func (Reply) isEffect()          {}
-func (Refuse) isEffect()         {}
-func (Charged) isEffect()        {}
-func (Refunded) isEffect()       {}
-func (Closed) isEffect()         {}
-func (ReadObject) isEffect()     {}
-func (WriteObject) isEffect()    {}
-func (ListHosts) isEffect()      {}
-func (PollLoad) isEffect()       {}
-func (SendOrder) isEffect()      {}
-func (Log) isEffect()            {}
-func (Count) isEffect()          {}
-func (Observe) isEffect()        {}
-func (TableInstalled) isEffect() {}
-func (Stopped) isEffect()        {}
+func (SendPeer) isEffect()        {}
+func (StartPrefill) isEffect()    {}
+func (StartDecode) isEffect()     {}
+func (ResumeDecode) isEffect()    {}
+func (CancelRun) isEffect()       {}
+func (CallService) isEffect()     {}
+func (Deliver) isEffect()         {}
+func (Finish) isEffect()          {}
+func (Reply) isEffect()           {}
+func (Refuse) isEffect()          {}
+func (Charged) isEffect()         {}
+func (Refunded) isEffect()        {}
+func (Closed) isEffect()          {}
+func (ReadObject) isEffect()      {}
+func (WriteObject) isEffect()     {}
+func (ListHosts) isEffect()       {}
+func (PollLoad) isEffect()        {}
+func (FollowPlatform) isEffect()  {}
+func (RefreshPlatform) isEffect() {}
+func (SendOrder) isEffect()       {}
+func (Log) isEffect()             {}
+func (Count) isEffect()           {}
+func (Observe) isEffect()         {}
+func (TableInstalled) isEffect()  {}
+func (Stopped) isEffect()         {}
--- a/fleet/core/event.go
+++ b/fleet/core/event.go
@@ -131,6 +131,20 @@
 	Segments map[string][]byte
 }
 
+// PlatformSeen tells which revisions of the platform's configuration this host has
+// read.
+type PlatformSeen struct{ Seen [SourceCount]uint64 }
+
+// Source is one source of the platform's configuration.
+type Source int
+
+// The sources.
+const (
+	SourceConfig Source = iota
+	SourceEndpoints
+	SourceCount
+)
+
 // Tick drives timers. It comes every TickInterval.
 type Tick struct{}
 
@@ -152,5 +166,6 @@
 func (CacheChanged) isEvent()   {}
 func (OrderAnswered) isEvent()  {}
 func (TableOpened) isEvent()    {}
+func (PlatformSeen) isEvent()   {}
 func (Tick) isEvent()           {}
 func (DrainRequested) isEvent() {}
--- a/fleet/core/peers.go
+++ b/fleet/core/peers.go
@@ -37,6 +37,7 @@
 		changes = append(changes, member.HandleHeartbeat(s.member, s.now, ev.From, ev.Incarnation, hb)...)
 		s.peerVersion(ev.From, hb.TableVersion, hb.ConfirmedAge, hb.ConfirmedAge > 0)
 		s.compareSettings(ev.From, hb.Settings)
+		s.peerSeen(hb.Seen)
 		if hb.Register {
 			s.registerAgain(ev.From)
 		}
@@ -176,6 +177,9 @@
 	if s.draining {
 		hb.State = message.HostLeaving
 	}
+	if s.cfg.Relay {
+		hb.Seen = s.table.seen[:]
+	}
 	return hb
 }
 
--- a/fleet/core/tablesync.go
+++ b/fleet/core/tablesync.go
@@ -25,7 +25,9 @@
 	endpoints map[modelZone]int // prefill and decode endpoints
 	manifest  []byte
 	segments  map[string][]byte
-	confirmed time.Time // when the platform last confirmed the version in force
+	seen      [SourceCount]uint64 // revisions of the platform's configuration; see Config.Relay
+	brisk     bool                // this host watches the platform briskly
+	confirmed time.Time           // when the platform last confirmed the version in force
 
 	object   uint64 // version of the manifest object that was read last
 	watching bool
@@ -61,7 +63,11 @@
 // tickTable keeps a watch on the manifest if this host is one of the watchers of
 // its zone, or has no table yet.
 func (s *step) tickTable() {
-	if s.cfg.Relay || s.table.watching || s.now.Before(s.table.retryAt) {
+	if s.cfg.Relay {
+		s.tickFollow()
+		return
+	}
+	if s.table.watching || s.now.Before(s.table.retryAt) {
 		return
 	}
 	if !s.isWatcher() {
--- a/fleet/message/message.go
+++ b/fleet/message/message.go
@@ -70,6 +70,9 @@
 	Settings uint64 `cbor:"7,keyasint,omitempty"` // digest of the settings that all hosts must share
 	Register bool   `cbor:"8,keyasint,omitempty"` // the sender has lost its cells; register holds and asks again
 	Address  string `cbor:"9,keyasint,omitempty"` // ip:port of the sender, for hosts that cannot read the host list
+	// Seen holds the newest revision of each source of the platform's configuration
+	// that the sender has read, in the order of core.Source.
+	Seen []uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // SlotAsk asks a scheduler for prefill, transfer and decode capacity.
--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -136,8 +136,9 @@
 		return err
 	}
 	go r.reactor.Run(loop)
-	if r.shells.Follow != nil {
-		go r.shells.Follow(loop)
+	if r.shells.Feed != nil {
+		go r.shells.Register(loop)
+		go r.shells.Feed.Run(loop)
 	}
 	go r.updateGauges(loop)
 	r.log.Info("router: Started.", zap.String("host", string(r.settings.Host)))
--- a/router/internal/app/dispatch.go
+++ b/router/internal/app/dispatch.go
@@ -65,6 +65,10 @@
 		d.metrics.Observe(e)
 	case core.TableInstalled:
 		d.shells.SetTable(e)
+	case core.FollowPlatform:
+		d.shells.Feed.Follow(e)
+	case core.RefreshPlatform:
+		d.shells.Feed.Refresh(e)
 	case core.Stopped:
 		d.once.Do(func() { close(d.stopped) })
 	default:
--- a/router/internal/app/shells.go
+++ b/router/internal/app/shells.go
@@ -56,15 +56,23 @@
 	List(e core.ListHosts)
 }
 
+// FeedShell follows the platform's configuration.
+type FeedShell interface {
+	Follow(e core.FollowPlatform)
+	Refresh(e core.RefreshPlatform)
+	Run(ctx context.Context)
+}
+
 // Shells are the parts of a router that depend on the protocol.
 type Shells struct {
 	Caller   CallerShell
 	Endpoint EndpointShell
 	Platform PlatformShell
 
+	Feed     FeedShell                   // nil in the project's own protocol
 	Ready    http.Handler                // for the platform's balancer; nil if it asks operators' readiness
 	SetTable func(e core.TableInstalled) // tells the caller shell of a table that the decision core has installed
-	Follow   func(ctx context.Context)   // follows the platform's configuration; nil if the decision core does
+	Register func(ctx context.Context)   // makes this host known to the others; nil in the project's own protocol
 }
 
 func newShells(
@@ -102,9 +110,9 @@
 		Platform: objects,
 		Ready:    c.ReadyHandler(),
 		SetTable: func(core.TableInstalled) {},
-		Follow: func(ctx context.Context) {
-			go objects.Register(ctx, string(s.Host), objectwire.Host{Zone: string(site.Domain), Address: s.PeerAddress})
-			feed.Run(ctx)
+		Feed:     feed,
+		Register: func(ctx context.Context) {
+			objects.Register(ctx, string(s.Host), objectwire.Host{Zone: string(site.Domain), Address: s.PeerAddress})
 		},
 	}
 }
