--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The modules of the workspace.
-MODULES := fleet router ctl standin load
+MODULES := fleet platform router ctl standin load
 SHELL := /bin/bash
 TOOLS := bin/tools
 export GOFLAGS := -buildvcs=false
--- a/fleet/retry/retry.go
+++ b/fleet/retry/retry.go
@@ -12,8 +12,13 @@
 	"ragwortshunt.example/fleet/id"
 )
 
-// bucketCount is the number of parts into which a window is divided.
-const bucketCount = 10
+const (
+	// partCount is the number of parts into which a window is divided.
+	partCount = 10
+	// keptParts is the number of parts that are kept. The newest part is not over
+	// yet, so that one more than a window's parts cover any whole window.
+	keptParts = partCount + 1
+)
 
 // Config is the budget of the whole fleet.
 type Config struct {
@@ -28,12 +33,11 @@
 	services map[id.Pool]*counts
 }
 
-// counts are the requests and repeats of the last two windows of one service, in
-// parts of a window.
+// counts are the requests and repeats of one service, by parts of a window.
 type counts struct {
 	part     int64 // number of the newest part since the epoch
-	requests [bucketCount]int64
-	repeats  [bucketCount]int64
+	requests [keptParts]int64
+	repeats  [keptParts]int64
 }
 
 // New returns a state without counts.
@@ -47,7 +51,7 @@
 		return
 	}
 	c := s.at(now, service)
-	c.requests[c.part%bucketCount]++
+	c.requests[c.part%keptParts]++
 }
 
 // Take tells whether a request may be dispatched once more, and counts the repeat
@@ -58,32 +62,38 @@
 		return true
 	}
 	c := s.at(now, service)
-	allowed := s.cfg.Ratio*float64(sum(c.requests)) + float64(s.cfg.Extra)/float64(max(hosts, 1))
+	allowed := s.cfg.Ratio*float64(c.windowRequests()) + float64(s.cfg.Extra)/float64(max(hosts, 1))
 	if float64(sum(c.repeats)+1) > allowed {
 		return false
 	}
-	c.repeats[c.part%bucketCount]++
+	c.repeats[c.part%keptParts]++
 	return true
 }
 
 // at returns the counts of a service, with the parts cleared that have left the
 // window.
 func (s *State) at(now time.Time, service id.Pool) *counts {
-	part := now.UnixNano() / (int64(s.cfg.Window) / bucketCount)
+	part := now.UnixNano() / (int64(s.cfg.Window) / partCount)
 	c, ok := s.services[service]
 	if !ok {
 		c = &counts{part: part}
 		s.services[service] = c
 	}
-	for n := max(c.part+1, part-bucketCount+1); n <= part; n++ {
-		c.requests[n%bucketCount] = 0
-		c.repeats[n%bucketCount] = 0
+	for n := max(c.part+1, part-keptParts+1); n <= part; n++ {
+		c.requests[n%keptParts] = 0
+		c.repeats[n%keptParts] = 0
 	}
 	c.part = max(c.part, part)
 	return c
 }
 
-func sum(values [bucketCount]int64) int64 {
+// windowRequests returns the requests of the last window or less.
+func (c *counts) windowRequests() int64 {
+	oldest := (c.part + 1) % keptParts
+	return sum(c.requests) - c.requests[oldest]
+}
+
+func sum(values [keptParts]int64) int64 {
 	var n int64
 	for _, v := range values {
 		n += v
--- /dev/null
+++ b/fleet/retry/retry_test.go
@@ -0,0 +1,73 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ragwortshunt.example/fleet/retry"
+)
+
+const hosts = 9
+
+func config() retry.Config {
+	return retry.Config{Ratio: 0.2, Window: 10 * time.Second, Extra: 58}
+}
+
+// TestFleetBudget guards against repeats above the budget of the fleet in any
+// window, while every host repeats as often as it may.
+func TestFleetBudget(t *testing.T) {
+	const perHost, step, end = 7, 100 * time.Millisecond, 60 * time.Second
+	cfg := config()
+	states := make([]*retry.State, hosts)
+	for i := range states {
+		states[i] = retry.New(cfg)
+	}
+	var requests, repeats []time.Duration
+	start := time.Unix(5000, 0)
+	for at := time.Duration(0); at < end; at += step {
+		for i, s := range states {
+			if (int(at/step)+i)%perHost == 0 {
+				retry.Request(s, start.Add(at), "s")
+				requests = append(requests, at)
+			}
+			for retry.Take(s, start.Add(at), "s", hosts) {
+				repeats = append(repeats, at)
+			}
+		}
+	}
+	for from := time.Duration(0); from+cfg.Window <= end; from += step {
+		allowed := cfg.Ratio*float64(count(requests, max(0, from-cfg.Window/2), from+cfg.Window)) + float64(cfg.Extra)
+		assert.Assert(t, float64(count(repeats, from, from+cfg.Window)) <= allowed, "window from %s", from)
+	}
+	assert.Assert(t, len(repeats) > 0)
+}
+
+func count(times []time.Duration, from, to time.Duration) int {
+	n := 0
+	for _, at := range times {
+		if at >= from && at < to {
+			n++
+		}
+	}
+	return n
+}
+
+// TestServicesApart guards against a service that uses up the budget of another.
+func TestServicesApart(t *testing.T) {
+	s := retry.New(config())
+	now := time.Unix(5000, 0)
+	for retry.Take(s, now, "a", 1) {
+		now = now.Add(time.Millisecond)
+	}
+	assert.Assert(t, retry.Take(s, now, "b", 1))
+}
+
+// TestWithoutWindow guards against a bound where none is set.
+func TestWithoutWindow(t *testing.T) {
+	s := retry.New(retry.Config{})
+	for range 1000 {
+		assert.Assert(t, retry.Take(s, time.Unix(1, 0), "a", 1))
+	}
+}
--- /dev/null
+++ b/fleet/schedule/memory_test.go
@@ -0,0 +1,160 @@
+package schedule_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/message"
+	"ragwortshunt.example/fleet/schedule"
+	"ragwortshunt.example/fleet/table"
+)
+
+const (
+	stepTime    = 4500 * time.Microsecond
+	pieceTokens = 16
+	cacheTokens = 37_563
+	promptOne   = 3200
+	outputLimit = 1870
+	outputMean  = 780
+)
+
+func projectedConfig() schedule.Config {
+	cfg := schedule.DefaultConfig()
+	cfg.Projected = true
+	cfg.MemoryPercent = 97
+	cfg.TokenTime = stepTime
+	cfg.DeferrableShare = 0
+	return cfg
+}
+
+// memoryCell is a cell of one prefill and one decode engine of the users' size.
+func memoryCell(cfg schedule.Config) *schedule.Cell {
+	c := schedule.New(cfg, "m", at(0), false)
+	schedule.SetEndpoints(c, at(0), []schedule.Endpoint{
+		{
+			Name: "p", Role: table.RolePrefill, Slots: 24, Blocks: cacheTokens / pieceTokens, BlockTokens: pieceTokens,
+			PrefillRate: 33_000, LinkRate: 1_000_000,
+		},
+		{Name: "d", Role: table.RoleDecode, Slots: 24, Blocks: cacheTokens / pieceTokens, BlockTokens: pieceTokens, LinkRate: 1_000_000},
+	})
+	return c
+}
+
+func memoryAsk(n int, change func(*message.SlotAsk)) message.SlotAsk {
+	m := message.SlotAsk{
+		Request: id.Request(rune('A' + n)), Attempt: 1, Account: "a", Model: "m", Class: message.ClassInteractive,
+		PromptTokens: promptOne, OutputTokens: outputLimit, Expected: outputMean, FirstToken: 900 * time.Millisecond,
+		CanWait: true, Patience: 2300 * time.Millisecond,
+	}
+	if change != nil {
+		change(&m)
+	}
+	return m
+}
+
+// granted returns how many requests hold the decode engine after each of n asks had
+// time to be granted and to begin its decode.
+func granted(c *schedule.Cell, n int) int {
+	count := 0
+	now := time.Duration(0)
+	for i := range n {
+		m := memoryAsk(i, nil)
+		acts := schedule.HandleAsk(c, at(now), "h", m)
+		now += 110 * time.Millisecond
+		acts = append(acts, schedule.Tick(c, at(now))...)
+		for _, a := range acts {
+			if s, ok := a.(schedule.Send); ok {
+				if g, ok := s.Message.(message.SlotGrant); ok {
+					count++
+					schedule.HandleUpdate(c, at(now), "h", message.SlotUpdate{
+						Request: g.Request, Attempt: g.Attempt, Phase: message.PhaseDecode,
+					})
+				}
+			}
+		}
+	}
+	return count
+}
+
+// TestExpectedMemory guards against engines that are left a quarter empty because
+// each run reserves its output limit, and against placing more runs than fit when
+// all of them reach the expected length.
+func TestExpectedMemory(t *testing.T) {
+	reserved := schedule.DefaultConfig()
+	assert.Equal(t, granted(memoryCell(reserved), 14), cacheTokens/(promptOne+outputLimit))
+	n := granted(memoryCell(projectedConfig()), 14)
+	assert.Assert(t, n >= 9, "%d runs", n)
+	assert.Assert(t, n*(promptOne+outputMean) <= cacheTokens*11/10, "%d runs", n)
+}
+
+// TestUnknownLength guards against placing a run of unknown length as if it were
+// short.
+func TestUnknownLength(t *testing.T) {
+	c := memoryCell(projectedConfig())
+	n := 0
+	for i := range 14 {
+		m := memoryAsk(i, func(m *message.SlotAsk) { m.Expected = 0 })
+		for _, a := range schedule.HandleAsk(c, at(0), "h", m) {
+			if s, ok := a.(schedule.Send); ok {
+				if _, ok := s.Message.(message.SlotGrant); ok {
+					n++
+				}
+			}
+		}
+		schedule.HandleUpdate(c, at(0), "h", message.SlotUpdate{Request: m.Request, Attempt: 1, Phase: message.PhaseDecode})
+	}
+	assert.Assert(t, n*(promptOne+outputLimit) <= cacheTokens, "%d runs", n)
+}
+
+// TestPatience guards against holding a request until its caller has gone: one that
+// cannot start in time is refused before, with a time to come back.
+func TestPatience(t *testing.T) {
+	c := memoryCell(projectedConfig())
+	granted(c, 14)
+	const from = 2 * time.Second
+	m := memoryAsk(30, nil)
+	acts := schedule.HandleAsk(c, at(from), "h", m)
+	for now := from; now < from+m.Patience+100*time.Millisecond; now += 20 * time.Millisecond {
+		acts = append(acts, schedule.Tick(c, at(now))...)
+	}
+	for _, a := range acts {
+		if s, ok := a.(schedule.Send); ok {
+			if r, ok := s.Message.(message.SlotRefuse); ok && r.Request == m.Request {
+				assert.Assert(t, r.Retry > 0)
+				return
+			}
+		}
+	}
+	t.Fatal("the request was held beyond its caller's patience")
+}
+
+// TestReturned guards against a request that comes back after a refusal and goes
+// before requests that can still be on time.
+func TestReturned(t *testing.T) {
+	c := memoryCell(projectedConfig())
+	n := granted(c, 9)
+	now := 1100 * time.Millisecond
+	back := memoryAsk(40, func(m *message.SlotAsk) { m.Earlier = 3 * time.Second })
+	fresh := memoryAsk(41, nil)
+	schedule.HandleAsk(c, at(now), "h", back)
+	schedule.HandleAsk(c, at(now), "h", fresh)
+	var first id.Request
+	for i := 0; i < n && first == ""; i++ {
+		acts := schedule.HandleUpdate(c, at(now), "h", message.SlotUpdate{
+			Request: memoryAsk(i, nil).Request, Attempt: 1, Phase: message.PhaseDone,
+		})
+		now += 20 * time.Millisecond
+		acts = append(acts, schedule.Tick(c, at(now))...)
+		for _, a := range acts {
+			if s, ok := a.(schedule.Send); ok {
+				if g, ok := s.Message.(message.SlotGrant); ok && first == "" && (g.Request == back.Request || g.Request == fresh.Request) {
+					first = g.Request
+				}
+			}
+		}
+	}
+	assert.Equal(t, first, fresh.Request, "%d runs", n)
+}
