--- a/fleet/core/cell.go
+++ b/fleet/core/cell.go
@@ -4,6 +4,8 @@
 	"sort"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"ragwortshunt.example/fleet/id"
 	"ragwortshunt.example/fleet/member"
 	"ragwortshunt.example/fleet/message"
@@ -93,7 +95,7 @@
 		weights[name] = a.Weight
 	}
 	schedule.SetWeights(c.cell, weights)
-	eps := cellEndpoints(snap, k, s.cfg.CellEndpoints)
+	eps := cellEndpoints(snap, k, s.cfg.CellEndpoints, s.cfg.Relay)
 	c.members = make(map[id.Endpoint]bool, len(eps))
 	for _, ep := range eps {
 		c.members[ep.Name] = true
@@ -103,9 +105,12 @@
 
 // cellEndpoints returns the endpoints of a cell. Prefill and decode endpoints
 // are dealt out one by one, so that each part has its share of both.
-func cellEndpoints(snap *table.Snapshot, k cellKey, most int) []schedule.Endpoint {
+func cellEndpoints(snap *table.Snapshot, k cellKey, most int, stable bool) []schedule.Endpoint {
 	all := table.ModelEndpoints(snap, k.Model, k.Zone)
 	parts := partCount(len(all), most)
+	if stable {
+		return stableEndpoints(snap, k, all, parts)
+	}
 	dealt := make(map[table.Role]int)
 	var out []schedule.Endpoint
 	for _, ep := range all {
@@ -115,15 +120,32 @@
 		if n%parts != k.Part {
 			continue
 		}
-		out = append(out, schedule.Endpoint{
-			Name: ep.Name, Role: pool.Role, Slots: pool.Slots, Blocks: pool.Blocks,
-			BlockTokens: pool.BlockTokens, PrefillRate: pool.PrefillRate, LinkRate: pool.LinkRate,
-			Leaving: ep.State == table.StateLeaving,
-		})
+		out = append(out, cellEndpoint(ep, pool))
+	}
+	return out
+}
+
+// stableEndpoints returns the endpoints of a cell where endpoints come and go by
+// themselves. Each is dealt out by its name alone: if they were counted, each that
+// comes or goes would move others to cells that do not know their runs.
+func stableEndpoints(snap *table.Snapshot, k cellKey, all []table.Endpoint, parts int) []schedule.Endpoint {
+	var out []schedule.Endpoint
+	for _, ep := range all {
+		if int(xxhash.Sum64String(string(ep.Name))%uint64(parts)) == k.Part {
+			out = append(out, cellEndpoint(ep, snap.Pools[ep.Pool]))
+		}
 	}
 	return out
 }
 
+func cellEndpoint(ep table.Endpoint, pool table.Pool) schedule.Endpoint {
+	return schedule.Endpoint{
+		Name: ep.Name, Role: pool.Role, Slots: pool.Slots, Blocks: pool.Blocks,
+		BlockTokens: pool.BlockTokens, PrefillRate: pool.PrefillRate, LinkRate: pool.LinkRate,
+		Leaving: ep.State == table.StateLeaving,
+	}
+}
+
 func (s *step) cellActions(k cellKey, actions []schedule.Action) {
 	for _, a := range actions {
 		switch a := a.(type) {
--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -81,6 +81,7 @@
 	relayKVLife   = 500 * time.Millisecond
 	// relayTokenTime is the time between two output tokens of the platform's engines.
 	relayTokenTime = 4500 * time.Microsecond
+	relayScan      = 8  // queued requests that one round of grants tries; each is tried on all engines of a large cell
 	relayMemory    = 97 // percent of an engine's memory that expected needs may fill
 )
 
@@ -96,6 +97,8 @@
 	cfg.Schedule.MemoryPercent = relayMemory
 	cfg.Schedule.TokenTime = relayTokenTime
 	cfg.Schedule.DeferrableShare = 0 // late requests go last; they are refused before their callers give up
+	cfg.Schedule.ScanLimit = relayScan
+	cfg.Schedule.ScanLane = relayScan / 2
 	cfg.Schedule.RetryLeast = time.Second
 	cfg.Schedule.RetryMost = 4 * time.Second
 	cfg.Limit.Reclaim = true
--- a/router/internal/settings/field.go
+++ b/router/internal/settings/field.go
@@ -82,7 +82,7 @@
 		func(s *Settings) *int64 { return &s.BlockTokens }, 1, 65536)},
 	{"schedule", "prefill-rate", "33000", "Prompt tokens per second of an engine whose platform does not state it.", integer(
 		func(s *Settings) *int64 { return &s.PrefillRate }, 1, maxRate)},
-	{"schedule", "cell-endpoints", "16", "Most endpoints in one cell, 2 to 64; the same on every host.", setCellEndpoints},
+	{"schedule", "cell-endpoints", "16", "Most endpoints in one cell, 2 to 256; the same on every host.", setCellEndpoints},
 	{"retry", "ratio", "0.2", "Repeated dispatches per request of a service, over all hosts, 0 to 1.", setRetryRatio},
 	{"retry", "window", "10s", "Span over which repeated dispatches are counted, 1s to 10m.", duration(
 		func(s *Settings) *time.Duration { return &s.RetryWindow }, time.Second, 10*time.Minute)},
@@ -192,7 +192,7 @@
 }
 
 func setCellEndpoints(s *Settings, text string) error {
-	return setInt(&s.CellEndpoints, text, 2, 64)
+	return setInt(&s.CellEndpoints, text, 2, 256)
 }
 
 func setClaimShards(s *Settings, text string) error {
