core: watchers pass on the platform's configuration

Change: the two watchers send what they read to all hosts; these watch the store themselves only while they hear of no watcher that is in contact with it (1.8 s). Ruled out: longer watches alone (each change ends them).

--- a/fleet/core/core.go
+++ b/fleet/core/core.go
@@ -259,8 +259,8 @@
 		s.objectWritten(ev)
 	case TableOpened:
 		s.tableOpened(ev)
-	case PlatformSeen:
-		s.platformSeen(ev)
+	case PlatformSeen, PlatformContact, PlatformChanged:
+		s.handleFollow(ev)
 	case LoadReported:
 		s.loadReported(ev)
 	case CacheChanged:
--- a/fleet/core/effect.go
+++ b/fleet/core/effect.go
@@ -162,10 +162,24 @@
 	Fresh bool // the list must not lag
 }
 
-// FollowPlatform sets how closely the platform's configuration is watched. A few
-// hosts of a zone watch it briskly and tell the others of changes that these may
-// have missed.
-type FollowPlatform struct{ Brisk bool }
+// Follow is the way in which a host follows the platform's configuration.
+type Follow uint8
+
+// The ways. A few hosts of a zone, the watchers, watch the platform briskly and pass
+// on what they read. The others watch it themselves while they hear of no watcher
+// that is in contact with it.
+const (
+	FollowSelf Follow = iota
+	FollowBrisk
+	FollowPeers
+)
+
+// FollowPlatform sets how the platform's configuration is followed.
+type FollowPlatform struct{ Follow Follow }
+
+// ApplyPlatform installs changes of the platform's configuration that a watcher has
+// passed on.
+type ApplyPlatform struct{ Changes PlatformChanged }
 
 // RefreshPlatform tells that a peer has read newer revisions of the platform's
 // configuration.
@@ -249,6 +263,7 @@
 func (PollLoad) isEffect()        {}
 func (FollowPlatform) isEffect()  {}
 func (RefreshPlatform) isEffect() {}
+func (ApplyPlatform) isEffect()   {}
 func (SendOrder) isEffect()       {}
 func (Log) isEffect()             {}
 func (Count) isEffect()           {}
--- a/fleet/core/event.go
+++ b/fleet/core/event.go
@@ -135,6 +135,19 @@
 // read.
 type PlatformSeen struct{ Seen [SourceCount]uint64 }
 
+// PlatformContact tells that a watch of the platform's configuration has ended well,
+// or that it has failed.
+type PlatformContact struct{ Lost bool }
+
+// PlatformChanged carries changes of the platform's configuration that this host has
+// read from the platform.
+type PlatformChanged struct {
+	Source   Source
+	Since    uint64 // revision on which the changes build
+	Revision uint64
+	Changes  []message.PlatformChange
+}
+
 // Source is one source of the platform's configuration.
 type Source int
 
@@ -151,21 +164,23 @@
 // DrainRequested starts a graceful shutdown.
 type DrainRequested struct{}
 
-func (RequestArrived) isEvent() {}
-func (CallerGone) isEvent()     {}
-func (PrefillDone) isEvent()    {}
-func (TokensArrived) isEvent()  {}
-func (RunFailed) isEvent()      {}
-func (ServiceDone) isEvent()    {}
-func (PeerMessage) isEvent()    {}
-func (PeerFailed) isEvent()     {}
-func (HostsListed) isEvent()    {}
-func (ObjectRead) isEvent()     {}
-func (ObjectWritten) isEvent()  {}
-func (LoadReported) isEvent()   {}
-func (CacheChanged) isEvent()   {}
-func (OrderAnswered) isEvent()  {}
-func (TableOpened) isEvent()    {}
-func (PlatformSeen) isEvent()   {}
-func (Tick) isEvent()           {}
-func (DrainRequested) isEvent() {}
+func (RequestArrived) isEvent()  {}
+func (CallerGone) isEvent()      {}
+func (PrefillDone) isEvent()     {}
+func (TokensArrived) isEvent()   {}
+func (RunFailed) isEvent()       {}
+func (ServiceDone) isEvent()     {}
+func (PeerMessage) isEvent()     {}
+func (PeerFailed) isEvent()      {}
+func (HostsListed) isEvent()     {}
+func (ObjectRead) isEvent()      {}
+func (ObjectWritten) isEvent()   {}
+func (LoadReported) isEvent()    {}
+func (CacheChanged) isEvent()    {}
+func (OrderAnswered) isEvent()   {}
+func (TableOpened) isEvent()     {}
+func (PlatformSeen) isEvent()    {}
+func (PlatformContact) isEvent() {}
+func (PlatformChanged) isEvent() {}
+func (Tick) isEvent()            {}
+func (DrainRequested) isEvent()  {}
--- /dev/null
+++ b/fleet/core/follow.go
@@ -0,0 +1,146 @@
+package core
+
+import (
+	"time"
+
+	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/message"
+)
+
+// In relay mode every call to the platform's store is paid for, and a watch on each
+// host would cost one call for each change and host. Two watchers of the zone read
+// the configuration and pass it on. They say at least every contactInterval that
+// they are in contact with the store, and at once when they have lost it; a host that
+// has heard of no watcher for fedTimeout watches the store itself. A change is thus
+// known within 2 s of the store's answer, also if both watchers die with it.
+const (
+	contactInterval = 500 * time.Millisecond
+	fedTimeout      = 1800 * time.Millisecond
+	regainTime      = 2 * time.Second // a watcher that has lost contact is not relied on for so long
+)
+
+func (s *step) handleFollow(ev Event) {
+	switch ev := ev.(type) {
+	case PlatformSeen:
+		s.platformSeen(ev)
+	case PlatformContact:
+		s.platformContact(ev)
+	case PlatformChanged:
+		s.platformChanged(ev)
+	}
+}
+
+// tickFollow chooses the way in which the platform is followed.
+func (s *step) tickFollow() {
+	want := FollowSelf
+	switch {
+	case s.isWatcher():
+		want = FollowBrisk
+	case s.isFed():
+		want = FollowPeers
+	}
+	if want != s.table.follow {
+		s.table.follow = want
+		s.emit(FollowPlatform{Follow: want})
+	}
+}
+
+// isFed tells whether a watcher passes on what it reads.
+func (s *step) isFed() bool {
+	for _, w := range s.table.fed {
+		if s.now.Sub(w.heard) < fedTimeout && (w.lost.IsZero() || s.now.Sub(w.lost) > regainTime) {
+			return true
+		}
+	}
+	return false
+}
+
+// watcher is what is known of a host that passes on the platform's configuration.
+type watcher struct {
+	heard time.Time // last word that it is in contact with the platform
+	lost  time.Time // last word that it is not
+}
+
+// platformSeen notes what this host has read of the platform's configuration.
+func (s *step) platformSeen(ev PlatformSeen) {
+	newer := false
+	for i, rev := range ev.Seen {
+		newer = newer || rev > s.table.seen[i]
+		s.table.seen[i] = max(s.table.seen[i], rev)
+	}
+	if newer && s.table.follow == FollowBrisk {
+		s.tell(false)
+	}
+}
+
+// tell tells all hosts whether this watcher is in contact with the platform.
+func (s *step) tell(lost bool) {
+	s.table.told = s.now
+	s.table.lostTold = lost
+	s.broadcast(message.PlatformGive{Lost: lost, Seen: s.table.seen[:]})
+}
+
+// platformContact tells the other hosts whether this watcher is in contact with the
+// platform.
+func (s *step) platformContact(ev PlatformContact) {
+	if s.table.follow != FollowBrisk {
+		return
+	}
+	if ev.Lost == s.table.lostTold && s.now.Sub(s.table.told) < contactInterval {
+		return
+	}
+	s.tell(ev.Lost)
+}
+
+// platformChanged passes on what this watcher has read.
+func (s *step) platformChanged(ev PlatformChanged) {
+	if s.table.follow != FollowBrisk {
+		return
+	}
+	s.table.told = s.now
+	s.broadcast(message.PlatformGive{
+		Source: int(ev.Source), Since: ev.Since, Revision: ev.Revision, Changes: ev.Changes,
+	})
+}
+
+// platformGiven takes what a watcher says.
+func (s *step) platformGiven(from id.Host, m message.PlatformGive) {
+	if !s.cfg.Relay || m.Source < 0 || m.Source >= int(SourceCount) {
+		return
+	}
+	if s.table.fed == nil {
+		s.table.fed = make(map[id.Host]watcher)
+	}
+	w := s.table.fed[from]
+	if m.Lost {
+		w.lost = s.now
+	} else {
+		w.heard = s.now
+	}
+	s.table.fed[from] = w
+	s.tickFollow()
+	s.peerSeen(m.Seen)
+	if len(m.Changes) == 0 || m.Revision <= s.table.seen[m.Source] {
+		return
+	}
+	s.emit(ApplyPlatform{Changes: PlatformChanged{
+		Source: Source(m.Source), Since: m.Since, Revision: m.Revision, Changes: m.Changes,
+	}})
+}
+
+// peerSeen has the platform's configuration read again if a peer has read a newer
+// revision.
+func (s *step) peerSeen(seen []uint64) {
+	if !s.cfg.Relay || len(seen) != int(SourceCount) {
+		return
+	}
+	var ev RefreshPlatform
+	newer := false
+	for i, rev := range seen {
+		ev.Seen[i] = rev
+		newer = newer || rev > s.table.seen[i]
+	}
+	if newer {
+		s.emit(ev)
+	}
+}
--- a/fleet/core/peers.go
+++ b/fleet/core/peers.go
@@ -77,6 +77,8 @@
 		s.tableAsked(from, m)
 	case message.TableGive:
 		s.tableGiven(m)
+	case message.PlatformGive:
+		s.platformGiven(from, m)
 	default:
 		s.dispatchTokens(from, m)
 	}
--- a/fleet/core/relay.go
+++ b/fleet/core/relay.go
@@ -224,45 +224,6 @@
 	return true
 }
 
-// tickFollow makes this host watch the platform briskly while it is one of the
-// watchers of its zone.
-func (s *step) tickFollow() {
-	if brisk := s.isWatcher(); brisk != s.table.brisk {
-		s.table.brisk = brisk
-		s.emit(FollowPlatform{Brisk: brisk})
-	}
-}
-
-// platformSeen notes what this host has read of the platform's configuration. A
-// watcher tells all hosts at once.
-func (s *step) platformSeen(ev PlatformSeen) {
-	newer := false
-	for i, rev := range ev.Seen {
-		newer = newer || rev > s.table.seen[i]
-		s.table.seen[i] = max(s.table.seen[i], rev)
-	}
-	if newer && s.table.brisk {
-		s.broadcast(s.heartbeat())
-	}
-}
-
-// peerSeen has the platform's configuration read again if a peer has read a newer
-// revision.
-func (s *step) peerSeen(seen []uint64) {
-	if !s.cfg.Relay || len(seen) != int(SourceCount) {
-		return
-	}
-	var ev RefreshPlatform
-	newer := false
-	for i, rev := range seen {
-		ev.Seen[i] = rev
-		newer = newer || rev > s.table.seen[i]
-	}
-	if newer {
-		s.emit(ev)
-	}
-}
-
 // relayRevoked refuses a request whose key has been withdrawn before the request
 // was dispatched. Its route may meanwhile lead elsewhere, which does not concern a
 // request that has been accepted.
--- a/fleet/core/tablesync.go
+++ b/fleet/core/tablesync.go
@@ -26,8 +26,11 @@
 	manifest  []byte
 	segments  map[string][]byte
 	seen      [SourceCount]uint64 // revisions of the platform's configuration; see Config.Relay
-	brisk     bool                // this host watches the platform briskly
-	confirmed time.Time           // when the platform last confirmed the version in force
+	follow    Follow              // way in which the platform is followed
+	fed       map[id.Host]watcher // last word of each watcher that is in contact with the platform
+	lostTold  bool
+	told      time.Time // a watcher told the others that it is in contact
+	confirmed time.Time // when the platform last confirmed the version in force
 
 	object   uint64 // version of the manifest object that was read last
 	watching bool
--- a/fleet/message/envelope.go
+++ b/fleet/message/envelope.go
@@ -21,6 +21,8 @@
 	ClaimSettles []ClaimSettle `cbor:"14,keyasint,omitempty"`
 	TableAsks    []TableAsk    `cbor:"15,keyasint,omitempty"`
 	TableGives   []TableGive   `cbor:"16,keyasint,omitempty"`
+
+	PlatformGives []PlatformGive `cbor:"17,keyasint,omitempty"`
 }
 
 // Add appends m to the batch.
@@ -54,6 +56,8 @@
 		e.TableAsks = append(e.TableAsks, m)
 	case TableGive:
 		e.TableGives = append(e.TableGives, m)
+	case PlatformGive:
+		e.PlatformGives = append(e.PlatformGives, m)
 	}
 }
 
@@ -67,6 +71,9 @@
 	for _, m := range e.TableGives {
 		out = append(out, m)
 	}
+	for _, m := range e.PlatformGives {
+		out = append(out, m)
+	}
 	for _, m := range e.TableAsks {
 		out = append(out, m)
 	}
--- a/fleet/message/message.go
+++ b/fleet/message/message.go
@@ -221,17 +221,37 @@
 	Age      time.Duration     `cbor:"4,keyasint,omitempty"` // age of the last confirmation by the platform
 }
 
-func (Heartbeat) isMessage()   {}
-func (SlotAsk) isMessage()     {}
-func (SlotGrant) isMessage()   {}
-func (SlotRefuse) isMessage()  {}
-func (SlotUpdate) isMessage()  {}
-func (SlotHold) isMessage()    {}
-func (TokenAsk) isMessage()    {}
-func (TokenGive) isMessage()   {}
-func (TokenReturn) isMessage() {}
-func (ClaimAsk) isMessage()    {}
-func (ClaimReply) isMessage()  {}
-func (ClaimSettle) isMessage() {}
-func (TableAsk) isMessage()    {}
-func (TableGive) isMessage()   {}
+// PlatformChange is one changed object of the platform's configuration.
+type PlatformChange struct {
+	Name    string `cbor:"1,keyasint"`
+	Version uint64 `cbor:"2,keyasint,omitempty"`
+	Spec    []byte `cbor:"3,keyasint,omitempty"` // as the platform has it
+	Deleted bool   `cbor:"4,keyasint,omitempty"`
+}
+
+// PlatformGive passes on what a watcher has read of the platform's configuration.
+// Without changes it tells that the watcher is in contact with the platform.
+type PlatformGive struct {
+	Source   int              `cbor:"1,keyasint,omitempty"` // a core.Source
+	Since    uint64           `cbor:"2,keyasint,omitempty"` // revision on which the changes build
+	Revision uint64           `cbor:"3,keyasint,omitempty"` // revision with the changes
+	Changes  []PlatformChange `cbor:"4,keyasint,omitempty"`
+	Lost     bool             `cbor:"5,keyasint,omitempty"` // the watcher has lost contact
+	Seen     []uint64         `cbor:"6,keyasint,omitempty"` // as in Heartbeat
+}
+
+func (Heartbeat) isMessage()    {}
+func (SlotAsk) isMessage()      {}
+func (SlotGrant) isMessage()    {}
+func (SlotRefuse) isMessage()   {}
+func (SlotUpdate) isMessage()   {}
+func (SlotHold) isMessage()     {}
+func (TokenAsk) isMessage()     {}
+func (TokenGive) isMessage()    {}
+func (TokenReturn) isMessage()  {}
+func (ClaimAsk) isMessage()     {}
+func (ClaimReply) isMessage()   {}
+func (ClaimSettle) isMessage()  {}
+func (TableAsk) isMessage()     {}
+func (TableGive) isMessage()    {}
+func (PlatformGive) isMessage() {}
--- a/router/internal/app/dispatch.go
+++ b/router/internal/app/dispatch.go
@@ -67,6 +67,8 @@
 		d.shells.SetTable(e)
 	case core.FollowPlatform:
 		d.shells.Feed.Follow(e)
+	case core.ApplyPlatform:
+		d.shells.Feed.Apply(e)
 	case core.RefreshPlatform:
 		d.shells.Feed.Refresh(e)
 	case core.Stopped:
--- a/router/internal/app/shells.go
+++ b/router/internal/app/shells.go
@@ -60,6 +60,7 @@
 type FeedShell interface {
 	Follow(e core.FollowPlatform)
 	Refresh(e core.RefreshPlatform)
+	Apply(e core.ApplyPlatform)
 	Run(ctx context.Context)
 }
 
