--- a/fleet/core/cell.go
+++ b/fleet/core/cell.go
@@ -97,9 +97,8 @@
 	schedule.SetWeights(c.cell, weights)
 	eps := cellEndpoints(snap, k, s.cfg.CellEndpoints, s.cfg.Relay)
 	c.members = make(map[id.Endpoint]bool, len(eps))
-	for i, ep := range eps {
+	for _, ep := range eps {
 		c.members[ep.Name] = true
-		eps[i].Leaving = ep.Leaving || s.changesRole(ep.Name)
 	}
 	s.cellActions(k, schedule.SetEndpoints(c.cell, s.now, eps))
 }
--- a/fleet/core/core.go
+++ b/fleet/core/core.go
@@ -165,16 +165,14 @@
 	finished  []Record // ring of the last finished requests
 	finishedN int
 
-	settings  uint64                     // digest of the settings that all hosts must share
-	differing map[id.Host]bool           // hosts whose shared settings differ
-	suspects  map[id.Host]time.Time      // passed over until
-	roles     map[id.Endpoint]roleChange // changes of role that this host has decided; see Config.Relay
+	settings  uint64                // digest of the settings that all hosts must share
+	differing map[id.Host]bool      // hosts whose shared settings differ
+	suspects  map[id.Host]time.Time // passed over until
 	views     views
 	avoid     map[id.Endpoint]time.Time // service endpoints passed over until
 	calls     map[id.Endpoint]int       // outstanding service calls of this host
 	down      map[id.Endpoint]bool      // could not be reached by the last call
 	hostsRead time.Time
-	rolesAt   time.Time // last look at the balance of roles
 	ticked    time.Time // last tick
 	unlisted  bool      // a host has been heard whose address may be unknown
 	nextPass  time.Time // over the requests
@@ -200,7 +198,6 @@
 		settings:  cfg.sharedDigest(),
 		differing: make(map[id.Host]bool),
 		suspects:  make(map[id.Host]time.Time),
-		roles:     make(map[id.Endpoint]roleChange),
 		avoid:     make(map[id.Endpoint]time.Time),
 		calls:     make(map[id.Endpoint]int),
 		down:      make(map[id.Endpoint]bool),
--- a/fleet/core/objects.go
+++ b/fleet/core/objects.go
@@ -1,8 +1,6 @@
 package core
 
 import (
-	"fmt"
-
 	"ragwortshunt.example/fleet/claim"
 	"ragwortshunt.example/fleet/id"
 	"ragwortshunt.example/fleet/limit"
@@ -84,10 +82,6 @@
 	if !ok {
 		return
 	}
-	s.emit(Log{
-		Level: LogInfo, Part: partOrder, Text: "Order sent.", Code: a.Order.Kind,
-		Trace: fmt.Sprintf("endpoint %s, role %s, fence %d", a.Endpoint, a.Order.Role, a.Order.Fence),
-	})
 	s.emit(SendOrder{Endpoint: a.Endpoint, Address: ep.Address, Order: a.Order, NotAfter: a.NotAfter})
 }
 
--- a/fleet/order/lease.go
+++ b/fleet/order/lease.go
@@ -78,12 +78,9 @@
 	if !valid(s, now) {
 		return nil
 	}
-	l.until = time.Time{}
-	if s.cfg.KeepLease {
-		return nil
-	}
 	v := l.stored
 	v.Released = true
+	l.until = time.Time{}
 	return write(s, now, v)
 }
 
--- a/fleet/schedule/endpoint.go
+++ b/fleet/schedule/endpoint.go
@@ -40,9 +40,7 @@
 	backOffUntil time.Duration
 	probe        *entry // the only grant while fails > 0
 
-	decoding []*entry      // with a reservation for their decode
-	readEnd  time.Duration // end of the last prefill
-	readRate float64       // prompt tokens per second, as measured; 0 is unknown
+	decoding []*entry // with a reservation for their decode
 
 	queue []*entry // granted prefills, in order
 	links []*entry // transfers that are planned or under way
@@ -122,8 +120,8 @@
 func (c *Cell) sumUp() {
 	var rate, slots, fastest, link int64
 	for _, ep := range c.prefills {
-		rate += ep.rate()
-		fastest = max(fastest, ep.rate())
+		rate += ep.PrefillRate
+		fastest = max(fastest, ep.PrefillRate)
 		link = max(link, ep.LinkRate)
 	}
 	for _, ep := range c.decodes {
@@ -139,28 +137,6 @@
 	}
 }
 
-// rate returns the prompt tokens per second that the endpoint reads.
-func (ep *endpoint) rate() int64 {
-	if ep.readRate > 0 {
-		return int64(ep.readRate)
-	}
-	return ep.PrefillRate
-}
-
-// measure takes a finished prefill into the rate of the endpoint. Short prompts say
-// more of the network than of the endpoint.
-func (ep *endpoint) measure(tokens int64, took time.Duration) {
-	const keep, least = 0.8, 500
-	if tokens < least || took <= 0 {
-		return
-	}
-	rate := float64(tokens) / took.Seconds()
-	if ep.readRate == 0 {
-		ep.readRate = rate
-	}
-	ep.readRate = keep*ep.readRate + (1-keep)*rate
-}
-
 // usable tells whether the endpoint may get new work, apart from a back-off.
 func (ep *endpoint) usable() bool { return ep.member && !ep.Leaving && !ep.reportLeaving }
 
--- a/fleet/schedule/entry.go
+++ b/fleet/schedule/entry.go
@@ -57,7 +57,6 @@
 	absent                      int           // load reports in a row without the decode run
 	deadline                    time.Duration // end of the reservation unless refreshed
 	prefillTime                 time.Duration
-	readTime                    time.Duration // of its prefill, as it was
 	prefillStart, prefillEnd    time.Duration // planned
 	sendStart, sendEnd          time.Duration // planned transfer
 }
--- a/fleet/schedule/run.go
+++ b/fleet/schedule/run.go
@@ -115,26 +115,12 @@
 		return
 	}
 	works(p, e)
-	c.measureRead(e, p)
 	if e.prefix != 0 && e.own {
 		p.cache.add(e.prefix, c.cfg.CachedPrefixes)
 	}
 	c.freePrefill(e)
 }
 
-// measureRead notes how long the prefill of e took. Prefills of an endpoint run one
-// after another.
-func (c *Cell) measureRead(e *entry, p *endpoint) {
-	if e.own {
-		e.readTime = max(c.now-max(e.prefillStart, p.readEnd), 0)
-		if c.cfg.Projected {
-			p.measure(e.prompt, e.readTime)
-		}
-		c.means.read(e.readTime)
-	}
-	p.readEnd = c.now
-}
-
 // HandleHold registers a running attempt, which a predecessor may have granted.
 func HandleHold(c *Cell, now time.Time, from id.Host, m message.SlotHold) []Action {
 	c.advance(now)
@@ -209,7 +195,7 @@
 	if p == nil {
 		return
 	}
-	e.prefillTime = tokenTime(e.prompt, p.rate())
+	e.prefillTime = tokenTime(e.prompt, p.PrefillRate)
 	e.prefillStart = c.now + c.backlog(p)
 	e.prefillEnd = e.prefillStart + e.prefillTime
 	p.queue = append(p.queue, e)
--- a/fleet/schedule/schedule.go
+++ b/fleet/schedule/schedule.go
@@ -90,7 +90,6 @@
 	aside     []*lane // scratch space of grantQueued
 
 	projections []projection // scratch space of peakWith
-	means       means
 }
 
 // New returns a cell without endpoints. With rebuild set, a predecessor may
--- a/fleet/table/table.go
+++ b/fleet/table/table.go
@@ -50,14 +50,13 @@
 type Pool struct {
 	Name        id.Pool
 	Role        Role
-	Model       id.Model      // empty for services
-	Slots       int64         // concurrent requests of one endpoint
-	Blocks      int64         // memory blocks of one endpoint; 0 for services
-	BlockTokens int64         // tokens in one memory block
-	PrefillRate int64         // prompt tokens per second; prefill pools
-	LinkRate    int64         // KV tokens per second that one endpoint can send or receive
-	MaxQueue    int64         // queued requests in one cell
-	SwitchTime  time.Duration // an engine is out of work for so long when its role changes; it has no column
+	Model       id.Model // empty for services
+	Slots       int64    // concurrent requests of one endpoint
+	Blocks      int64    // memory blocks of one endpoint; 0 for services
+	BlockTokens int64    // tokens in one memory block
+	PrefillRate int64    // prompt tokens per second; prefill pools
+	LinkRate    int64    // KV tokens per second that one endpoint can send or receive
+	MaxQueue    int64    // queued requests in one cell
 }
 
 // Endpoint is one model engine or plain service.
--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -81,7 +81,7 @@
 	relayKVLife   = 500 * time.Millisecond
 	// relayTokenTime is the time between two output tokens of the platform's engines.
 	relayTokenTime = 4500 * time.Microsecond
-	relayScan      = 24 // queued requests that one round of grants tries; each is tried on all engines of a large cell
+	relayScan      = 24  // queued requests that one round of grants tries; each is tried on all engines of a large cell
 	relayMemory    = 97 // percent of an engine's memory that expected needs may fill
 )
 
@@ -91,7 +91,6 @@
 	cfg.TickEvery = relayTick
 	cfg.HandOver = relayHandOver
 	cfg.LoadInterval = 0
-	cfg.Order.KeepLease = true
 	cfg.HostsInterval = relayHosts
 	cfg.Schedule.KVSurvival = relayKVLife
 	cfg.Schedule.Projected = true
--- a/router/internal/app/shells.go
+++ b/router/internal/app/shells.go
@@ -38,7 +38,6 @@
 	Decode(e core.StartDecode)
 	Cancel(e core.CancelRun)
 	Call(e core.CallService)
-	Order(e core.SendOrder)
 }
 
 // OwnEndpointShell is an EndpointShell of the project's own protocol, which the
@@ -47,6 +46,7 @@
 	EndpointShell
 	Resume(e core.ResumeDecode)
 	Poll(e core.PollLoad)
+	Order(e core.SendOrder)
 }
 
 // PlatformShell calls the platform's store.
@@ -107,7 +107,7 @@
 	feed := store.NewFeed(objects, site, c.SetView)
 	return Shells{
 		Caller:   c,
-		Endpoint: objectendpoint.New(life, string(s.Host), clock, log, r, exchanges),
+		Endpoint: objectendpoint.New(life, clock, log, r, exchanges),
 		Platform: objects,
 		Ready:    c.ReadyHandler(),
 		SetTable: func(core.TableInstalled) {},
