--- a/fleet/core/follow.go
+++ b/fleet/core/follow.go
@@ -1,9 +1,11 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/member"
 	"ragwortshunt.example/fleet/message"
 )
 
@@ -16,7 +18,12 @@
 const (
 	contactInterval = 500 * time.Millisecond
 	fedTimeout      = 1800 * time.Millisecond
-	regainTime      = 2 * time.Second // a watcher that has lost contact is not relied on for so long
+	// replaceTime is how long a host that has lost contact with the platform is not
+	// chosen as a watcher.
+	replaceTime = 5 * time.Second
+	// followInterval is the time between two looks at the choice of watchers.
+	followInterval = 100 * time.Millisecond
+	watchKey       = "platform" // of the rendezvous choice
 )
 
 func (s *step) handleFollow(ev Event) {
@@ -30,11 +37,18 @@
 	}
 }
 
-// tickFollow chooses the way in which the platform is followed.
 func (s *step) tickFollow() {
+	if s.now.Sub(s.table.followAt) >= followInterval {
+		s.chooseFollow()
+	}
+}
+
+// chooseFollow chooses the way in which the platform is followed.
+func (s *step) chooseFollow() {
+	s.table.followAt = s.now
 	want := FollowSelf
 	switch {
-	case s.isWatcher():
+	case s.watchesPlatform():
 		want = FollowBrisk
 	case s.isFed():
 		want = FollowPeers
@@ -45,10 +59,23 @@
 	}
 }
 
-// isFed tells whether a watcher passes on what it reads.
+// watchesPlatform tells whether this host is a watcher. Hosts that have lost contact
+// with the platform are replaced by the next ones.
+func (s *step) watchesPlatform() bool {
+	var fit []id.Host
+	for _, h := range s.liveIn(s.cfg.Zone) {
+		if lost := s.table.fed[h].lost; lost.IsZero() || s.now.Sub(lost) > replaceTime {
+			fit = append(fit, h)
+		}
+	}
+	return slices.Contains(member.Owners(fit, watchKey, s.cfg.Watchers), s.cfg.Host)
+}
+
+// isFed tells whether a watcher passes on what it reads. When all watchers have lost
+// contact, the next ones have time to take over.
 func (s *step) isFed() bool {
 	for _, w := range s.table.fed {
-		if s.now.Sub(w.heard) < fedTimeout && (w.lost.IsZero() || s.now.Sub(w.lost) > regainTime) {
+		if s.now.Sub(w.heard) < fedTimeout {
 			return true
 		}
 	}
@@ -90,6 +117,24 @@
 		return
 	}
 	s.tell(ev.Lost)
+	if ev.Lost {
+		s.noteWatcher(s.cfg.Host, true)
+	}
+}
+
+// noteWatcher notes what a watcher says of its contact with the platform.
+func (s *step) noteWatcher(h id.Host, lost bool) {
+	if s.table.fed == nil {
+		s.table.fed = make(map[id.Host]watcher)
+	}
+	w := s.table.fed[h]
+	if lost {
+		w.lost = s.now
+	} else {
+		w.heard = s.now
+	}
+	s.table.fed[h] = w
+	s.chooseFollow()
 }
 
 // platformChanged passes on what this watcher has read.
@@ -108,17 +153,7 @@
 	if !s.cfg.Relay || m.Source < 0 || m.Source >= int(SourceCount) {
 		return
 	}
-	if s.table.fed == nil {
-		s.table.fed = make(map[id.Host]watcher)
-	}
-	w := s.table.fed[from]
-	if m.Lost {
-		w.lost = s.now
-	} else {
-		w.heard = s.now
-	}
-	s.table.fed[from] = w
-	s.tickFollow()
+	s.noteWatcher(from, m.Lost)
 	s.peerSeen(m.Seen)
 	if len(m.Changes) == 0 || m.Revision <= s.table.seen[m.Source] {
 		return
--- a/fleet/core/tablesync.go
+++ b/fleet/core/tablesync.go
@@ -29,6 +29,7 @@
 	follow    Follow              // way in which the platform is followed
 	fed       map[id.Host]watcher // last word of each watcher that is in contact with the platform
 	lostTold  bool
+	followAt  time.Time
 	told      time.Time // a watcher told the others that it is in contact
 	confirmed time.Time // when the platform last confirmed the version in force
 
