core: pass over a scheduler that does not answer within 300 ms

Change: in relay mode a scheduler acknowledges each ask that it queues; a host without an answer for 300 ms asks the next one. Test: TestSilentScheduler.

--- a/fleet/core/cell.go
+++ b/fleet/core/cell.go
@@ -203,7 +203,7 @@
 // queued without an answer.
 func (s *step) acknowledgeAsk(from id.Host) {
 	p, ok := member.PeerOf(s.member, from)
-	if !ok || p.Zone == s.cfg.Zone {
+	if !ok || p.Zone == s.cfg.Zone && !s.cfg.Relay {
 		return
 	}
 	for _, e := range s.out {
--- a/fleet/core/peers.go
+++ b/fleet/core/peers.go
@@ -108,8 +108,14 @@
 // peerFailed passes over a host that refuses connections, so that its cells get
 // another scheduler before membership declares it dead.
 func (s *step) peerFailed(h id.Host) {
+	s.suspect(h, "Host refuses connections.")
+}
+
+// suspect passes over a host for a while, and asks others for the slots that it has
+// been asked for.
+func (s *step) suspect(h id.Host, text string) {
 	if _, ok := s.suspects[h]; !ok {
-		s.emit(Log{Level: LogWarn, Part: partPeer, Text: "Host refuses connections.", Host: h})
+		s.emit(Log{Level: LogWarn, Part: partPeer, Text: text, Host: h})
 	}
 	s.suspects[h] = s.now.Add(s.cfg.SuspectFor)
 	s.dropViews()
--- a/fleet/core/relay.go
+++ b/fleet/core/relay.go
@@ -28,6 +28,9 @@
 	// unlimitedValid is the time in which the work on a request without a rate
 	// limit must begin.
 	unlimitedValid = time.Second
+	// schedulerAnswer is the time in which a scheduler answers or acknowledges an ask.
+	// Hosts whose processor time is rationed stand still for up to 100 ms.
+	schedulerAnswer = 300 * time.Millisecond
 	// relayTries bounds the endpoints that may turn one request down before it is
 	// refused.
 	relayTries = 4
@@ -156,6 +159,19 @@
 	s.relayGiveUp(r, ev.Code)
 }
 
+// isSilent tells whether the scheduler has given no sign of life since the ask,
+// although it acknowledges each ask that it queues. Membership notices a dead or cut
+// scheduler only after 2 s, when most of the requests are late.
+func (s *step) isSilent(r *request) bool {
+	if !r.relayed || r.host == "" || r.host == s.cfg.Host || s.now.Sub(r.asked) < schedulerAnswer {
+		return false
+	}
+	if _, ok := s.suspects[r.host]; ok {
+		return false
+	}
+	return !member.HeardAt(s.member, r.host).After(r.asked)
+}
+
 // unusable returns the first endpoint that this host knows to be leaving or gone.
 func (s *step) unusable(eps ...id.Endpoint) id.Endpoint {
 	for _, name := range eps {
--- a/fleet/core/relay_test.go
+++ b/fleet/core/relay_test.go
@@ -283,3 +283,22 @@
 	}
 	assert.DeepEqual(t, failed, []id.Endpoint{"p1"})
 }
+
+// TestSilentScheduler guards against requests that wait for a scheduler which has
+// died or is cut off until membership has noticed it.
+func TestSilentScheduler(t *testing.T) {
+	h := newRelayHost(t)
+	peer := id.Host("h2")
+	for n := 3; member.Owner([]id.Host{"h1", peer}, "cell/d/m/0") != peer; n++ {
+		peer = id.Host(fmt.Sprintf("h%d", n))
+	}
+	h.reduce(core.HostsListed{Hosts: []object.Host{
+		{Host: "h1", Zone: relayDomain, Address: "127.0.0.1:1"}, {Host: peer, Zone: relayDomain, Address: "127.0.0.1:2"},
+	}})
+	h.reduce(core.PeerMessage{From: peer, Incarnation: 1, Message: message.Heartbeat{Zone: relayDomain}})
+	h.arrive("r", "once")
+	heard := h.pass(200 * time.Millisecond)
+	assert.Assert(t, !has(heard, core.StartPrefill{}), "the scheduler was given no time")
+	out := h.pass(300 * time.Millisecond)
+	assert.Assert(t, has(out, core.StartPrefill{}), "the request still waits for the silent scheduler")
+}
--- a/fleet/core/slot.go
+++ b/fleet/core/slot.go
@@ -178,6 +178,10 @@
 		s.leaveCell(r)
 		return
 	}
+	if s.isSilent(r) {
+		s.suspect(r.host, "Scheduler does not answer.")
+		return
+	}
 	if owner != r.host || s.now.Sub(r.asked) >= s.cfg.AskRepeat {
 		s.sendAsk(r)
 	}
--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -77,11 +77,12 @@
 	relayTick     = 20 * time.Millisecond // between two Ticks; they cost processor time on an idle host
 	relayHandOver = time.Second           // the platform kills a process a few seconds after it asked it to stop
 	relayHosts    = 3 * time.Second
+	relaySuspect  = 2500 * time.Millisecond // longer than membership takes to notice a death
 	relaySettle   = 100 * time.Millisecond
 	relayKVLife   = 500 * time.Millisecond
 	// relayTokenTime is the time between two output tokens of the platform's engines.
 	relayTokenTime = 4500 * time.Microsecond
-	relayScan      = 24  // queued requests that one round of grants tries; each is tried on all engines of a large cell
+	relayScan      = 24 // queued requests that one round of grants tries; each is tried on all engines of a large cell
 	relayMemory    = 97 // percent of an engine's memory that expected needs may fill
 )
 
@@ -91,6 +92,7 @@
 	cfg.TickEvery = relayTick
 	cfg.HandOver = relayHandOver
 	cfg.LoadInterval = 0
+	cfg.SuspectFor = relaySuspect
 	cfg.HostsInterval = relayHosts
 	cfg.Schedule.KVSurvival = relayKVLife
 	cfg.Schedule.Projected = true
