--- a/fleet/core/relay.go
+++ b/fleet/core/relay.go
@@ -47,6 +47,15 @@
 	return r.PromptTokens + r.delivered
 }
 
+// waited returns how long the caller has been without what it waits for: the first
+// event, or the next one of a stream that has broken.
+func (s *step) waited(r *request) time.Duration {
+	if r.relayed && r.delivered > 0 {
+		return s.now.Sub(r.lastToken)
+	}
+	return s.now.Sub(r.arrived)
+}
+
 // patience returns how long the request may queue. The rest of the time in which
 // the caller waits for the first event is for prefill and transfer, and for the
 // answer that tells the caller when to come back.
--- a/fleet/core/relay_test.go
+++ b/fleet/core/relay_test.go
@@ -60,7 +60,7 @@
 			},
 			"resumable": {
 				Name: "resumable", Model: "m", Class: message.ClassInteractive, FirstToken: relayQueueTime,
-				Timeout: relayTimeout, Attempts: 2, CanWait: true,
+				Timeout: relayTimeout, Attempts: 2, CanWait: true, Patience: 3 * time.Second,
 			},
 			"unsafe": {Name: "unsafe", Pool: "rack", Class: message.ClassInteractive, Timeout: relayTimeout, Attempts: 1},
 			"safe": {
@@ -302,3 +302,16 @@
 	out := h.pass(300 * time.Millisecond)
 	assert.Assert(t, has(out, core.StartPrefill{}), "the request still waits for the silent scheduler")
 }
+
+// TestResumeInTime guards against a stream that is given up when it breaks late in the
+// answer, because the time since its arrival is taken for time in a queue.
+func TestResumeInTime(t *testing.T) {
+	h := newRelayHost(t)
+	d := h.toDecode("r", "resumable")
+	for n := range 60 {
+		h.pass(100 * time.Millisecond)
+		h.reduce(core.TokensArrived{Request: "r", Attempt: d.Attempt, Offset: int64(n), Tokens: []string{"x"}})
+	}
+	out := h.reduce(core.RunFailed{Request: "r", Attempt: d.Attempt, Endpoint: d.Endpoint, Code: "broken"})
+	assert.Equal(t, h.prefilled(out).From, int64(60))
+}
--- a/fleet/core/slot.go
+++ b/fleet/core/slot.go
@@ -154,7 +154,7 @@
 		PromptTokens: r.readTokens(),
 		OutputTokens: r.PromptTokens + r.MaxTokens - r.readTokens(),
 		Prefix:       r.Prefix,
-		Waited:       s.now.Sub(r.arrived),
+		Waited:       s.waited(r),
 		FirstToken:   r.route.FirstToken,
 		CanWait:      r.route.CanWait || r.delivered > 0,
 		Avoid:        r.avoid,
--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -79,6 +79,8 @@
 	relayHosts    = 3 * time.Second
 	relaySuspect  = 2500 * time.Millisecond // longer than membership takes to notice a death
 	relaySettle   = 100 * time.Millisecond
+	relayGrace    = 500 * time.Millisecond  // an engine that has gone dark must not use up the callers' patience
+	relayStall    = 1200 * time.Millisecond // events come every 50 ms; a preempted run pauses for some 100 ms
 	relayKVLife   = 500 * time.Millisecond
 	// relayTokenTime is the time between two output tokens of the platform's engines.
 	relayTokenTime = 4500 * time.Microsecond
@@ -92,6 +94,8 @@
 	cfg.TickEvery = relayTick
 	cfg.HandOver = relayHandOver
 	cfg.LoadInterval = 0
+	cfg.PrefillGrace = relayGrace
+	cfg.DecodeStall = relayStall
 	cfg.SuspectFor = relaySuspect
 	cfg.HostsInterval = relayHosts
 	cfg.Schedule.KVSurvival = relayKVLife
