--- a/fleet/core/relay.go
+++ b/fleet/core/relay.go
@@ -36,7 +36,7 @@
 	relayTries = 4
 	// queuePercent is the part of a caller's patience that a request may spend in a
 	// queue.
-	queuePercent = 65
+	queuePercent = 35
 )
 
 // readTokens returns the tokens that a prefill of the next attempt reads.
