schedule: refused callers come back after 2.5 s and more, spread over 1.25 s

Cause: callers were told to come back after 1 s, into the same burst of 4 to 5 s; most were refused again, and they come back only once. Test: TestSpreadReturns.

--- a/fleet/schedule/ask.go
+++ b/fleet/schedule/ask.go
@@ -4,6 +4,8 @@
 	"container/heap"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"ragwortshunt.example/fleet/id"
 	"ragwortshunt.example/fleet/message"
 )
@@ -185,6 +187,9 @@
 // refuse ends an attempt that has no reservation.
 func (c *Cell) refuse(e *entry, reason string) Action {
 	retry := c.retryAfter(reason)
+	if retry > 0 && c.cfg.RetrySpread > 0 {
+		retry += time.Duration(xxhash.Sum64String(string(e.request)) % uint64(c.cfg.RetrySpread))
+	}
 	if e.lane != nil {
 		c.dequeue(e)
 	}
--- a/fleet/schedule/config.go
+++ b/fleet/schedule/config.go
@@ -71,6 +71,7 @@
 	BackOff, BackOffMost time.Duration // pause after the first failure; it doubles up to the second
 	RetryLeast           time.Duration // shortest Retry of a refusal
 	RetryMost            time.Duration // longest Retry of a refusal
+	RetrySpread          time.Duration // returns are spread over this time, so that a burst does not come back as one
 }
 
 // DefaultConfig returns the limits for the environment in docs/design.md.
--- a/fleet/schedule/memory_test.go
+++ b/fleet/schedule/memory_test.go
@@ -158,3 +158,19 @@
 	}
 	assert.Equal(t, first, fresh.Request, "%d runs", n)
 }
+
+// TestSpreadReturns guards against refused requests that come back as the same burst.
+func TestSpreadReturns(t *testing.T) {
+	cfg := projectedConfig()
+	cfg.RetryLeast, cfg.RetryMost, cfg.RetrySpread = 2*time.Second, 4*time.Second, time.Second
+	c := schedule.New(cfg, "m", at(0), false) // without endpoints every request is refused
+	seen := make(map[time.Duration]bool)
+	for i := range 20 {
+		for _, a := range schedule.HandleAsk(c, at(0), "h", memoryAsk(i, nil)) {
+			r := a.(schedule.Send).Message.(message.SlotRefuse)
+			assert.Assert(t, r.Retry >= cfg.RetryLeast && r.Retry < cfg.RetryMost+cfg.RetrySpread, "%s", r.Retry)
+			seen[r.Retry] = true
+		}
+	}
+	assert.Assert(t, len(seen) > 10, "%d different times", len(seen))
+}
--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -84,8 +84,9 @@
 	relayKVLife   = 500 * time.Millisecond
 	// relayTokenTime is the time between two output tokens of the platform's engines.
 	relayTokenTime = 4500 * time.Microsecond
-	relayScan      = 24 // queued requests that one round of grants tries; each is tried on all engines of a large cell
-	relayMemory    = 97 // percent of an engine's memory that expected needs may fill
+	relayRetry     = 2500 * time.Millisecond // bursts last for some seconds, and callers come back once
+	relayScan      = 24                      // queued requests that one round of grants tries; each is tried on all engines of a large cell
+	relayMemory    = 97                      // percent of an engine's memory that expected needs may fill
 )
 
 // relayConfig sets what differs on the users' platform.
@@ -105,8 +106,9 @@
 	cfg.Schedule.DeferrableShare = 0 // late requests go last; they are refused before their callers give up
 	cfg.Schedule.ScanLimit = relayScan
 	cfg.Schedule.ScanLane = relayScan / 2
-	cfg.Schedule.RetryLeast = time.Second
-	cfg.Schedule.RetryMost = 4 * time.Second
+	cfg.Schedule.RetryLeast = relayRetry
+	cfg.Schedule.RetryMost = 2 * relayRetry
+	cfg.Schedule.RetrySpread = relayRetry / 2
 	cfg.Limit.Reclaim = true
 	cfg.Limit.Settle = relaySettle
 	cfg.Retry = retry.Config{Ratio: s.RetryRatio, Window: s.RetryWindow, Extra: s.RetryExtra}
