operator: logs never block and are thinned out under load

Cause: zap wrote to standard output directly; a reader that stands still would have stopped every request.

--- a/fleet/core/request.go
+++ b/fleet/core/request.go
@@ -268,6 +268,9 @@
 	s.emit(Closed{Request: r.Request})
 }
 
+// resultFinished begins the results of requests whose answer is complete.
+const resultFinished = "finished"
+
 // logEnd writes the one line that tells how a request came to its end.
 func (s *step) logEnd(r *request, result string) {
 	var trace strings.Builder
@@ -279,8 +282,12 @@
 		trace.WriteString(" ms ")
 		trace.WriteString(l.Text)
 	}
+	text := "Request ended."
+	if strings.HasPrefix(result, resultFinished) {
+		text = "Request served." // apart, so that the two are thinned out apart
+	}
 	s.emit(Log{
-		Level: LogInfo, Part: partRequest, Text: "Request ended.", Request: r.Request,
+		Level: LogInfo, Part: partRequest, Text: text, Request: r.Request,
 		Account: r.account, Code: result, Trace: trace.String(),
 	})
 }
--- a/router/internal/operator/log.go
+++ b/router/internal/operator/log.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os"
+	"time"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -9,25 +11,27 @@
 	"ragwortshunt.example/fleet/core"
 )
 
-// NewLogger returns a logger that writes JSON lines to standard output. level is
-// one of debug, info, warn and error.
+const (
+	// sampledFirst is the number of lines with one message that are written in each
+	// second. A host serves some ten requests a second.
+	sampledFirst = 500
+	// sampledEach is the share of further lines with the message: one of so many.
+	sampledEach = 100
+)
+
+// NewLogger returns a logger that writes JSON lines to standard output without ever
+// blocking. Lines with one message that come in great numbers are thinned out, so that
+// messages of failures are not lost among those of served requests. level is one of
+// debug, info, warn and error.
 func NewLogger(level string) (*zap.Logger, error) {
 	l, err := zapcore.ParseLevel(level)
 	if err != nil {
 		return nil, fmt.Errorf("operator: log level: %w", err)
 	}
-	cfg := zap.NewProductionConfig()
-	cfg.Level = zap.NewAtomicLevelAt(l)
-	cfg.OutputPaths = []string{"stdout"}
-	cfg.Sampling = nil
-	cfg.DisableCaller = true
-	cfg.DisableStacktrace = true
-	cfg.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
-	logger, err := cfg.Build()
-	if err != nil {
-		return nil, fmt.Errorf("operator: build logger: %w", err)
-	}
-	return logger, nil
+	encoding := zap.NewProductionEncoderConfig()
+	encoding.EncodeTime = zapcore.ISO8601TimeEncoder
+	lines := zapcore.NewCore(zapcore.NewJSONEncoder(encoding), NewSink(os.Stdout), l)
+	return zap.New(zapcore.NewSamplerWithOptions(lines, time.Second, sampledFirst, sampledEach)), nil
 }
 
 // WriteLog writes a log line of the decision core. The part is the fixed prefix
--- a/router/internal/operator/operator_test.go
+++ b/router/internal/operator/operator_test.go
@@ -160,6 +160,7 @@
 	assert.NilError(t, err)
 	l.Info("router: Not shown.")
 	l.Warn("router: Shown.")
+	assert.NilError(t, l.Sync())
 	assert.NilError(t, w.Close())
 	data, err := io.ReadAll(r)
 	assert.NilError(t, err)
