core: choose services by the times and failures that the host has seen

Change: the endpoint with the shortest expected time (mean, own outstanding calls, failures, way), spread at random.

--- a/fleet/core/core.go
+++ b/fleet/core/core.go
@@ -170,6 +170,7 @@
 	suspects  map[id.Host]time.Time // passed over until
 	views     views
 	avoid     map[id.Endpoint]time.Time // service endpoints passed over until
+	paces     map[id.Endpoint]pace      // of service endpoints; see Config.Relay
 	calls     map[id.Endpoint]int       // outstanding service calls of this host
 	down      map[id.Endpoint]bool      // could not be reached by the last call
 	hostsRead time.Time
@@ -199,6 +200,7 @@
 		differing: make(map[id.Host]bool),
 		suspects:  make(map[id.Host]time.Time),
 		avoid:     make(map[id.Endpoint]time.Time),
+		paces:     make(map[id.Endpoint]pace),
 		calls:     make(map[id.Endpoint]int),
 		down:      make(map[id.Endpoint]bool),
 		finished:  make([]Record, 0, cfg.FinishedRecords),
--- a/fleet/core/relay_test.go
+++ b/fleet/core/relay_test.go
@@ -315,3 +315,38 @@
 	out := h.reduce(core.RunFailed{Request: "r", Attempt: d.Attempt, Endpoint: d.Endpoint, Code: "broken"})
 	assert.Equal(t, h.prefilled(out).From, int64(60))
 }
+
+// TestSlowService guards against calls that queue at an endpoint which is slow or fails,
+// while another one is idle.
+func TestSlowService(t *testing.T) {
+	h := newRelayHost(t)
+	count := make(map[id.Endpoint]int)
+	for n := range 200 {
+		req := id.Request(fmt.Sprintf("r%d", n))
+		c := find(t, h.arrive(req, "unsafe"), core.CallService{}).(core.CallService)
+		count[c.Endpoint]++
+		took := 10 * time.Millisecond
+		if c.Endpoint == "s1" {
+			took = 60 * time.Millisecond
+		}
+		h.now = h.now.Add(took)
+		h.reduce(core.ServiceDone{Request: req, Attempt: c.Attempt, Status: 200})
+	}
+	assert.Assert(t, count["s2"] > 8*count["s1"], "%v", count)
+	assert.Assert(t, count["s1"] > 0, "the slow endpoint is never tried")
+}
+
+// TestEvenServices guards against equal endpoints of which only the first by name gets
+// calls.
+func TestEvenServices(t *testing.T) {
+	h := newRelayHost(t)
+	count := make(map[id.Endpoint]int)
+	for n := range 200 {
+		req := id.Request(fmt.Sprintf("r%d", n))
+		c := find(t, h.arrive(req, "unsafe"), core.CallService{}).(core.CallService)
+		count[c.Endpoint]++
+		h.now = h.now.Add(10 * time.Millisecond)
+		h.reduce(core.ServiceDone{Request: req, Attempt: c.Attempt, Status: 200})
+	}
+	assert.Assert(t, count["s1"] > 40 && count["s2"] > 40, "%v", count)
+}
--- a/fleet/core/request.go
+++ b/fleet/core/request.go
@@ -77,10 +77,11 @@
 	timeout  time.Duration // of the prefill
 	resumed  bool          // the attempt's stream has been resumed since its last token
 
-	ran        bool // an earlier attempt may have run
-	running    bool // the current attempt has been handed to an endpoint
-	runs       int  // attempts that may have run
-	answered   bool // the endpoint shell holds a reply that can be passed on
+	ran        bool      // an earlier attempt may have run
+	running    bool      // the current attempt has been handed to an endpoint
+	runs       int       // attempts that may have run
+	called     time.Time // start of the current call of a service
+	answered   bool      // the endpoint shell holds a reply that can be passed on
 	delivered  int64
 	waiting    map[int64]TokensArrived // parts ahead of the delivered offset
 	firstToken time.Time
--- a/fleet/core/service.go
+++ b/fleet/core/service.go
@@ -89,6 +89,7 @@
 	r.prefill = ""
 	r.decode = ep.Name
 	s.calls[ep.Name]++
+	r.called = s.now
 	r.note(s.now, "attempt %d: call on %s", r.attempt, ep.Name)
 	s.emit(CallService{
 		Request: r.Request, Attempt: r.attempt, Endpoint: ep.Name, Address: ep.Address,
@@ -113,18 +114,21 @@
 			eps = append(eps, ep)
 		}
 	}
-	sort.Slice(eps, func(i, j int) bool { return s.serviceBefore(eps[i], eps[j]) })
+	sort.Slice(eps, func(i, j int) bool { return s.serviceBefore(r, eps[i], eps[j]) })
 	if len(eps) == 0 {
 		return table.Endpoint{}, false
 	}
 	return eps[0], true
 }
 
-func (s *step) serviceBefore(a, b table.Endpoint) bool {
+func (s *step) serviceBefore(r *request, a, b table.Endpoint) bool {
 	if fa, fb := s.isAvoided(a.Name), s.isAvoided(b.Name); fa != fb {
 		return fb
 	}
-	if za, zb := s.isNear(a), s.isNear(b); za != zb {
+	if r.relayed {
+		return s.expected(r, a) < s.expected(r, b)
+	}
+	if za, zb := a.Zone == s.cfg.Zone, b.Zone == s.cfg.Zone; za != zb {
 		return za
 	}
 	if ca, cb := s.calls[a.Name], s.calls[b.Name]; ca != cb {
@@ -133,13 +137,6 @@
 	return a.Name < b.Name
 }
 
-func (s *step) isNear(ep table.Endpoint) bool {
-	if s.cfg.Relay {
-		return ep.Near
-	}
-	return ep.Zone == s.cfg.Zone
-}
-
 func (s *step) isAvoided(ep id.Endpoint) bool {
 	until, ok := s.avoid[ep]
 	return ok && s.now.Before(until)
@@ -151,6 +148,7 @@
 		return
 	}
 	s.endCall(r)
+	s.notePace(r.decode, s.now.Sub(r.called), false)
 	r.note(s.now, "reply %d", ev.Status)
 	s.settleClaim(r, message.ClaimDone, ev.Outcome)
 	if !r.gone {
@@ -172,6 +170,7 @@
 // or if the route allows repetition. Otherwise the outcome is unknown.
 func (s *step) serviceFailed(r *request, ev RunFailed) {
 	s.endCall(r)
+	s.notePace(ev.Endpoint, s.now.Sub(r.called), true)
 	r.note(s.now, "call failed on %s: %s (not-run %t)", ev.Endpoint, ev.Code, ev.NotRun)
 	if !ev.Answered {
 		s.avoid[ev.Endpoint] = s.now.Add(avoidFailed)
