schedule, core: balance the roles of engines; measure prefill rate and token time

Change: Balance compares what both roles can carry from measured means and rates, and names the engines that should change, spread over the availability zones so that a zone that is cut off keeps some. Orders go out only under the order lease, which is taken first, and the lease lapses after use (KeepLease). Ready engines are marked before, so that they get no grants. Event counts become tokens by the configuration, so that runs can be measured.

--- a/fleet/core/cell.go
+++ b/fleet/core/cell.go
@@ -97,8 +97,9 @@
 	schedule.SetWeights(c.cell, weights)
 	eps := cellEndpoints(snap, k, s.cfg.CellEndpoints, s.cfg.Relay)
 	c.members = make(map[id.Endpoint]bool, len(eps))
-	for _, ep := range eps {
+	for i, ep := range eps {
 		c.members[ep.Name] = true
+		eps[i].Leaving = ep.Leaving || s.changesRole(ep.Name)
 	}
 	s.cellActions(k, schedule.SetEndpoints(c.cell, s.now, eps))
 }
@@ -140,7 +141,7 @@
 
 func cellEndpoint(ep table.Endpoint, pool table.Pool) schedule.Endpoint {
 	return schedule.Endpoint{
-		Name: ep.Name, Role: pool.Role, Slots: pool.Slots, Blocks: pool.Blocks,
+		Name: ep.Name, Place: ep.Place, Role: pool.Role, Slots: pool.Slots, Blocks: pool.Blocks,
 		BlockTokens: pool.BlockTokens, PrefillRate: pool.PrefillRate, LinkRate: pool.LinkRate,
 		Leaving: ep.State == table.StateLeaving,
 	}
--- a/fleet/core/core.go
+++ b/fleet/core/core.go
@@ -35,6 +35,7 @@
 	Address     string // ip:port at which other hosts reach this one
 	Zone        id.Zone
 	Zones       []id.Zone // all zones, sorted; the same on every host
+	Place       id.Zone   // availability zone of the host, where Zone is a larger domain
 
 	Relay     bool          // requests and configuration come in the platform's own protocol; see relay.go
 	TickEvery time.Duration // between two Ticks
@@ -165,15 +166,17 @@
 	finished  []Record // ring of the last finished requests
 	finishedN int
 
-	settings  uint64                // digest of the settings that all hosts must share
-	differing map[id.Host]bool      // hosts whose shared settings differ
-	suspects  map[id.Host]time.Time // passed over until
+	settings  uint64                     // digest of the settings that all hosts must share
+	differing map[id.Host]bool           // hosts whose shared settings differ
+	suspects  map[id.Host]time.Time      // passed over until
+	roles     map[id.Endpoint]roleChange // changes of role that this host has decided; see Config.Relay
 	views     views
 	avoid     map[id.Endpoint]time.Time // service endpoints passed over until
 	paces     map[id.Endpoint]pace      // of service endpoints; see Config.Relay
 	calls     map[id.Endpoint]int       // outstanding service calls of this host
 	down      map[id.Endpoint]bool      // could not be reached by the last call
 	hostsRead time.Time
+	rolesAt   time.Time // last look at the balance of roles
 	ticked    time.Time // last tick
 	unlisted  bool      // a host has been heard whose address may be unknown
 	nextPass  time.Time // over the requests
@@ -199,6 +202,7 @@
 		settings:  cfg.sharedDigest(),
 		differing: make(map[id.Host]bool),
 		suspects:  make(map[id.Host]time.Time),
+		roles:     make(map[id.Endpoint]roleChange),
 		avoid:     make(map[id.Endpoint]time.Time),
 		paces:     make(map[id.Endpoint]pace),
 		calls:     make(map[id.Endpoint]int),
--- a/fleet/core/objects.go
+++ b/fleet/core/objects.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"fmt"
+
 	"ragwortshunt.example/fleet/claim"
 	"ragwortshunt.example/fleet/id"
 	"ragwortshunt.example/fleet/limit"
@@ -82,6 +84,10 @@
 	if !ok {
 		return
 	}
+	s.emit(Log{
+		Level: LogInfo, Part: partOrder, Text: "Order sent.", Code: a.Order.Kind,
+		Trace: fmt.Sprintf("endpoint %s, role %s, fence %d", a.Endpoint, a.Order.Role, a.Order.Fence),
+	})
 	s.emit(SendOrder{Endpoint: a.Endpoint, Address: ep.Address, Order: a.Order, NotAfter: a.NotAfter})
 }
 
--- a/fleet/core/peers.go
+++ b/fleet/core/peers.go
@@ -11,6 +11,9 @@
 // partPeer is the log prefix of this part.
 const partPeer = "peer"
 
+// partOrder is the log prefix of orders to endpoints.
+const partOrder = "order"
+
 func (s *step) hostsListed(ev HostsListed) {
 	member.SetList(s.member, s.now, ev.Hosts)
 	s.applyHosts()
--- a/fleet/core/relay.go
+++ b/fleet/core/relay.go
@@ -47,6 +47,15 @@
 	return r.PromptTokens + r.delivered
 }
 
+// outputTokens returns the output tokens that have been delivered.
+func (s *step) outputTokens(r *request) int64 {
+	if !r.relayed {
+		return r.delivered
+	}
+	pool := s.snapshot().Pools[s.snapshot().Endpoints[r.decode].Pool]
+	return r.delivered * max(pool.EventTokens, 1)
+}
+
 // waited returns how long the caller has been without what it waits for: the first
 // event, or the next one of a stream that has broken.
 func (s *step) waited(r *request) time.Duration {
--- a/fleet/core/relay_test.go
+++ b/fleet/core/relay_test.go
@@ -79,11 +79,16 @@
 }
 
 func newRelayHost(t *testing.T) *relayHost {
+	return newRelayHostWith(t, func(*core.Config) {})
+}
+
+func newRelayHostWith(t *testing.T, change func(*core.Config)) *relayHost {
 	h := &relayHost{t: t, now: time.Unix(1, 0)}
 	cfg := core.DefaultConfig("h1", 1, relayDomain, []id.Zone{relayDomain})
 	cfg.Relay = true
 	cfg.LoadInterval = 0
 	cfg.Retry = retry.Config{Ratio: 0.2, Window: 10 * time.Second, Extra: 20}
+	change(&cfg)
 	h.st = core.New(cfg, h.now)
 	h.reduce(core.HostsListed{Hosts: []object.Host{{Host: "h1", Zone: relayDomain, Address: "127.0.0.1:1"}}})
 	h.reduce(core.TableOpened{Snapshot: relayTable(1)})
--- /dev/null
+++ b/fleet/core/roles_test.go
@@ -0,0 +1,113 @@
+package core_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ragwortshunt.example/fleet/core"
+	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/object"
+	"ragwortshunt.example/fleet/table"
+)
+
+// surplusTable has far more prefill engines than its requests need.
+func surplusTable(version uint64, roles map[id.Endpoint]table.Role) *table.Snapshot {
+	s := relayTable(version)
+	for i := range 6 {
+		name := id.Endpoint(fmt.Sprintf("e%d", i))
+		pool := id.Pool("m/prefill")
+		if roles[name] == table.RoleDecode {
+			pool = "m/decode"
+		}
+		s.Endpoints[name] = table.Endpoint{
+			Name: name, Pool: pool, Zone: relayDomain, Address: fmt.Sprintf("10.0.1.%d:1", i),
+			State: table.StateActive, Fencing: table.FencingChecked,
+		}
+	}
+	return s
+}
+
+// newSurplusHost returns a host whose cell has had enough requests to be balanced.
+func newSurplusHost(t *testing.T) *relayHost {
+	h := newRelayHostWith(t, func(cfg *core.Config) {
+		cfg.Schedule.Projected = true
+		cfg.Schedule.TokenTime = 5 * time.Millisecond
+	})
+	h.reduce(core.TableOpened{Snapshot: surplusTable(2, nil)})
+	for i := range 30 {
+		req := id.Request(fmt.Sprintf("r%d", i))
+		d := h.toDecode(req, "resumable")
+		h.pass(100 * time.Millisecond)
+		h.reduce(core.TokensArrived{Request: req, Attempt: d.Attempt, Tokens: []string{"x"}, End: true})
+	}
+	return h
+}
+
+// takeOrderLease answers the read of the order lease, which nobody holds, and returns
+// the write that takes it.
+func (h *relayHost) takeOrderLease(effects []core.Effect) core.WriteObject {
+	h.t.Helper()
+	for _, e := range effects {
+		if r, ok := e.(core.ReadObject); ok && r.Kind == object.KindOrder {
+			return find(h.t, h.reduce(core.ObjectRead{Kind: r.Kind, Name: r.Name}), core.WriteObject{}).(core.WriteObject)
+		}
+	}
+	h.t.Fatal("the order lease is not read")
+	return core.WriteObject{}
+}
+
+func ordersOf(effects []core.Effect) []core.SendOrder {
+	var out []core.SendOrder
+	for _, e := range effects {
+		if o, ok := e.(core.SendOrder); ok {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+// TestRoleOrders guards against an order without the order lease, against engines that
+// are taken out of work while the platform cannot be reached, against grants on an
+// engine whose role changes, and against a second order once it has changed.
+func TestRoleOrders(t *testing.T) {
+	h := newSurplusHost(t)
+	effects := h.pass(2 * time.Second)
+	assert.Equal(t, len(ordersOf(effects)), 0)
+	for i := range 6 { // all engines still work
+		assert.Assert(t, has(h.arrive(id.Request(fmt.Sprintf("s%d", i)), "resumable"), core.StartPrefill{}))
+	}
+	w := h.takeOrderLease(effects)
+	h.reduce(core.ObjectWritten{Kind: w.Kind, Name: w.Name, Outcome: object.WriteDone, Version: 1})
+	orders := ordersOf(h.pass(time.Second))
+	assert.Assert(t, len(orders) > 0)
+	ordered := make(map[id.Endpoint]table.Role)
+	for _, o := range orders {
+		assert.Equal(t, o.Order.Role, string(table.RoleDecode))
+		assert.Equal(t, o.Order.Fence, uint64(1))
+		ordered[o.Endpoint] = table.RoleDecode
+		h.reduce(core.OrderAnswered{Endpoint: o.Endpoint, Fence: 1, Done: true})
+	}
+	h.assertUnused("t", ordered)
+	h.reduce(core.TableOpened{Snapshot: surplusTable(3, ordered)})
+	for _, o := range ordersOf(h.pass(3 * time.Second)) {
+		assert.Equal(t, ordered[o.Endpoint], table.Role(""), "%s is ordered twice", o.Endpoint)
+	}
+}
+
+// assertUnused checks that no request is granted one of the engines.
+func (h *relayHost) assertUnused(prefix string, engines map[id.Endpoint]table.Role) {
+	h.t.Helper()
+	for i := range 10 {
+		effects := h.arrive(id.Request(fmt.Sprintf("%s%d", prefix, i)), "resumable")
+		effects = append(effects, h.pass(100*time.Millisecond)...)
+		for _, e := range effects {
+			if p, ok := e.(core.StartPrefill); ok {
+				_, changing := engines[p.Endpoint]
+				assert.Assert(h.t, !changing, "%s is granted", p.Endpoint)
+			}
+		}
+	}
+}
--- a/fleet/core/run.go
+++ b/fleet/core/run.go
@@ -173,7 +173,7 @@
 func (s *step) finish(r *request, reason string) {
 	r.note(s.now, "finished with %d tokens", r.delivered)
 	s.send(r.host, message.SlotUpdate{
-		Request: r.Request, Attempt: r.attempt, Phase: message.PhaseDone, Tokens: r.delivered,
+		Request: r.Request, Attempt: r.attempt, Phase: message.PhaseDone, Tokens: s.outputTokens(r),
 	})
 	s.emit(Finish{
 		Request: r.Request, Finish: reason,
--- a/fleet/core/slot.go
+++ b/fleet/core/slot.go
@@ -279,7 +279,7 @@
 	if r.host != "" && r.attempt > 0 {
 		s.send(r.host, message.SlotUpdate{
 			Request: r.Request, Attempt: r.attempt, Phase: message.PhaseCancelled,
-			Tokens: r.delivered, Failed: failed,
+			Tokens: s.outputTokens(r), Failed: failed,
 		})
 	}
 	if r.running {
--- a/fleet/core/tick.go
+++ b/fleet/core/tick.go
@@ -40,6 +40,7 @@
 	s.claimActions(claim.Tick(s.claims, s.now))
 	s.orderActions(order.Tick(s.orders, s.now))
 	s.tickCells()
+	s.tickRoles()
 	s.tickRequests()
 	s.tickDrain()
 }
--- a/fleet/order/lease.go
+++ b/fleet/order/lease.go
@@ -47,6 +47,9 @@
 	return l.version != 0 && l.stored.Holder == cfg.Host && l.stored.Incarnation == cfg.Incarnation && !l.stored.Released
 }
 
+// Ready reports whether this host may send orders now.
+func Ready(s *State, now time.Time) bool { return valid(s, now) }
+
 // valid reports whether this host may send orders now.
 func valid(s *State, now time.Time) bool {
 	return now.Before(s.lease.until)
@@ -78,9 +81,12 @@
 	if !valid(s, now) {
 		return nil
 	}
+	l.until = time.Time{}
+	if s.cfg.KeepLease {
+		return nil
+	}
 	v := l.stored
 	v.Released = true
-	l.until = time.Time{}
 	return write(s, now, v)
 }
 
--- a/fleet/order/order.go
+++ b/fleet/order/order.go
@@ -52,6 +52,7 @@
 	Lease       time.Duration // length of the order lease
 	Margin      time.Duration // allowance for clocks of different rates
 	MaxInFlight time.Duration // longest time from sending an order to its effect
+	KeepLease   bool          // a lease that is no longer needed lapses; holders must not take turns quickly
 }
 
 // Want is the state that an endpoint should have.
--- a/fleet/order/order_test.go
+++ b/fleet/order/order_test.go
@@ -357,3 +357,23 @@
 	w.run(20 * time.Second)
 	assert.Equal(t, w.endpoints["e1"].fence, uint64(2))
 }
+
+// Guards against holders that take turns quickly where that is forbidden: a holder that
+// has no more orders lets its lease lapse, and the next one waits for that.
+func TestKeepLease(t *testing.T) {
+	w := newWorld(t, 1)
+	for _, h := range w.hosts {
+		h.cfg.KeepLease = true
+		h.state = order.New(h.cfg)
+	}
+	w.hosts[0].leader = true
+	w.setWants(w.hosts[0])
+	w.run(2 * time.Second)
+	w.hosts[0].leader, w.hosts[1].leader = false, true
+	w.setWants(w.hosts[0])
+	w.setWants(w.hosts[1])
+	w.run(5 * time.Second)
+	assert.Equal(t, w.holders[2], "")
+	w.run(20 * time.Second)
+	assert.Equal(t, w.holders[2], "host-1/1")
+}
--- a/fleet/schedule/endpoint.go
+++ b/fleet/schedule/endpoint.go
@@ -12,6 +12,7 @@
 // Endpoint is one prefill or decode endpoint. The units are those of table.Pool.
 type Endpoint struct {
 	Name        id.Endpoint
+	Place       id.Zone // availability zone, if the cell spans several
 	Role        table.Role
 	Slots       int64
 	Blocks      int64
@@ -43,6 +44,7 @@
 	decoding []*entry // with a reservation for their decode
 
 	queue []*entry // granted prefills, in order
+	pace  prefillPace
 	links []*entry // transfers that are planned or under way
 	cache prefixCache
 	stray map[Run]time.Duration // reported and not registered, since when
@@ -94,6 +96,7 @@
 }
 
 func (c *Cell) listUsable() {
+	before := len(c.prefills) + len(c.decodes)
 	c.prefills = c.prefills[:0]
 	c.decodes = c.decodes[:0]
 	for _, ep := range c.endpoints {
@@ -110,6 +113,9 @@
 	slices.SortFunc(c.prefills, byName)
 	slices.SortFunc(c.decodes, byName)
 	c.sumUp()
+	if len(c.prefills)+len(c.decodes) < before {
+		c.lostAt = c.now
+	}
 	if c.pin.endpoint != nil && !c.pin.endpoint.usable() {
 		c.pin = pin{}
 	}
@@ -120,8 +126,8 @@
 func (c *Cell) sumUp() {
 	var rate, slots, fastest, link int64
 	for _, ep := range c.prefills {
-		rate += ep.PrefillRate
-		fastest = max(fastest, ep.PrefillRate)
+		rate += ep.rate()
+		fastest = max(fastest, ep.rate())
 		link = max(link, ep.LinkRate)
 	}
 	for _, ep := range c.decodes {
@@ -133,7 +139,7 @@
 		c.capacity.linkRate = link
 	}
 	if slots > 0 {
-		c.capacity.outputCost = c.cfg.TokenTime * time.Duration(len(c.decodes)) / time.Duration(slots)
+		c.capacity.outputCost = c.tokenTime * time.Duration(len(c.decodes)) / time.Duration(slots)
 	}
 }
 
--- a/fleet/schedule/grant.go
+++ b/fleet/schedule/grant.go
@@ -132,6 +132,7 @@
 	e.phase = message.PhasePrefill
 	e.deadline = c.now + c.cfg.HoldTimeout
 	c.charge(e)
+	c.means.granted(e)
 	c.reserve(e, pl.prefill, pl.decode)
 	e.prefillTime = pl.prefillEnd - pl.prefillStart
 	e.prefillStart = pl.prefillStart
@@ -170,7 +171,7 @@
 		return c.refuse(e, ReasonNoEndpoint)
 	}
 	c.enqueue(e)
-	pl := placement{prefill: p, decode: d, prefillStart: c.now, prefillEnd: c.now + tokenTime(e.prompt, p.PrefillRate)}
+	pl := placement{prefill: p, decode: d, prefillStart: c.now, prefillEnd: c.now + tokenTime(e.prompt, p.rate())}
 	return c.grant(e, pl)
 }
 
--- a/fleet/schedule/memory.go
+++ b/fleet/schedule/memory.go
@@ -27,10 +27,10 @@
 
 // produced estimates the output tokens of a decode run by the time that it runs.
 func (c *Cell) produced(e *entry) int64 {
-	if e.phase != message.PhaseDecode || c.cfg.TokenTime <= 0 {
+	if e.phase != message.PhaseDecode || c.tokenTime <= 0 {
 		return 0
 	}
-	return max(e.tokens, int64((c.now-e.decodeSince)/c.cfg.TokenTime))
+	return max(e.tokens, int64((c.now-e.decodeSince)/c.tokenTime))
 }
 
 func (c *Cell) project(e *entry) projection {
--- a/fleet/schedule/place.go
+++ b/fleet/schedule/place.go
@@ -35,7 +35,7 @@
 		return placement{}, why
 	}
 	start := c.now + c.backlog(p)
-	pl := placement{prefill: p, prefillStart: start, prefillEnd: start + tokenTime(e.prompt, p.PrefillRate)}
+	pl := placement{prefill: p, prefillStart: start, prefillEnd: start + tokenTime(e.prompt, p.rate())}
 	why = c.chooseDecode(e, &pl)
 	return pl, why
 }
--- a/fleet/schedule/run.go
+++ b/fleet/schedule/run.go
@@ -63,6 +63,7 @@
 	if phase == message.PhaseDone {
 		works(e.prefill, e)
 		works(e.decode, e)
+		c.measureTokenTime(e)
 	}
 	c.refund(e, c.used(e))
 	c.release(e)
@@ -115,6 +116,7 @@
 		return
 	}
 	works(p, e)
+	c.measurePrefill(e)
 	if e.prefix != 0 && e.own {
 		p.cache.add(e.prefix, c.cfg.CachedPrefixes)
 	}
@@ -195,7 +197,7 @@
 	if p == nil {
 		return
 	}
-	e.prefillTime = tokenTime(e.prompt, p.PrefillRate)
+	e.prefillTime = tokenTime(e.prompt, p.rate())
 	e.prefillStart = c.now + c.backlog(p)
 	e.prefillEnd = e.prefillStart + e.prefillTime
 	p.queue = append(p.queue, e)
--- a/fleet/schedule/schedule.go
+++ b/fleet/schedule/schedule.go
@@ -89,7 +89,10 @@
 	turn      int     // round-robin position
 	aside     []*lane // scratch space of grantQueued
 
-	projections []projection // scratch space of peakWith
+	projections []projection  // scratch space of peakWith
+	tokenTime   time.Duration // between two output tokens of a run, as measured
+	lostAt      time.Duration // an endpoint left the usable ones
+	means       means
 }
 
 // New returns a cell without endpoints. With rebuild set, a predecessor may
@@ -104,6 +107,8 @@
 		accounts:  make(map[id.Account]*account),
 		entries:   make(map[id.Request]*entry),
 		ended:     newEndedLog(),
+		tokenTime: cfg.TokenTime,
+		lostAt:    -lossSettle,
 	}
 	if rebuild {
 		c.rebuildUntil = cfg.RebuildTime
--- a/fleet/table/table.go
+++ b/fleet/table/table.go
@@ -57,6 +57,10 @@
 	PrefillRate int64    // prompt tokens per second; prefill pools
 	LinkRate    int64    // KV tokens per second that one endpoint can send or receive
 	MaxQueue    int64    // queued requests in one cell
+
+	// Without a column of the table:
+	SwitchTime  time.Duration // an engine is out of work for so long when its role changes
+	EventTokens int64         // output tokens in one event of a stream; 0 means that answers come by tokens
 }
 
 // Endpoint is one model engine or plain service.
@@ -68,9 +72,9 @@
 	Fencing Fencing
 	State   State
 
-	// Near tells that the endpoint is in the availability zone of this host, where
-	// endpoints register themselves. It has no column.
-	Near bool
+	// Place is the availability zone of the endpoint, where Zone is a larger domain
+	// that schedules together; else it is empty.
+	Place id.Zone
 }
 
 // Route is what a caller addresses: the "model" field of a model request, or
--- a/router/internal/app/dispatch.go
+++ b/router/internal/app/dispatch.go
@@ -88,6 +88,8 @@
 		d.shells.Endpoint.Cancel(e)
 	case core.CallService:
 		d.shells.Endpoint.Call(e)
+	case core.SendOrder:
+		d.shells.Endpoint.Order(e)
 	default:
 		d.handleOwnEndpoint(e)
 	}
@@ -104,7 +106,5 @@
 		own.Resume(e)
 	case core.PollLoad:
 		own.Poll(e)
-	case core.SendOrder:
-		own.Order(e)
 	}
 }
--- a/router/internal/app/relay.go
+++ b/router/internal/app/relay.go
@@ -30,6 +30,7 @@
 	cfg.TickEvery = relayTick
 	cfg.HandOver = relayHandOver
 	cfg.LoadInterval = 0
+	cfg.Order.KeepLease = true
 	cfg.PrefillGrace = relayGrace
 	cfg.DecodeStall = relayStall
 	cfg.SuspectFor = relaySuspect
--- a/router/internal/app/shells.go
+++ b/router/internal/app/shells.go
@@ -38,6 +38,7 @@
 	Decode(e core.StartDecode)
 	Cancel(e core.CancelRun)
 	Call(e core.CallService)
+	Order(e core.SendOrder)
 }
 
 // OwnEndpointShell is an EndpointShell of the project's own protocol, which the
@@ -46,7 +47,6 @@
 	EndpointShell
 	Resume(e core.ResumeDecode)
 	Poll(e core.PollLoad)
-	Order(e core.SendOrder)
 }
 
 // PlatformShell calls the platform's store.
@@ -102,12 +102,12 @@
 	c := objectcaller.New(r, clock, log, exchanges)
 	objects := store.New(life, s.PlatformURL, clock, log, r)
 	site := deployment.Site{
-		Zone: string(s.Zone), Domain: s.SchedulingDomain(), PrefillRate: s.PrefillRate, BlockTokens: s.BlockTokens,
+		Fencing: s.Fencing(), Domain: s.SchedulingDomain(), PrefillRate: s.PrefillRate, BlockTokens: s.BlockTokens,
 	}
 	feed := store.NewFeed(objects, site, c.SetView)
 	return Shells{
 		Caller:   c,
-		Endpoint: objectendpoint.New(life, clock, log, r, exchanges),
+		Endpoint: objectendpoint.New(life, string(s.Host), clock, log, r, exchanges),
 		Platform: objects,
 		Ready:    c.ReadyHandler(),
 		SetTable: func(core.TableInstalled) {},
--- a/router/internal/settings/field.go
+++ b/router/internal/settings/field.go
@@ -61,6 +61,10 @@
 	{"platform", "url", "", "URL of the platform's object API.", setPlatform},
 	{"platform", "timeout", "2s", "Longest platform call, 10ms to 1m.", duration(
 		func(s *Settings) *time.Duration { return &s.PlatformTimeout }, 10*time.Millisecond, time.Minute)},
+	{"platform", "checks-fences", "true", "Engines refuse an order with a lower fencing number than they have seen.", func(s *Settings, text string) (err error) {
+		s.ChecksFences, err = strconv.ParseBool(text)
+		return err
+	}},
 	{"limit", "lease-groups", "64", "Lease groups per zone, 1 to 4096; the same on every host.", setLeaseGroups},
 	{"limit", "slot-rate", "20000", "Rate in tokens per second that one share slot of an account carries; the same on every host.", integer(
 		func(s *Settings) *int64 { return &s.SlotRate }, 1, maxRate)},
@@ -80,7 +84,7 @@
 	{"schedule", "domains", "-", "All domains, separated by commas; the same on every host; - is all availability zones.", setDomains},
 	{"schedule", "block-tokens", "16", "Tokens in one memory block of an engine whose platform does not state it, 1 to 65536.", integer(
 		func(s *Settings) *int64 { return &s.BlockTokens }, 1, 65536)},
-	{"schedule", "prefill-rate", "33000", "Prompt tokens per second of an engine whose platform does not state it.", integer(
+	{"schedule", "prefill-rate", "24000", "Prompt tokens per second of an engine whose platform does not state it.", integer(
 		func(s *Settings) *int64 { return &s.PrefillRate }, 1, maxRate)},
 	{"schedule", "cell-endpoints", "16", "Most endpoints in one cell, 2 to 256; the same on every host.", setCellEndpoints},
 	{"retry", "ratio", "0.2", "Repeated dispatches per request of a service, over all hosts, 0 to 1.", setRetryRatio},
--- a/router/internal/settings/settings.go
+++ b/router/internal/settings/settings.go
@@ -19,6 +19,7 @@
 	"gopkg.in/ini.v1"
 
 	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/table"
 )
 
 // ErrSettings is the base of the errors of this package.
@@ -38,6 +39,7 @@
 	ReadyAddress string  // empty: readiness is served to operators alone
 	Domain       id.Zone // empty: the availability zone
 	Domains      []id.Zone
+	ChecksFences bool // engines refuse orders with a lower fencing number
 	BlockTokens  int64
 	PrefillRate  int64 // tokens per second
 	RetryRatio   float64
@@ -317,3 +319,11 @@
 	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
 	return out, nil
 }
+
+// Fencing tells whether engines check fencing numbers.
+func (s *Settings) Fencing() table.Fencing {
+	if s.ChecksFences {
+		return table.FencingChecked
+	}
+	return table.FencingIgnored
+}
