schedule: prefer the own availability zone; leave out zones that a host cannot reach

Ruled out: the search for a scheduler; after 300 ms the asks are with one of the own side. Change: asks carry the zone of the entry host. Prefill and decode engines of that zone are preferred while they have room. When hosts of a zone fail to connect to two engines of another one within a second, its engines are left out for requests from there, for 1 s and then up to 4 s; a request that reaches no engine of a role is refused at once. Tests: TestCutPlace, TestUnreachableCell fail without the mechanism; TestOwnPlace without the preference.

--- a/fleet/core/relay.go
+++ b/fleet/core/relay.go
@@ -165,6 +165,10 @@
 		s.emit(Count{Name: MetricWastedPrefill, Account: r.account, N: r.PromptTokens})
 	}
 	r.running = ran
+	r.down = ""
+	if ev.Down {
+		r.down = ev.Endpoint
+	}
 	s.releaseAttempt(r, ev.Endpoint)
 	r.avoid = ev.Endpoint
 	r.failures++
--- a/fleet/core/request.go
+++ b/fleet/core/request.go
@@ -63,6 +63,7 @@
 	attempt  id.Attempt
 	failures int
 	avoid    id.Endpoint
+	down     id.Endpoint // could not be reached by the last attempt
 	cell     cellKey
 	host     id.Host // scheduler that was asked last
 	asked    time.Time
--- a/fleet/core/slot.go
+++ b/fleet/core/slot.go
@@ -162,6 +162,7 @@
 		Expected:     r.Expected,
 		Patience:     r.patience(),
 		Earlier:      r.earlier(),
+		Place:        s.cfg.Place,
 	})
 }
 
@@ -279,7 +280,7 @@
 	if r.host != "" && r.attempt > 0 {
 		s.send(r.host, message.SlotUpdate{
 			Request: r.Request, Attempt: r.attempt, Phase: message.PhaseCancelled,
-			Tokens: s.outputTokens(r), Failed: failed,
+			Tokens: s.outputTokens(r), Failed: failed, Down: failed != "" && failed == r.down,
 		})
 	}
 	if r.running {
--- a/fleet/message/message.go
+++ b/fleet/message/message.go
@@ -93,6 +93,7 @@
 	Expected     int64         `cbor:"14,keyasint,omitempty"` // expected output tokens; 0 is unknown
 	Patience     time.Duration `cbor:"15,keyasint,omitempty"` // longest queueing time; 0 is no bound
 	Earlier      time.Duration `cbor:"16,keyasint,omitempty"` // time that the caller had spent before the request came to its host
+	Place        id.Zone       `cbor:"17,keyasint,omitempty"` // availability zone of the entry host, where the scheduler's zone is a larger domain
 }
 
 // SlotGrant reserves both engines for one attempt.
@@ -122,6 +123,7 @@
 	Phase   Phase       `cbor:"3,keyasint"`
 	Tokens  int64       `cbor:"4,keyasint,omitempty"` // output tokens so far
 	Failed  id.Endpoint `cbor:"5,keyasint,omitempty"` // endpoint that did not answer
+	Down    bool        `cbor:"6,keyasint,omitempty"` // Failed could not be reached at all
 }
 
 // SlotHold registers a running attempt at a scheduler, which may be new.
--- a/fleet/schedule/ask.go
+++ b/fleet/schedule/ask.go
@@ -71,6 +71,7 @@
 		request:   m.Request,
 		attempt:   m.Attempt,
 		host:      from,
+		place:     m.Place,
 		account:   c.account(m.Account),
 		class:     m.Class,
 		prompt:    clampTokens(m.PromptTokens),
@@ -131,6 +132,9 @@
 	if len(c.prefills) == 0 || len(c.decodes) == 0 {
 		return ReasonNoEndpoint
 	}
+	if !c.hasReach(e, c.prefills) || !c.hasReach(e, c.decodes) {
+		return ReasonNoEndpoint
+	}
 	if !c.fits(e) {
 		return ReasonTooLarge
 	}
--- a/fleet/schedule/place.go
+++ b/fleet/schedule/place.go
@@ -66,6 +66,10 @@
 	var least time.Duration
 	why := obstaclePrefill
 	for _, ep := range c.prefills {
+		if c.isCut(e, ep) {
+			why = obstacleOther
+			continue
+		}
 		backlog := c.backlog(ep)
 		if backlog > c.cfg.MaxBacklog || ep.freeSlots() < 1 || !c.open(ep) {
 			continue
@@ -75,6 +79,9 @@
 			continue
 		}
 		score := backlog - c.affinity(ep, e)
+		if ep.Place != e.place {
+			score += placePenalty
+		}
 		if best == nil || score < least {
 			best, least = ep, score
 		}
@@ -111,7 +118,7 @@
 }
 
 // chooseDecode completes the placement with the decode endpoint that has the
-// most free slots, among those with enough memory and with a link that is free
+// most room, among those with enough memory and with a link that is free
 // while the KV cache lives.
 func (c *Cell) chooseDecode(e *entry, pl *placement) obstacle {
 	avoid := c.avoids(e, c.decodes)
@@ -122,7 +129,7 @@
 		if free < 1 || c.pinned(ep, e) || !c.open(ep) {
 			continue
 		}
-		if avoid && ep.Name == e.avoid {
+		if avoid && ep.Name == e.avoid || c.isCut(e, ep) {
 			why = obstacleOther
 			continue
 		}
@@ -150,7 +157,7 @@
 
 func (c *Cell) roomier(a, b *endpoint, e *entry) bool {
 	if c.cfg.Projected {
-		return c.peakWith(a, e) < c.peakWith(b, e)
+		return c.peakFrom(a, e) < c.peakFrom(b, e)
 	}
 	if a.freeSlots() != b.freeSlots() {
 		return a.freeSlots() > b.freeSlots()
@@ -158,6 +165,16 @@
 	return a.freeBlocks() > b.freeBlocks()
 }
 
+// peakFrom is peakWith, with an addition for an endpoint in another place than the host
+// of e. Within one place a cut breaks nothing off, and the transfer takes half the time.
+func (c *Cell) peakFrom(ep *endpoint, e *entry) int64 {
+	peak := c.peakWith(ep, e)
+	if ep.Place != e.place {
+		peak += ep.Blocks * ep.BlockTokens / placeShare
+	}
+	return peak
+}
+
 func (c *Cell) pinned(ep *endpoint, e *entry) bool {
 	return c.pin.endpoint == ep && c.pin.entry != e
 }
--- /dev/null
+++ b/fleet/schedule/reach_test.go
@@ -0,0 +1,123 @@
+package schedule_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/message"
+	"ragwortshunt.example/fleet/schedule"
+)
+
+func placeOf(name id.Endpoint) id.Zone {
+	for _, ep := range engines(6, 12) {
+		if ep.Name == name {
+			return ep.Place
+		}
+	}
+	return ""
+}
+
+func placedAsk(n int, place id.Zone) message.SlotAsk {
+	return memoryAsk(0, func(m *message.SlotAsk) {
+		m.Request = id.Request(fmt.Sprintf("%s-%d", place, n))
+		m.Place = place
+	})
+}
+
+// fail tells the cell that the host of a granted request could not reach an endpoint.
+func fail(c *schedule.Cell, now time.Duration, g message.SlotGrant, failed id.Endpoint) {
+	schedule.HandleUpdate(c, at(now), "h", message.SlotUpdate{
+		Request: g.Request, Attempt: g.Attempt, Phase: message.PhaseCancelled, Failed: failed, Down: true,
+	})
+}
+
+// askGrant asks for a request and returns its grant.
+func askGrant(t *testing.T, c *schedule.Cell, now time.Duration, m message.SlotAsk) message.SlotGrant {
+	t.Helper()
+	acts := schedule.HandleAsk(c, at(now), "h", m)
+	got := grants(acts)
+	assert.Equal(t, len(got), 1, "%+v", acts)
+	return got[0]
+}
+
+// cutPlaces has hosts in place a fail to reach two engines in each other place.
+func cutPlaces(t *testing.T, c *schedule.Cell, now time.Duration) {
+	for i, ep := range []id.Endpoint{"e07", "e10", "e08", "e11"} {
+		g := askGrant(t, c, now, placedAsk(1000+i, "a"))
+		fail(c, now, g, ep)
+	}
+}
+
+// TestCutPlace guards against requests that try the engines of a place which is cut off
+// from their host, one after the other, until their callers have gone.
+func TestCutPlace(t *testing.T) {
+	c := balanceCell(6, 12)
+	cutPlaces(t, c, time.Second)
+	served := 0
+	for i := range 60 { // more than the engines of place a take at once
+		for _, g := range grants(schedule.HandleAsk(c, at(1100*time.Millisecond), "h", placedAsk(i, "a"))) {
+			assert.Equal(t, placeOf(g.Prefill), id.Zone("a"), "%+v", g)
+			assert.Equal(t, placeOf(g.Decode), id.Zone("a"), "%+v", g)
+			schedule.HandleUpdate(c, at(1100*time.Millisecond), "h", message.SlotUpdate{
+				Request: g.Request, Attempt: 1, Phase: message.PhaseDecode,
+			})
+			served++
+		}
+	}
+	assert.Assert(t, served >= 10, "%d served", served)
+}
+
+// TestCutPlaceServesItsOwn guards against engines that get no work from the hosts of
+// their own place because the hosts of others cannot reach them.
+func TestCutPlaceServesItsOwn(t *testing.T) {
+	c := balanceCell(6, 12)
+	cutPlaces(t, c, time.Second)
+	g := askGrant(t, c, 1700*time.Millisecond, placedAsk(1, "b"))
+	assert.Equal(t, placeOf(g.Prefill), id.Zone("b"))
+	assert.Equal(t, placeOf(g.Decode), id.Zone("b"))
+}
+
+// TestHealedPlace guards against a place that stays out of use after a cut.
+func TestHealedPlace(t *testing.T) {
+	c := balanceCell(6, 12)
+	cutPlaces(t, c, time.Second)
+	used := make(map[id.Zone]bool)
+	for i := range 18 {
+		g := askGrant(t, c, 7*time.Second, placedAsk(i, "a"))
+		used[placeOf(g.Decode)] = true
+		schedule.HandleUpdate(c, at(7*time.Second), "h", message.SlotUpdate{Request: g.Request, Attempt: 1, Phase: message.PhaseDecode})
+	}
+	assert.Equal(t, len(used), 3, "%v", used)
+}
+
+// TestUnreachableCell guards against a request that waits although its host reaches
+// none of the engines that read prompts.
+func TestUnreachableCell(t *testing.T) {
+	eps := engines(2, 7) // prefill in places a and b only
+	c := schedule.New(projectedConfig(), "m", at(0), false)
+	schedule.SetEndpoints(c, at(0), append(eps[1:2:2], append(eps[2:], engines(5, 0)[4:]...)...))
+	for i, ep := range []id.Endpoint{"e01", "e04"} {
+		g := askGrant(t, c, time.Second, placedAsk(1000+i, "c"))
+		fail(c, time.Second, g, ep)
+	}
+	acts := schedule.HandleAsk(c, at(1100*time.Millisecond), "h", placedAsk(1, "c"))
+	got := refusals(acts)
+	assert.Equal(t, len(got), 1, "%+v", acts)
+	assert.Equal(t, got[0].Reason, schedule.ReasonNoEndpoint)
+	assert.Assert(t, got[0].Retry > 0)
+}
+
+// TestOwnPlace guards against runs in another place than their host while the own one
+// has room: a cut between the two would break them off.
+func TestOwnPlace(t *testing.T) {
+	c := balanceCell(6, 12)
+	for i, place := range []id.Zone{"c", "a", "b"} {
+		g := askGrant(t, c, time.Second, placedAsk(i, place))
+		assert.Equal(t, placeOf(g.Prefill), place)
+		assert.Equal(t, placeOf(g.Decode), place)
+	}
+}
--- a/fleet/schedule/run.go
+++ b/fleet/schedule/run.go
@@ -12,10 +12,13 @@
 // HandleUpdate notes the progress of an attempt.
 func HandleUpdate(c *Cell, now time.Time, _ id.Host, m message.SlotUpdate) []Action {
 	c.advance(now)
+	e, ok := c.entries[m.Request]
 	if m.Failed != "" && !c.ended.covers(m.Request, m.Attempt) {
 		c.failed(m.Failed)
+		if ok && m.Down {
+			c.outOfReach(e.place, c.endpoints[m.Failed])
+		}
 	}
-	e, ok := c.entries[m.Request]
 	if ok && e.attempt > m.Attempt {
 		return nil
 	}
@@ -63,6 +66,7 @@
 	if phase == message.PhaseDone {
 		works(e.prefill, e)
 		works(e.decode, e)
+		c.reached(e.place, e.decode)
 		c.measureTokenTime(e)
 	}
 	c.refund(e, c.used(e))
@@ -116,6 +120,7 @@
 		return
 	}
 	works(p, e)
+	c.reached(e.place, p)
 	c.measurePrefill(e)
 	if e.prefix != 0 && e.own {
 		p.cache.add(e.prefix, c.cfg.CachedPrefixes)
--- a/fleet/schedule/schedule.go
+++ b/fleet/schedule/schedule.go
@@ -92,6 +92,7 @@
 	projections []projection  // scratch space of peakWith
 	tokenTime   time.Duration // between two output tokens of a run, as measured
 	lostAt      time.Duration // an endpoint left the usable ones
+	reach       map[path]*reach
 	means       means
 }
 
@@ -109,6 +110,7 @@
 		ended:     newEndedLog(),
 		tokenTime: cfg.TokenTime,
 		lostAt:    -lossSettle,
+		reach:     make(map[path]*reach),
 	}
 	if rebuild {
 		c.rebuildUntil = cfg.RebuildTime
