--- a/fleet/schedule/ask.go
+++ b/fleet/schedule/ask.go
@@ -33,7 +33,7 @@
 	if c.cfg.Policy.Placement != PlacementReserve {
 		return append(acts, c.grantBlind(e))
 	}
-	if c.hopeless(e) || c.outlasts(e) || c.latecomer(e) {
+	if c.hopeless(e) || c.outlasts(e) {
 		return append(acts, c.refuse(e, ReasonTooLate))
 	}
 	acts, ok := c.makeRoom(acts, e)
@@ -173,14 +173,6 @@
 	return c.now+c.queueWait(true) > e.limit(c)
 }
 
-// latecomer tells whether e is turned away because it is late and requests that can be
-// on time lack room. It answers bursts: a late run would hold memory for seconds in
-// which others miss their targets, and its caller is served as well after the burst.
-// Further attempts are not turned away, because their answers may have begun.
-func (c *Cell) latecomer(e *entry) bool {
-	return c.cfg.LateHold > 0 && e.canWait && e.attempt == 1 && e.latest < c.now && c.now-c.shortAt < c.cfg.LateHold
-}
-
 // refuseUnplaceable refuses queued requests after a loss of endpoints.
 func (c *Cell) refuseUnplaceable(acts []Action) []Action {
 	var lost []*entry
@@ -225,7 +217,7 @@
 			acts = append(acts, c.refuse(e, ReasonWaitLimit))
 			continue
 		}
-		if c.latecomer(e) || !e.canWait && c.classIndex(e.class) != deferrable {
+		if !e.canWait && c.classIndex(e.class) != deferrable {
 			acts = append(acts, c.refuse(e, ReasonTooLate))
 			continue
 		}
--- a/fleet/schedule/config.go
+++ b/fleet/schedule/config.go
@@ -51,8 +51,6 @@
 	Projected     bool  // place decode runs by the memory that they are expected to need
 	MemoryPercent int64 // part of an endpoint's memory that expected needs may fill
 
-	LateHold time.Duration // late requests are refused for so long after one that could be on time found no room; 0 is off
-
 	MaxQueue          int           // requests
 	ScanLimit         int           // queue heads that one round of grants passes over
 	ScanLane          int           // requests of one lane that are tried when memory is short
--- a/fleet/schedule/grant.go
+++ b/fleet/schedule/grant.go
@@ -48,9 +48,6 @@
 
 // pass notes why e gets no grant in this round.
 func (c *Cell) pass(r *round, e *entry, why obstacle) {
-	if e.lane.flow.class == interactive && (why == obstacleMemory || why == obstacleSlot) {
-		c.shortAt = c.now
-	}
 	switch {
 	case why == obstacleLarge:
 		r.noLarge = true
--- a/fleet/schedule/schedule.go
+++ b/fleet/schedule/schedule.go
@@ -93,7 +93,6 @@
 	tokenTime   time.Duration // between two output tokens of a run, as measured
 	lostAt      time.Duration // an endpoint left the usable ones
 	reach       map[path]*reach
-	shortAt     time.Duration // a request that could still be on time found no decode engine with room
 	means       means
 }
 
@@ -111,7 +110,6 @@
 		ended:     newEndedLog(),
 		tokenTime: cfg.TokenTime,
 		lostAt:    -lossSettle,
-		shortAt:   -cfg.LateHold,
 		reach:     make(map[path]*reach),
 	}
 	if rebuild {
--- a/router/internal/app/relay.go
+++ b/router/internal/app/relay.go
@@ -19,7 +19,6 @@
 	relayKVLife   = 500 * time.Millisecond
 	// relayTokenTime is the time between two output tokens of the platform's engines.
 	relayTokenTime = 4500 * time.Microsecond
-	relayLateHold  = 700 * time.Millisecond
 	relayRetry     = 2500 * time.Millisecond // bursts last for some seconds, and callers come back once
 	relayScan      = 24                      // queued requests that one round of grants tries; each is tried on all engines of a large cell
 	relayMemory    = 97                      // percent of an engine's memory that expected needs may fill
@@ -40,7 +39,6 @@
 	cfg.Schedule.Projected = true
 	cfg.Schedule.MemoryPercent = relayMemory
 	cfg.Schedule.TokenTime = relayTokenTime
-	cfg.Schedule.LateHold = relayLateHold
 	cfg.Schedule.DeferrableShare = 0 // late requests go last; they are refused before their callers give up
 	cfg.Schedule.ScanLimit = relayScan
 	cfg.Schedule.ScanLane = relayScan / 2
