message: updates of attempts come before asks in a batch

A batch was handled kind by kind with asks before updates; the ask of the next attempt ended the one before, and its failure was then taken for old news. Ruled out: that back-offs of engines end early. Change: updates first. Holds still come before them. Test: TestFailureBeforeAsk fails without it.

--- a/fleet/core/overtake_test.go
+++ b/fleet/core/overtake_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -94,3 +95,39 @@
 		assert.Assert(t, !ok || cancel.Attempt != 2, "cancelled: %v", cancel)
 	}
 }
+
+// TestFailureBeforeAsk guards against a scheduler that places requests on an engine whose
+// failure came in one batch with the next ask, and was taken for old news after it.
+func TestFailureBeforeAsk(t *testing.T) {
+	h := newRelayHost(t)
+	h.reduce(core.HostsListed{Hosts: []object.Host{
+		{Host: "h1", Zone: relayDomain, Address: "127.0.0.1:1"}, {Host: "h2", Zone: relayDomain, Address: "127.0.0.1:2"},
+	}})
+	hear := func(m message.Message) []core.Effect {
+		return h.reduce(core.PeerMessage{From: "h2", Incarnation: 1, Message: m})
+	}
+	ask := func(req id.Request, attempt id.Attempt) message.SlotAsk {
+		return message.SlotAsk{
+			Request: req, Attempt: attempt, Account: "a", Model: "m", Class: message.ClassInteractive,
+			PromptTokens: 100, OutputTokens: 100, FirstToken: relayQueueTime, CanWait: true,
+		}
+	}
+	granted := func(effects []core.Effect) message.SlotGrant {
+		return find(t, effects, core.SendPeer{}).(core.SendPeer).Message.(message.SlotGrant)
+	}
+	failed := granted(hear(ask("r1", 1))).Decode
+	var batch message.Envelope
+	batch.Add(message.SlotUpdate{Request: "r1", Attempt: 1, Phase: message.PhaseCancelled, Failed: failed, Down: true})
+	batch.Add(ask("r1", 2))
+	for _, m := range batch.Messages() {
+		hear(m)
+	}
+	hear(message.SlotUpdate{Request: "r1", Attempt: 2, Phase: message.PhaseCancelled})
+	for i := range 4 {
+		h.pass(100 * time.Millisecond)
+		req := id.Request(fmt.Sprintf("s%d", i))
+		g := granted(hear(ask(req, 1)))
+		assert.Assert(t, g.Decode != failed, "%s is granted again", failed)
+		hear(message.SlotUpdate{Request: req, Attempt: 1, Phase: message.PhaseCancelled})
+	}
+}
--- a/fleet/message/envelope.go
+++ b/fleet/message/envelope.go
@@ -62,7 +62,8 @@
 }
 
 // Messages returns the messages of the batch, kind by kind. Holds come before
-// updates, so that a new scheduler learns of an attempt before it ends.
+// updates, so that a new scheduler learns of an attempt before it ends, and updates
+// before asks, so that it learns why an attempt has failed before it places the next.
 func (e *Envelope) Messages() []Message {
 	var out []Message
 	for _, m := range e.Heartbeats {
@@ -80,10 +81,10 @@
 	for _, m := range e.SlotHolds {
 		out = append(out, m)
 	}
-	for _, m := range e.SlotAsks {
+	for _, m := range e.SlotUpdates {
 		out = append(out, m)
 	}
-	for _, m := range e.SlotUpdates {
+	for _, m := range e.SlotAsks {
 		out = append(out, m)
 	}
 	for _, m := range e.SlotGrants {
