core: refuse calls at once that reach no endpoint of their service

Change: an endpoint that a call could not connect to is left out for 1 s; a request that none is left for is refused at once, with a time to come back. An endpoint's own answer is passed on if no other endpoint is left to repeat the call. Test: TestUnreachableService fails without it.

--- a/fleet/core/pick.go
+++ b/fleet/core/pick.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,10 +24,14 @@
 	spreadShare  = 4                    // expected times that differ by less than one part of so many are alike
 	paceForget   = 5 * time.Second      // without a call an endpoint is tried as if it were new
 	spreadPieces = 1024
+	// downTime is how long an endpoint that could not be reached is taken for
+	// unreachable. Callers of plain services wait little longer.
+	downTime = time.Second
 )
 
 // pace is what this host has seen of an endpoint's calls.
 type pace struct {
+	down     time.Time // a call has not reached the endpoint; zero once one has been answered
 	mean     time.Duration
 	failures float64 // share
 	last     time.Time
@@ -36,7 +41,7 @@
 func (s *step) notePace(ep id.Endpoint, took time.Duration, failed bool) {
 	p, ok := s.paces[ep]
 	if !ok || s.now.Sub(p.last) > paceForget {
-		p = pace{mean: took}
+		p = pace{mean: took, down: p.down}
 	}
 	p.mean = time.Duration(paceKeep*float64(p.mean) + (1-paceKeep)*float64(took))
 	share := 0.0
@@ -62,3 +67,22 @@
 	piece := xxhash.Sum64String(string(r.Request)+string(ep.Name)) % spreadPieces
 	return time.Duration(expected * (1 + float64(piece)/spreadPieces/spreadShare))
 }
+
+// noteReach notes whether a call has reached its endpoint.
+func (s *step) noteReach(ep id.Endpoint, down bool) {
+	p := s.paces[ep]
+	p.down = time.Time{}
+	if down {
+		p.down = s.now
+	}
+	s.paces[ep] = p
+}
+
+// reachable leaves out the endpoints that could not be reached a moment ago. A request
+// that none is left for is refused at once: it would wait for the same failure.
+func (s *step) reachable(eps []table.Endpoint) []table.Endpoint {
+	return slices.DeleteFunc(eps, func(ep table.Endpoint) bool {
+		down := s.paces[ep.Name].down
+		return !down.IsZero() && s.now.Sub(down) < downTime
+	})
+}
--- a/fleet/core/relay.go
+++ b/fleet/core/relay.go
@@ -149,6 +149,9 @@
 		r.runs++
 	}
 	again := ev.NotRun || r.route.Idempotent
+	if _, ok := s.chooseService(r); !ok {
+		again = false
+	}
 	if again && s.mayRepeat(r, !ev.NotRun) {
 		s.emit(Count{Name: MetricRetried, Account: r.account, Code: ev.Code, N: 1})
 		s.callService(r)
--- a/fleet/core/relay_test.go
+++ b/fleet/core/relay_test.go
@@ -353,3 +353,23 @@
 	}
 	assert.Assert(t, count["s1"] > 40 && count["s2"] > 40, "%v", count)
 }
+
+// TestUnreachableService guards against calls that wait for endpoints which the host has
+// just failed to reach, against endpoints that are not tried again, and against an
+// endpoint's own answer that is replaced because no other endpoint is left.
+func TestUnreachableService(t *testing.T) {
+	h := newRelayHost(t)
+	c := find(t, h.arrive("r1", "unsafe"), core.CallService{}).(core.CallService)
+	down := core.RunFailed{Request: "r1", Attempt: c.Attempt, Endpoint: c.Endpoint, Code: "unreachable", NotRun: true, Down: true}
+	c = find(t, h.reduce(down), core.CallService{}).(core.CallService)
+	down.Attempt, down.Endpoint = c.Attempt, c.Endpoint
+	assert.Assert(t, find(t, h.reduce(down), core.Refuse{}).(core.Refuse).NotRun)
+	refused := find(t, h.arrive("r2", "unsafe"), core.Refuse{}).(core.Refuse)
+	assert.Assert(t, refused.NotRun && refused.RetryAfter > 0)
+	h.pass(1500 * time.Millisecond)
+	c = find(t, h.arrive("r3", "safe"), core.CallService{}).(core.CallService)
+	other := core.RunFailed{Request: "r3", Attempt: c.Attempt, Endpoint: c.Endpoint, Code: "unreachable", NotRun: true, Down: true}
+	c = find(t, h.reduce(other), core.CallService{}).(core.CallService)
+	out := h.reduce(core.RunFailed{Request: "r3", Attempt: c.Attempt, Endpoint: c.Endpoint, Code: "500", Answered: true})
+	assert.Assert(t, has(out, core.Reply{}) && !has(out, core.Refuse{}), "%+v", out)
+}
--- a/fleet/core/service.go
+++ b/fleet/core/service.go
@@ -114,6 +114,9 @@
 			eps = append(eps, ep)
 		}
 	}
+	if r.relayed {
+		eps = s.reachable(eps)
+	}
 	sort.Slice(eps, func(i, j int) bool { return s.serviceBefore(r, eps[i], eps[j]) })
 	if len(eps) == 0 {
 		return table.Endpoint{}, false
@@ -149,6 +152,7 @@
 	}
 	s.endCall(r)
 	s.notePace(r.decode, s.now.Sub(r.called), false)
+	s.noteReach(r.decode, false)
 	r.note(s.now, "reply %d", ev.Status)
 	s.settleClaim(r, message.ClaimDone, ev.Outcome)
 	if !r.gone {
@@ -171,6 +175,7 @@
 func (s *step) serviceFailed(r *request, ev RunFailed) {
 	s.endCall(r)
 	s.notePace(ev.Endpoint, s.now.Sub(r.called), true)
+	s.noteReach(ev.Endpoint, ev.Down)
 	r.note(s.now, "call failed on %s: %s (not-run %t)", ev.Endpoint, ev.Code, ev.NotRun)
 	if !ev.Answered {
 		s.avoid[ev.Endpoint] = s.now.Add(avoidFailed)
