core: a leaving host goes on serving plain calls

Callers keep their open connections; 500 log lines of calls refused as host-leaving with a Retry-After of 1 s, against a target of 150 ms, so that taps are late throughout the roll. Ruled out: restarts of the scheduler; generations wait 8 ms in the median meanwhile. Generations, which may last longer than the shutdown, are refused as before, but are told to go to another host at once. Test: TestLeavingHost fails without it.

--- a/fleet/core/relay.go
+++ b/fleet/core/relay.go
@@ -31,6 +31,8 @@
 	// schedulerAnswer is the time in which a scheduler answers or acknowledges an ask.
 	// Hosts whose processor time is rationed stand still for up to 100 ms.
 	schedulerAnswer = 300 * time.Millisecond
+	// leavingRetry is told to callers of a host that is leaving: other hosts are ready.
+	leavingRetry = 20 * time.Millisecond
 	// relayTries bounds the endpoints that may turn one request down before it is
 	// refused.
 	relayTries = 4
@@ -81,6 +83,17 @@
 	return max(r.route.Timeout-r.Timeout, 0)
 }
 
+// servesLeaving tells whether a host that is leaving still takes the request. Callers
+// go on using their open connections, and a call of a plain service ends long before
+// the shutdown does. A generation might not.
+func (s *step) servesLeaving(r *request) bool {
+	if !r.relayed || s.snapshot() == nil {
+		return false
+	}
+	route, ok := s.snapshot().Routes[r.Route]
+	return ok && route.Model == ""
+}
+
 // setDeadline bounds the request by the caller's time and by its route's.
 func (s *step) setDeadline(r *request) {
 	bound := r.Timeout
--- a/fleet/core/relay_test.go
+++ b/fleet/core/relay_test.go
@@ -373,3 +373,17 @@
 	out := h.reduce(core.RunFailed{Request: "r3", Attempt: c.Attempt, Endpoint: c.Endpoint, Code: "500", Answered: true})
 	assert.Assert(t, has(out, core.Reply{}) && !has(out, core.Refuse{}), "%+v", out)
 }
+
+// TestLeavingHost guards against calls that a host refuses on open connections while it
+// has seconds left, and against callers that are told to wait although other hosts are
+// ready.
+func TestLeavingHost(t *testing.T) {
+	h := newRelayHost(t)
+	h.reduce(core.DrainRequested{})
+	c := find(t, h.arrive("r1", "unsafe"), core.CallService{}).(core.CallService)
+	assert.Assert(t, !has(h.pass(200*time.Millisecond), core.Stopped{}))
+	assert.Assert(t, has(h.reduce(core.ServiceDone{Request: "r1", Attempt: c.Attempt, Status: 200}), core.Reply{}))
+	refused := find(t, h.arrive("r2", "once"), core.Refuse{}).(core.Refuse)
+	assert.Assert(t, refused.NotRun && refused.RetryAfter > 0 && refused.RetryAfter <= 100*time.Millisecond, "%+v", refused)
+	assert.Assert(t, has(h.pass(5*time.Second), core.Stopped{}))
+}
--- a/fleet/core/request.go
+++ b/fleet/core/request.go
@@ -137,7 +137,7 @@
 	s.requests[ev.Request] = r
 	r.note(s.now, "arrived for route %s, prompt %d, output limit %d", ev.Route, ev.PromptTokens, ev.MaxTokens)
 	if code, text := s.inadmissible(r); code != "" {
-		s.refuse(r, code, text, retryAfter(code))
+		s.refuse(r, code, text, s.retryAfter(code))
 		return
 	}
 	s.setDeadline(r)
@@ -154,7 +154,10 @@
 
 // retryAfter returns when a request that was refused on arrival may be sent
 // again, or 0 if that does not help.
-func retryAfter(code string) time.Duration {
+func (s *step) retryAfter(code string) time.Duration {
+	if code == CodeLeaving && s.cfg.Relay {
+		return leavingRetry
+	}
 	switch code {
 	case CodeLeaving, CodeNoTable, CodeStaleTable:
 		return time.Second
@@ -167,7 +170,7 @@
 // request, or an empty code.
 func (s *step) inadmissible(r *request) (code, text string) {
 	snap := s.snapshot()
-	if s.draining {
+	if s.draining && !s.servesLeaving(r) {
 		return CodeLeaving, "this host is leaving"
 	}
 	if snap == nil {
