core: hosts that start together leave watching to the watchers

Ruled out: retries in the outage (268 calls), renewals of leases. Change: for the first 1.5 s a host follows its peers, and for 1.8 s more it gives the watchers time to speak up. The host list is read each 500 ms in place of 300 ms meanwhile.

--- a/fleet/core/follow.go
+++ b/fleet/core/follow.go
@@ -48,6 +48,8 @@
 	s.table.followAt = s.now
 	want := FollowSelf
 	switch {
+	case s.starting():
+		want = FollowPeers // the sources have just been read, and the watchers are not yet known
 	case s.watchesPlatform():
 		want = FollowBrisk
 	case s.isFed():
@@ -72,8 +74,12 @@
 }
 
 // isFed tells whether a watcher passes on what it reads. When all watchers have lost
-// contact, the next ones have time to take over.
+// contact, the next ones have time to take over. Hosts that start together give the
+// watchers the same time: a watch on each of them would cost two calls for each host.
 func (s *step) isFed() bool {
+	if s.now.Sub(s.started) < s.cfg.StartWait+fedTimeout {
+		return true
+	}
 	for _, w := range s.table.fed {
 		if s.now.Sub(w.heard) < fedTimeout {
 			return true
--- a/fleet/core/tick.go
+++ b/fleet/core/tick.go
@@ -20,7 +20,7 @@
 const hostsPerPeer = 20 * time.Millisecond
 
 // startHostsInterval is the time between two readings while many hosts start.
-const startHostsInterval = 300 * time.Millisecond
+const startHostsInterval = 500 * time.Millisecond
 
 // requestInterval is the time between two passes over the running requests. The
 // times that a pass checks are 500 ms and more.
