schedule: no balance from requests without output

Found when the change was read again: a mean output of 0 makes the decode rate infinite, and decode engines would change their role one by one. TestNoOutput fails without the guard.

--- a/fleet/schedule/balance.go
+++ b/fleet/schedule/balance.go
@@ -129,7 +129,7 @@
 	if !c.cfg.Projected || c.means.samples < balanceSamples || c.rebuilding() || c.capacity.prefillRate <= 0 {
 		return 0
 	}
-	if len(c.prefills) == 0 || len(c.decodes) == 0 {
+	if len(c.prefills) == 0 || len(c.decodes) == 0 || c.means.prompt < 1 || c.means.output < 1 {
 		return 0
 	}
 	surplus := len(c.prefills) - c.wantedPrefills()
--- a/fleet/schedule/balance_test.go
+++ b/fleet/schedule/balance_test.go
@@ -125,3 +125,10 @@
 	got := settled(c, play(c, 0, promptOne, outputMean))
 	assert.Assert(t, len(got) <= len(want)+1, "%d changes in place of %d", len(got), len(want))
 }
+
+// TestNoOutput guards against engines that all change their role because requests
+// without output seem to need no decode engine.
+func TestNoOutput(t *testing.T) {
+	c := balanceCell(4, 8)
+	assert.Equal(t, len(settled(c, play(c, 0, promptOne, 0))), 0)
+}
