--- a/fleet/core/follow_test.go
+++ b/fleet/core/follow_test.go
@@ -178,3 +178,45 @@
 	f.reduce(watcher, core.PlatformChanged{Source: core.SourceEndpoints, Since: 5, Revision: 7, Changes: changes})
 	assert.Equal(t, len(f.last), 0, "a change was applied twice")
 }
+
+// TestPassedBytes guards against watchers whose links are busy for seconds because they
+// pass a whole configuration on to each host: what follows, such as an endpoint that
+// leaves, is then known too late. The load is five versions in quick succession; the
+// bound is what a link of 10 Mbit/s carries in the 2 s after which a version must be in
+// force.
+func TestPassedBytes(t *testing.T) {
+	const (
+		hosts       = 77
+		configBytes = 18_000 // 54 routes and 16 client accounts
+		versions    = 5
+		linkBytes   = 10_000_000 / 8 * 2
+	)
+	f := newFollowers(t, hosts)
+	var watcher id.Host
+	for name := range f.watchers() {
+		watcher = name
+	}
+	sent := 0
+	for n := range uint64(versions) {
+		changes := []message.PlatformChange{{Name: "main", Version: 7 + n, Spec: make([]byte, configBytes)}}
+		ev := core.PlatformChanged{Source: core.SourceConfig, Since: 6 + n, Revision: 7 + n, Changes: changes}
+		for _, e := range core.Reduce(f.hosts[watcher], core.Input{Now: f.now, Wall: f.now, Event: ev}) {
+			if m, ok := e.(core.SendPeer); ok {
+				sent += passedBytes(m.Message)
+			}
+		}
+	}
+	assert.Assert(t, sent <= linkBytes, "%d bytes", sent)
+}
+
+func passedBytes(m message.Message) int {
+	give, ok := m.(message.PlatformGive)
+	if !ok {
+		return 0
+	}
+	n := 0
+	for _, c := range give.Changes {
+		n += len(c.Spec)
+	}
+	return n
+}
