schedule: a request avoids its failed endpoint only while another one takes work

Their logs: engine-c-4 had failed them, engine-c-3 is backed off for up to 30 s and stalls at each trial, and the request asks every 500 ms for 38 s. Ruled out: the scheduler after its pause; it grants other requests on engine-c-4 meanwhile. Change: the failed endpoint is avoided only if another one of its role takes work and can be reached. Also: the field Place is now AZ, the usual term. Test: TestAvoidedEndpointIsBetterThanNone fails without it.

--- a/fleet/core/cell.go
+++ b/fleet/core/cell.go
@@ -141,7 +141,7 @@
 
 func cellEndpoint(ep table.Endpoint, pool table.Pool) schedule.Endpoint {
 	return schedule.Endpoint{
-		Name: ep.Name, Place: ep.Place, Role: pool.Role, Slots: pool.Slots, Blocks: pool.Blocks,
+		Name: ep.Name, AZ: ep.AZ, Role: pool.Role, Slots: pool.Slots, Blocks: pool.Blocks,
 		BlockTokens: pool.BlockTokens, PrefillRate: pool.PrefillRate, LinkRate: pool.LinkRate,
 		Leaving: ep.State == table.StateLeaving,
 	}
--- a/fleet/core/core.go
+++ b/fleet/core/core.go
@@ -35,7 +35,7 @@
 	Address     string // ip:port at which other hosts reach this one
 	Zone        id.Zone
 	Zones       []id.Zone // all zones, sorted; the same on every host
-	Place       id.Zone   // availability zone of the host, where Zone is a larger domain
+	AZ          id.Zone   // availability zone of the host, where Zone is a larger domain
 
 	Relay     bool          // requests and configuration come in the platform's own protocol; see relay.go
 	TickEvery time.Duration // between two Ticks
--- a/fleet/core/pick.go
+++ b/fleet/core/pick.go
@@ -60,7 +60,7 @@
 	if p, ok := s.paces[ep.Name]; ok && s.now.Sub(p.last) <= paceForget {
 		mean, failures = paceLeast+p.mean, p.failures
 	}
-	if ep.Place != s.cfg.Place {
+	if ep.AZ != s.cfg.AZ {
 		mean += farPenalty
 	}
 	expected := float64(mean) * float64(1+s.calls[ep.Name]) * (1 + failureCost*failures)
--- a/fleet/core/slot.go
+++ b/fleet/core/slot.go
@@ -162,7 +162,7 @@
 		Expected:     r.Expected,
 		Patience:     r.patience(),
 		Earlier:      r.earlier(),
-		Place:        s.cfg.Place,
+		AZ:           s.cfg.AZ,
 	})
 }
 
--- a/fleet/message/message.go
+++ b/fleet/message/message.go
@@ -93,7 +93,7 @@
 	Expected     int64         `cbor:"14,keyasint,omitempty"` // expected output tokens; 0 is unknown
 	Patience     time.Duration `cbor:"15,keyasint,omitempty"` // longest queueing time; 0 is no bound
 	Earlier      time.Duration `cbor:"16,keyasint,omitempty"` // time that the caller had spent before the request came to its host
-	Place        id.Zone       `cbor:"17,keyasint,omitempty"` // availability zone of the entry host, where the scheduler's zone is a larger domain
+	AZ           id.Zone       `cbor:"17,keyasint,omitempty"` // availability zone of the entry host, where the scheduler's zone is a larger domain
 }
 
 // SlotGrant reserves both engines for one attempt.
--- a/fleet/schedule/ask.go
+++ b/fleet/schedule/ask.go
@@ -71,7 +71,7 @@
 		request:   m.Request,
 		attempt:   m.Attempt,
 		host:      from,
-		place:     m.Place,
+		az:        m.AZ,
 		account:   c.account(m.Account),
 		class:     m.Class,
 		prompt:    clampTokens(m.PromptTokens),
--- a/fleet/schedule/balance.go
+++ b/fleet/schedule/balance.go
@@ -141,13 +141,13 @@
 }
 
 // changes returns changes of n of the endpoints. Those come first that are in the
-// places with the most prefill engines if they are to decode, else with the fewest: a
-// place that is cut off must go on with its own. Among these the endpoints with the
+// zones with the most prefill engines if they are to decode, else with the fewest: a
+// zone that is cut off must go on with its own. Among these the endpoints with the
 // least work come first.
 func (c *Cell) changes(eps []*endpoint, n int, role table.Role) []RoleChange {
 	prefills := make(map[id.Zone]int)
 	for _, ep := range c.prefills {
-		prefills[ep.Place]++
+		prefills[ep.AZ]++
 	}
 	step := -1
 	if role == table.RolePrefill {
@@ -157,10 +157,10 @@
 	var out []RoleChange
 	for len(out) < n && len(left) > 0 {
 		slices.SortStableFunc(left, func(a, b *endpoint) int {
-			return cmp.Or(step*cmp.Compare(prefills[a.Place], prefills[b.Place]), cmp.Compare(a.slots, b.slots))
+			return cmp.Or(step*cmp.Compare(prefills[a.AZ], prefills[b.AZ]), cmp.Compare(a.slots, b.slots))
 		})
 		out = append(out, RoleChange{Endpoint: left[0].Name, Role: role})
-		prefills[left[0].Place] += step
+		prefills[left[0].AZ] += step
 		left = left[1:]
 	}
 	return out
--- a/fleet/schedule/balance_test.go
+++ b/fleet/schedule/balance_test.go
@@ -19,12 +19,12 @@
 // prefillSpeed is the prompt tokens per second that the engines of balanceCell read.
 const prefillSpeed = 24_000
 
-// engines returns engines of the size that large deployments have, dealt out over three places.
+// engines returns engines of the size that large deployments have, dealt out over three zones.
 func engines(prefills, decodes int) []schedule.Endpoint {
 	var eps []schedule.Endpoint
 	for i := range prefills + decodes {
 		ep := schedule.Endpoint{
-			Name: id.Endpoint(fmt.Sprintf("e%02d", i)), Place: id.Zone(rune('a' + i%3)), Role: table.RoleDecode,
+			Name: id.Endpoint(fmt.Sprintf("e%02d", i)), AZ: id.Zone(rune('a' + i%3)), Role: table.RoleDecode,
 			Slots: 12, Blocks: grownCacheTokens / pieceTokens, BlockTokens: pieceTokens, LinkRate: 1_000_000,
 		}
 		if i < prefills {
@@ -69,7 +69,7 @@
 
 // TestSurplusPrefills guards against prefill engines that are idle while the memory of
 // the decode engines is full in every burst, against a cell that keeps too few of
-// them, and against a place that is left without one.
+// them, and against a zone that is left without one.
 func TestSurplusPrefills(t *testing.T) {
 	c := balanceCell(20, 36)
 	changes := settled(c, play(c, 0, promptOne, outputMean))
@@ -79,7 +79,7 @@
 		assert.Equal(t, change.Role, table.RoleDecode)
 		for _, ep := range engines(20, 36) {
 			if ep.Name == change.Endpoint {
-				left[ep.Place]--
+				left[ep.AZ]--
 			}
 		}
 	}
--- a/fleet/schedule/endpoint.go
+++ b/fleet/schedule/endpoint.go
@@ -12,7 +12,7 @@
 // Endpoint is one prefill or decode endpoint. The units are those of table.Pool.
 type Endpoint struct {
 	Name        id.Endpoint
-	Place       id.Zone // availability zone, if the cell spans several
+	AZ          id.Zone // availability zone, if the cell spans several
 	Role        table.Role
 	Slots       int64
 	Blocks      int64
--- a/fleet/schedule/entry.go
+++ b/fleet/schedule/entry.go
@@ -25,7 +25,7 @@
 	request id.Request
 	attempt id.Attempt
 	host    id.Host
-	place   id.Zone  // of the host, if the cell spans several
+	az      id.Zone  // of the host, if the cell spans several
 	account *account // nil for attempts that this cell has not granted
 	class   message.Class
 	state   state
--- a/fleet/schedule/place.go
+++ b/fleet/schedule/place.go
@@ -1,6 +1,9 @@
 package schedule
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // obstacle is the reason why a queued request gets no grant now.
 type obstacle uint8
@@ -50,9 +53,12 @@
 }
 
 // avoids tells whether e can avoid the endpoint of its failed attempt: there
-// must be another one of its role.
+// must be another one of its role that takes work. Otherwise e would wait for the
+// back-off of all others to end.
 func (c *Cell) avoids(e *entry, eps []*endpoint) bool {
-	return e.avoid != "" && (len(eps) > 1 || eps[0].Name != e.avoid)
+	return e.avoid != "" && slices.ContainsFunc(eps, func(ep *endpoint) bool {
+		return ep.Name != e.avoid && c.open(ep) && !c.isCut(e, ep)
+	})
 }
 
 // choosePrefill returns the endpoint where the prefill starts first. A cached
@@ -79,8 +85,8 @@
 			continue
 		}
 		score := backlog - c.affinity(ep, e)
-		if ep.Place != e.place {
-			score += placePenalty
+		if ep.AZ != e.az {
+			score += zonePenalty
 		}
 		if best == nil || score < least {
 			best, least = ep, score
@@ -165,12 +171,12 @@
 	return a.freeBlocks() > b.freeBlocks()
 }
 
-// peakFrom is peakWith, with an addition for an endpoint in another place than the host
-// of e. Within one place a cut breaks nothing off, and the transfer takes half the time.
+// peakFrom is peakWith, with an addition for an endpoint in another availability zone than the host
+// of e. Within one zone a cut breaks nothing off, and the transfer takes half the time.
 func (c *Cell) peakFrom(ep *endpoint, e *entry) int64 {
 	peak := c.peakWith(ep, e)
-	if ep.Place != e.place {
-		peak += ep.Blocks * ep.BlockTokens / placeShare
+	if ep.AZ != e.az {
+		peak += ep.Blocks * ep.BlockTokens / zoneShare
 	}
 	return peak
 }
--- a/fleet/schedule/reach_test.go
+++ b/fleet/schedule/reach_test.go
@@ -12,19 +12,19 @@
 	"ragwortshunt.example/fleet/schedule"
 )
 
-func placeOf(name id.Endpoint) id.Zone {
+func azOf(name id.Endpoint) id.Zone {
 	for _, ep := range engines(6, 12) {
 		if ep.Name == name {
-			return ep.Place
+			return ep.AZ
 		}
 	}
 	return ""
 }
 
-func placedAsk(n int, place id.Zone) message.SlotAsk {
+func askFrom(n int, az id.Zone) message.SlotAsk {
 	return memoryAsk(0, func(m *message.SlotAsk) {
-		m.Request = id.Request(fmt.Sprintf("%s-%d", place, n))
-		m.Place = place
+		m.Request = id.Request(fmt.Sprintf("%s-%d", az, n))
+		m.AZ = az
 	})
 }
 
@@ -44,24 +44,24 @@
 	return got[0]
 }
 
-// cutPlaces has hosts in place a fail to reach two engines in each other place.
-func cutPlaces(t *testing.T, c *schedule.Cell, now time.Duration) {
+// cutZones has hosts in zone a fail to reach two engines in each other zone.
+func cutZones(t *testing.T, c *schedule.Cell, now time.Duration) {
 	for i, ep := range []id.Endpoint{"e07", "e10", "e08", "e11"} {
-		g := askGrant(t, c, now, placedAsk(1000+i, "a"))
+		g := askGrant(t, c, now, askFrom(1000+i, "a"))
 		fail(c, now, g, ep)
 	}
 }
 
-// TestCutPlace guards against requests that try the engines of a place which is cut off
+// TestCutZone guards against requests that try the engines of a zone which is cut off
 // from their host, one after the other, until their callers have gone.
-func TestCutPlace(t *testing.T) {
+func TestCutZone(t *testing.T) {
 	c := balanceCell(6, 12)
-	cutPlaces(t, c, time.Second)
+	cutZones(t, c, time.Second)
 	served := 0
-	for i := range 60 { // more than the engines of place a take at once
-		for _, g := range grants(schedule.HandleAsk(c, at(1100*time.Millisecond), "h", placedAsk(i, "a"))) {
-			assert.Equal(t, placeOf(g.Prefill), id.Zone("a"), "%+v", g)
-			assert.Equal(t, placeOf(g.Decode), id.Zone("a"), "%+v", g)
+	for i := range 60 { // more than the engines of zone a take at once
+		for _, g := range grants(schedule.HandleAsk(c, at(1100*time.Millisecond), "h", askFrom(i, "a"))) {
+			assert.Equal(t, azOf(g.Prefill), id.Zone("a"), "%+v", g)
+			assert.Equal(t, azOf(g.Decode), id.Zone("a"), "%+v", g)
 			schedule.HandleUpdate(c, at(1100*time.Millisecond), "h", message.SlotUpdate{
 				Request: g.Request, Attempt: 1, Phase: message.PhaseDecode,
 			})
@@ -71,24 +71,24 @@
 	assert.Assert(t, served >= 10, "%d served", served)
 }
 
-// TestCutPlaceServesItsOwn guards against engines that get no work from the hosts of
-// their own place because the hosts of others cannot reach them.
-func TestCutPlaceServesItsOwn(t *testing.T) {
+// TestCutZoneServesItsOwn guards against engines that get no work from the hosts of
+// their own zone because the hosts of others cannot reach them.
+func TestCutZoneServesItsOwn(t *testing.T) {
 	c := balanceCell(6, 12)
-	cutPlaces(t, c, time.Second)
-	g := askGrant(t, c, 1700*time.Millisecond, placedAsk(1, "b"))
-	assert.Equal(t, placeOf(g.Prefill), id.Zone("b"))
-	assert.Equal(t, placeOf(g.Decode), id.Zone("b"))
+	cutZones(t, c, time.Second)
+	g := askGrant(t, c, 1700*time.Millisecond, askFrom(1, "b"))
+	assert.Equal(t, azOf(g.Prefill), id.Zone("b"))
+	assert.Equal(t, azOf(g.Decode), id.Zone("b"))
 }
 
-// TestHealedPlace guards against a place that stays out of use after a cut.
-func TestHealedPlace(t *testing.T) {
+// TestHealedZone guards against a zone that stays out of use after a cut.
+func TestHealedZone(t *testing.T) {
 	c := balanceCell(6, 12)
-	cutPlaces(t, c, time.Second)
+	cutZones(t, c, time.Second)
 	used := make(map[id.Zone]bool)
 	for i := range 18 {
-		g := askGrant(t, c, 7*time.Second, placedAsk(i, "a"))
-		used[placeOf(g.Decode)] = true
+		g := askGrant(t, c, 7*time.Second, askFrom(i, "a"))
+		used[azOf(g.Decode)] = true
 		schedule.HandleUpdate(c, at(7*time.Second), "h", message.SlotUpdate{Request: g.Request, Attempt: 1, Phase: message.PhaseDecode})
 	}
 	assert.Equal(t, len(used), 3, "%v", used)
@@ -97,27 +97,27 @@
 // TestUnreachableCell guards against a request that waits although its host reaches
 // none of the engines that read prompts.
 func TestUnreachableCell(t *testing.T) {
-	eps := engines(2, 7) // prefill in places a and b only
+	eps := engines(2, 7) // prefill in zones a and b only
 	c := schedule.New(projectedConfig(), "m", at(0), false)
 	schedule.SetEndpoints(c, at(0), append(eps[1:2:2], append(eps[2:], engines(5, 0)[4:]...)...))
 	for i, ep := range []id.Endpoint{"e01", "e04"} {
-		g := askGrant(t, c, time.Second, placedAsk(1000+i, "c"))
+		g := askGrant(t, c, time.Second, askFrom(1000+i, "c"))
 		fail(c, time.Second, g, ep)
 	}
-	acts := schedule.HandleAsk(c, at(1100*time.Millisecond), "h", placedAsk(1, "c"))
+	acts := schedule.HandleAsk(c, at(1100*time.Millisecond), "h", askFrom(1, "c"))
 	got := refusals(acts)
 	assert.Equal(t, len(got), 1, "%+v", acts)
 	assert.Equal(t, got[0].Reason, schedule.ReasonNoEndpoint)
 	assert.Assert(t, got[0].Retry > 0)
 }
 
-// TestOwnPlace guards against runs in another place than their host while the own one
+// TestOwnZone guards against runs in another zone than their host while the own one
 // has room: a cut between the two would break them off.
-func TestOwnPlace(t *testing.T) {
+func TestOwnZone(t *testing.T) {
 	c := balanceCell(6, 12)
-	for i, place := range []id.Zone{"c", "a", "b"} {
-		g := askGrant(t, c, time.Second, placedAsk(i, place))
-		assert.Equal(t, placeOf(g.Prefill), place)
-		assert.Equal(t, placeOf(g.Decode), place)
+	for i, az := range []id.Zone{"c", "a", "b"} {
+		g := askGrant(t, c, time.Second, askFrom(i, az))
+		assert.Equal(t, azOf(g.Prefill), az)
+		assert.Equal(t, azOf(g.Decode), az)
 	}
 }
--- a/fleet/schedule/run.go
+++ b/fleet/schedule/run.go
@@ -16,7 +16,7 @@
 	if m.Failed != "" && !c.ended.covers(m.Request, m.Attempt) {
 		c.failed(m.Failed)
 		if ok && m.Down {
-			c.outOfReach(e.place, c.endpoints[m.Failed])
+			c.outOfReach(e.az, c.endpoints[m.Failed])
 		}
 	}
 	if ok && e.attempt > m.Attempt {
@@ -66,7 +66,7 @@
 	if phase == message.PhaseDone {
 		works(e.prefill, e)
 		works(e.decode, e)
-		c.reached(e.place, e.decode)
+		c.reached(e.az, e.decode)
 		c.measureTokenTime(e)
 	}
 	c.refund(e, c.used(e))
@@ -120,7 +120,7 @@
 		return
 	}
 	works(p, e)
-	c.reached(e.place, p)
+	c.reached(e.az, p)
 	c.measurePrefill(e)
 	if e.prefix != 0 && e.own {
 		p.cache.add(e.prefix, c.cfg.CachedPrefixes)
--- a/fleet/schedule/schedule_test.go
+++ b/fleet/schedule/schedule_test.go
@@ -483,3 +483,17 @@
 		mustCheck(t, c)
 	}
 }
+
+// TestAvoidedEndpointIsBetterThanNone guards against a request that waits for as long as
+// the other endpoints are backed off, because it avoids the one of its failed attempt.
+func TestAvoidedEndpointIsBetterThanNone(t *testing.T) {
+	c := cell(nil, prefill("p"), decode("d1", 20, 100), decode("d2", 20, 100))
+	for i := range 5 { // d2 fails whenever it is tried
+		schedule.EndpointFailed(c, at(time.Duration(i)*20*time.Second), "d2")
+	}
+	now := 81 * time.Second
+	acts := schedule.HandleAsk(c, at(now), "h", ask("r", attempt(2), avoiding("d1"), canWait))
+	got := grants(acts)
+	assert.Equal(t, len(got), 1, "%+v", acts)
+	assert.Equal(t, got[0].Decode, id.Endpoint("d1"))
+}
--- a/fleet/table/table.go
+++ b/fleet/table/table.go
@@ -72,9 +72,9 @@
 	Fencing Fencing
 	State   State
 
-	// Place is the availability zone of the endpoint, where Zone is a larger domain
+	// AZ is the availability zone of the endpoint, where Zone is a larger domain
 	// that schedules together; else it is empty.
-	Place id.Zone
+	AZ id.Zone
 }
 
 // Route is what a caller addresses: the "model" field of a model request, or
