core, order: one step notes the end of a call; one name for a valid order lease

From the last read of the change. notePace and noteReach were always called together and wrote the same entry; order.Ready only wrapped a function of the same meaning; a failed call that may not be repeated looked for another endpoint in vain. Behaviour and assertions stay.

--- a/fleet/core/pick.go
+++ b/fleet/core/pick.go
@@ -37,11 +37,12 @@
 	last     time.Time
 }
 
-// notePace takes the end of a call into the pace of its endpoint.
-func (s *step) notePace(ep id.Endpoint, took time.Duration, failed bool) {
+// notePace takes the end of a call into the pace of its endpoint. down means that the
+// call has failed because it did not reach the endpoint.
+func (s *step) notePace(ep id.Endpoint, took time.Duration, failed, down bool) {
 	p, ok := s.paces[ep]
 	if !ok || s.now.Sub(p.last) > paceForget {
-		p = pace{mean: took, down: p.down}
+		p = pace{mean: took}
 	}
 	p.mean = time.Duration(paceKeep*float64(p.mean) + (1-paceKeep)*float64(took))
 	share := 0.0
@@ -50,6 +51,10 @@
 	}
 	p.failures = failureKeep*p.failures + (1-failureKeep)*share
 	p.last = s.now
+	p.down = time.Time{}
+	if down {
+		p.down = s.now
+	}
 	s.paces[ep] = p
 }
 
@@ -68,16 +73,6 @@
 	return time.Duration(expected * (1 + float64(piece)/spreadPieces/spreadShare))
 }
 
-// noteReach notes whether a call has reached its endpoint.
-func (s *step) noteReach(ep id.Endpoint, down bool) {
-	p := s.paces[ep]
-	p.down = time.Time{}
-	if down {
-		p.down = s.now
-	}
-	s.paces[ep] = p
-}
-
 // reachable leaves out the endpoints that could not be reached a moment ago. A request
 // that none is left for is refused at once: it would wait for the same failure.
 func (s *step) reachable(eps []table.Endpoint) []table.Endpoint {
--- a/fleet/core/relay.go
+++ b/fleet/core/relay.go
@@ -162,8 +162,8 @@
 		r.runs++
 	}
 	again := ev.NotRun || r.route.Idempotent
-	if _, ok := s.chooseService(r); !ok {
-		again = false
+	if again {
+		_, again = s.chooseService(r)
 	}
 	if again && s.mayRepeat(r, !ev.NotRun) {
 		s.emit(Count{Name: MetricRetried, Account: r.account, Code: ev.Code, N: 1})
--- a/fleet/core/service.go
+++ b/fleet/core/service.go
@@ -151,8 +151,7 @@
 		return
 	}
 	s.endCall(r)
-	s.notePace(r.decode, s.now.Sub(r.called), false)
-	s.noteReach(r.decode, false)
+	s.notePace(r.decode, s.now.Sub(r.called), false, false)
 	r.note(s.now, "reply %d", ev.Status)
 	s.settleClaim(r, message.ClaimDone, ev.Outcome)
 	if !r.gone {
@@ -174,8 +173,7 @@
 // or if the route allows repetition. Otherwise the outcome is unknown.
 func (s *step) serviceFailed(r *request, ev RunFailed) {
 	s.endCall(r)
-	s.notePace(ev.Endpoint, s.now.Sub(r.called), true)
-	s.noteReach(ev.Endpoint, ev.Down)
+	s.notePace(ev.Endpoint, s.now.Sub(r.called), true, ev.Down)
 	r.note(s.now, "call failed on %s: %s (not-run %t)", ev.Endpoint, ev.Code, ev.NotRun)
 	if !ev.Answered {
 		s.avoid[ev.Endpoint] = s.now.Add(avoidFailed)
--- a/fleet/order/lease.go
+++ b/fleet/order/lease.go
@@ -48,10 +48,7 @@
 }
 
 // Ready reports whether this host may send orders now.
-func Ready(s *State, now time.Time) bool { return valid(s, now) }
-
-// valid reports whether this host may send orders now.
-func valid(s *State, now time.Time) bool {
+func Ready(s *State, now time.Time) bool {
 	return now.Before(s.lease.until)
 }
 
@@ -78,7 +75,7 @@
 // No order is sent from then on.
 func release(s *State, now time.Time) []Action {
 	l := &s.lease
-	if !valid(s, now) {
+	if !Ready(s, now) {
 		return nil
 	}
 	l.until = time.Time{}
--- a/fleet/order/order.go
+++ b/fleet/order/order.go
@@ -226,7 +226,7 @@
 // sendOrders sends the next order to each endpoint that lacks one, while the lease
 // is valid.
 func sendOrders(s *State, now time.Time) []Action {
-	if !s.leader || !valid(s, now) {
+	if !s.leader || !Ready(s, now) {
 		return nil
 	}
 	names := make([]id.Endpoint, 0, len(s.targets))
