--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -88,8 +88,10 @@
 	return reactor.New(cfg, clock)
 }
 
-func newSender(lifetime Lifetime, s *settings.Settings, inc id.Incarnation, r *reactor.Reactor) *peer.Sender {
-	return peer.NewSender(lifetime, s.Host, inc, r)
+func newSender(
+	lifetime Lifetime, s *settings.Settings, inc id.Incarnation, log *zap.Logger, r *reactor.Reactor,
+) *peer.Sender {
+	return peer.NewSender(lifetime, s.Host, inc, r, log)
 }
 
 func newMetrics(s *settings.Settings) *operator.Metrics {
@@ -131,12 +133,14 @@
 type server struct {
 	http     *http.Server
 	listener net.Listener
+	streams  bool // its calls end only when one of the two sides closes them
 }
 
 // listenSpec is an address (ip:port) and the handler that is served on it.
 type listenSpec struct {
 	address string
 	handler http.Handler
+	streams bool // see server
 }
 
 // callerIndex is the index of the server for callers in the slice that listen returns.
@@ -149,12 +153,12 @@
 	h2c.SetHTTP1(true)
 	h2c.SetUnencryptedHTTP2(true)
 	specs := []listenSpec{
-		{r.settings.CallerAddress, r.adapters.Caller.Handler()},
-		{r.settings.OperatorAddress, r.operator.Handler()},
-		{r.settings.PeerAddress, peer.NewHandler(r.reactor)},
+		{address: r.settings.CallerAddress, handler: r.adapters.Caller.Handler()},
+		{address: r.settings.OperatorAddress, handler: r.operator.Handler()},
+		{address: r.settings.PeerAddress, handler: peer.NewHandler(r.reactor), streams: true},
 	}
 	if r.adapters.Ready != nil {
-		specs = append(specs, listenSpec{r.settings.ReadyAddress, r.adapters.Ready})
+		specs = append(specs, listenSpec{address: r.settings.ReadyAddress, handler: r.adapters.Ready})
 	}
 	errorLog, err := zap.NewStdLogAt(r.log, zap.WarnLevel)
 	if err != nil {
@@ -173,6 +177,7 @@
 				ErrorLog: errorLog,
 			},
 			listener: l,
+			streams:  sp.streams,
 		})
 	}
 	return out, nil
@@ -240,9 +245,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	for i, s := range servers {
-		if err := s.http.Shutdown(ctx); err != nil {
-			_ = s.http.Close()
-		}
+		s.close(ctx)
 		if i == callerIndex {
 			stopLoop()
 		}
@@ -253,6 +256,14 @@
 	r.log.Info("router: Stopped.")
 }
 
+// close stops a server. Its calls may finish until ctx ends, unless they are streams.
+func (s server) close(ctx context.Context) {
+	if !s.streams && s.http.Shutdown(ctx) == nil {
+		return
+	}
+	_ = s.http.Close()
+}
+
 func (r *Router) updateGauges(ctx context.Context) {
 	ticker := r.clock.NewTicker(gaugeInterval)
 	defer ticker.Stop()
--- a/router/internal/app/wire_gen.go
+++ b/router/internal/app/wire_gen.go
@@ -20,7 +20,7 @@
 	config := newCoreConfig(s, incarnation)
 	reactor := newReactor(config, clock)
 	adapters := newAdapters(lifetime, s, incarnation, clock, log, reactor)
-	sender := newSender(lifetime, s, incarnation, reactor)
+	sender := newSender(lifetime, s, incarnation, log, reactor)
 	metrics := newMetrics(s)
 	dispatcher := NewDispatcher(log, adapters, sender, metrics)
 	operatorServer := newOperator(reactor, metrics)
--- a/router/internal/peer/client.go
+++ b/router/internal/peer/client.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
-	"connectrpc.com/connect"
+	"go.uber.org/zap"
 
 	"ragwortshunt.example/fleet/core"
 	"ragwortshunt.example/fleet/id"
@@ -20,7 +18,8 @@
 	maxQueuedMessages = 16384                  // per peer; the oldest message is dropped when the queue is full
 	sendTimeout       = 2 * time.Second        // for one batch
 	dialTimeout       = 500 * time.Millisecond // for one connection
-	queueIdleTimeout  = time.Minute            // a queue without messages is removed after this time
+	queueIdleTimeout  = 10 * time.Second       // a queue without messages and its stream are removed after this time
+	idleConnTimeout   = 30 * time.Second       // a connection without a stream is closed after this time
 
 	// A connection that has been silent for pingAfter is checked with a ping. Without
 	// the ping, a connection broken by a network partition would stay in use until
@@ -29,13 +28,15 @@
 	pingTimeout = 2 * time.Second
 )
 
-// Sender sends messages to other routers. All messages queued for a peer are sent
-// as one batch when the previous batch has been acknowledged or has failed.
+// Sender sends messages to other routers. Each peer has one stream, and all messages
+// queued for a peer are sent as one batch when the previous batch has been passed to the
+// connection.
 type Sender struct {
 	ctx         context.Context
 	from        id.Host
 	incarnation id.Incarnation
 	poster      Poster
+	log         *zap.Logger
 	http        *http.Client
 
 	mu     sync.Mutex
@@ -67,7 +68,9 @@
 // NewSender returns a sender that identifies this host by from and incarnation. It
 // stops when ctx is cancelled, and posts refused connections to p as
 // core.PeerFailed.
-func NewSender(ctx context.Context, from id.Host, incarnation id.Incarnation, p Poster, opts ...Option) *Sender {
+func NewSender(
+	ctx context.Context, from id.Host, incarnation id.Incarnation, p Poster, log *zap.Logger, opts ...Option,
+) *Sender {
 	http2 := new(http.HTTP2Config)
 	WithPing(pingAfter, pingTimeout)(http2)
 	for _, o := range opts {
@@ -79,10 +82,12 @@
 		Protocols:   protocols,
 		HTTP2:       http2,
 		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
+
+		IdleConnTimeout: idleConnTimeout,
 	}
 	return &Sender{
-		ctx: ctx, from: from, incarnation: incarnation, poster: p,
-		http:   &http.Client{Transport: transport},
+		ctx: ctx, from: from, incarnation: incarnation, poster: p, log: log,
+		http:   &http.Client{Transport: frameTransport{next: transport}},
 		queues: make(map[id.Host]*peerQueue),
 	}
 }
@@ -123,20 +128,24 @@
 	return out
 }
 
+// sendLoop sends the messages of one peer until the queue has been removed.
 func (s *Sender) sendLoop(q *peerQueue) {
-	client := connect.NewClient[message.Envelope, Ack](
-		s.http, "http://"+q.address+procedure, connect.WithCodec(codec{}),
-	)
+	l := &link{Sender: s, queue: q, client: newClient(s.http, q.address, streamProcedure)}
+	defer l.close()
+	idle := time.NewTimer(queueIdleTimeout)
+	defer idle.Stop()
 	for {
 		select {
 		case <-s.ctx.Done():
 			return
 		case <-q.notify:
-			s.sendBatch(client, q)
-		case <-time.After(queueIdleTimeout):
+			l.sendQueued()
+			idle.Reset(queueIdleTimeout)
+		case <-idle.C:
 			if s.removeIfEmpty(q) {
 				return
 			}
+			idle.Reset(queueIdleTimeout)
 		}
 	}
 }
@@ -155,20 +164,3 @@
 	}
 	return true
 }
-
-func (s *Sender) sendBatch(client *connect.Client[message.Envelope, Ack], q *peerQueue) {
-	messages := q.take()
-	if len(messages) == 0 {
-		return
-	}
-	env := &message.Envelope{From: s.from, Incarnation: s.incarnation}
-	for _, m := range messages {
-		env.Add(m)
-	}
-	ctx, cancel := context.WithTimeout(s.ctx, sendTimeout)
-	defer cancel()
-	_, err := client.CallUnary(ctx, connect.NewRequest(env))
-	if err != nil && errors.Is(err, syscall.ECONNREFUSED) {
-		s.poster.Post(core.PeerFailed{Host: q.host})
-	}
-}
--- a/router/internal/peer/peer_test.go
+++ b/router/internal/peer/peer_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
 	"ragwortshunt.example/fleet/core"
@@ -44,7 +45,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	out := make(eventtest.Events, 64)
-	return peer.NewSender(ctx, "h-1", 9, out, opts...), out
+	return peer.NewSender(ctx, "h-1", 9, out, zap.NewNop(), opts...), out
 }
 
 // fill sets every field of a message to a non-zero value.
--- a/router/internal/peer/server.go
+++ b/router/internal/peer/server.go
@@ -1,6 +1,9 @@
 // Package peer is the adapter between the decision core and other routers. It
 // sends batches of messages over connect-go, encoded as CBOR.
 //
+// The batches for one peer share a stream without responses, because a call for each
+// batch costs both hosts several times as much.
+//
 // Delivery is not guaranteed. The decision core resends messages that must arrive.
 package peer
 
@@ -15,8 +18,11 @@
 	"ragwortshunt.example/fleet/message"
 )
 
-// procedure is the path of the only procedure in the peer protocol.
-const procedure = "/ragwortshunt.peer/Deliver"
+// The procedures of the peer protocol. Hosts of earlier versions know only procedure.
+const (
+	procedure       = "/ragwortshunt.peer/Deliver" // one batch in each call
+	streamProcedure = "/ragwortshunt.peer/Stream"  // a stream of batches
+)
 
 // maxEnvelopeBytes limits the size of one batch. It is large enough for a table of the
 // target size.
@@ -37,18 +43,36 @@
 // batch as one event, in order.
 func NewHandler(p Poster) http.Handler {
 	deliver := func(_ context.Context, req *connect.Request[message.Envelope]) (*connect.Response[Ack], error) {
-		env := req.Msg
-		if env.From == "" {
-			return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("envelope without a sender"))
+		if err := post(p, req.Msg); err != nil {
+			return nil, err
+		}
+		return connect.NewResponse(&Ack{}), nil
+	}
+	receive := func(_ context.Context, s *connect.ClientStream[message.Envelope]) (*connect.Response[Ack], error) {
+		for s.Receive() {
+			if err := post(p, s.Msg()); err != nil {
+				return nil, err
+			}
 		}
-		for _, m := range env.Messages() {
-			p.Post(core.PeerMessage{From: env.From, Incarnation: env.Incarnation, Message: m})
+		if err := s.Err(); err != nil {
+			return nil, err
 		}
 		return connect.NewResponse(&Ack{}), nil
 	}
+	opts := []connect.HandlerOption{connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxEnvelopeBytes)}
 	mux := http.NewServeMux()
-	mux.Handle(procedure, connect.NewUnaryHandler(
-		procedure, deliver, connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxEnvelopeBytes),
-	))
+	mux.Handle(procedure, connect.NewUnaryHandler(procedure, deliver, opts...))
+	mux.Handle(streamProcedure, connect.NewClientStreamHandler(streamProcedure, receive, opts...))
 	return mux
 }
+
+// post posts the messages of a batch. It fails if the batch does not name its sender.
+func post(p Poster, env *message.Envelope) error {
+	if env.From == "" {
+		return connect.NewError(connect.CodeInvalidArgument, errors.New("envelope without a sender"))
+	}
+	for _, m := range env.Messages() {
+		p.Post(core.PeerMessage{From: env.From, Incarnation: env.Incarnation, Message: m})
+	}
+	return nil
+}
