--- a/router/internal/settings/field.go
+++ b/router/internal/settings/field.go
@@ -77,8 +77,8 @@
 	{"limit", "overrun", "0", "Part of an account's rate and burst by which the platform lets it exceed them in a window, 0 to 1; the same on every host.", func(s *Settings, text string) error {
 		return setFraction(&s.Overrun, text)
 	}},
-	{"limit", "overrun-slack", "0", "Tokens by which the platform lets an account exceed its rate and burst in a window; the same on every host.", integer(
-		func(s *Settings) *int64 { return &s.OverrunSlack }, 0, maxRate)},
+	{"limit", "overrun-slack", "0", "Tokens by which the platform lets an account exceed its rate and burst in a window, rounded down; the same on every host.", allowance(
+		func(s *Settings) *int64 { return &s.OverrunSlack }, maxRate)},
 	{"limit", "overrun-window", "10s", "Window of the two settings above, 1s to 10m; the same on every host.", duration(
 		func(s *Settings) *time.Duration { return &s.OverrunWindow }, time.Second, 10*time.Minute)},
 	{"schedule", "domain", "-", "Hosts and endpoints of one domain share cells, rates and heartbeats; - is the availability zone.", setDomain},
@@ -91,8 +91,8 @@
 	{"retry", "ratio", "0.2", "Repeated dispatches per request of a service, over all hosts, 0 to 1.", setRetryRatio},
 	{"retry", "window", "10s", "Span over which repeated dispatches are counted, 1s to 10m.", duration(
 		func(s *Settings) *time.Duration { return &s.RetryWindow }, time.Second, 10*time.Minute)},
-	{"retry", "extra", "10", "Repeated dispatches of a service in each window on top of the ratio, over all hosts.", integer(
-		func(s *Settings) *int64 { return &s.RetryExtra }, 0, maxRate)},
+	{"retry", "extra", "10", "Repeated dispatches of a service in each window on top of the ratio, over all hosts, rounded down.", allowance(
+		func(s *Settings) *int64 { return &s.RetryExtra }, maxRate)},
 	{"claim", "shards", "256", "Claim objects in the platform, 1 to 4096; the same on every host and never changed while claims are kept.", setClaimShards},
 	{"claim", "retention", "24h", "How long claims of non-idempotent calls are kept, 1m to 720h.", duration(
 		func(s *Settings) *time.Duration { return &s.Retention }, time.Minute, 720*time.Hour)},
@@ -231,6 +231,19 @@
 	}
 }
 
+// allowance returns a setter of a field that holds an amount from 0 to high which must not
+// be exceeded. The platform may state it with a fraction, which is cut off.
+func allowance(dst func(*Settings) *int64, high int64) func(*Settings, string) error {
+	return func(s *Settings, text string) error {
+		v, err := strconv.ParseFloat(text, 64)
+		if err != nil || !(v >= 0 && v <= float64(high)) {
+			return fmt.Errorf("%q is not a number from 0 to %d", text, high)
+		}
+		*dst(s) = int64(v)
+		return nil
+	}
+}
+
 // duration returns a setter of a field that holds a duration from low to high.
 func duration(dst func(*Settings) *time.Duration, low, high time.Duration) func(*Settings, string) error {
 	return func(s *Settings, text string) (err error) {
--- a/router/internal/settings/settings_test.go
+++ b/router/internal/settings/settings_test.go
@@ -136,3 +136,20 @@
 		assert.Assert(t, s.ReserveLease >= s.PooledLease)
 	})
 }
+
+// TestFractions guards against hosts that do not start because the platform states one of
+// its bounds with a fraction. An allowance is rounded down, so that it is never exceeded.
+func TestFractions(t *testing.T) {
+	file := validFile + "\n[retry]\nextra = 35.833333333333336\nwindow = 7.25s\n" +
+		"\n[limit]\noverrun-slack = 190000.9\noverrun-window = 8.5s\n"
+	s, err := settings.Parse("s.ini", []byte(file))
+	assert.NilError(t, err)
+	assert.Equal(t, s.RetryExtra, int64(35))
+	assert.Equal(t, s.RetryWindow, 7250*time.Millisecond)
+	assert.Equal(t, s.OverrunSlack, int64(190000))
+	assert.Equal(t, s.OverrunWindow, 8500*time.Millisecond)
+	for _, bad := range []string{"-0.5", "NaN", "Inf", "1e30", "x"} {
+		_, err := settings.Parse("s.ini", []byte(validFile+"\n[retry]\nextra = "+bad+"\n"))
+		assert.ErrorContains(t, err, "retry.extra")
+	}
+}
