--- a/fleet/core/cell.go
+++ b/fleet/core/cell.go
@@ -276,7 +276,7 @@
 func (s *step) requestHolds() {
 	hb := s.heartbeat()
 	hb.Register = true
-	s.broadcast(hb)
+	s.broadcast("", hb)
 	s.resetRegistrations(s.cfg.Host)
 }
 
--- a/fleet/core/follow.go
+++ b/fleet/core/follow.go
@@ -115,7 +115,7 @@
 func (s *step) announceContact(lost bool) {
 	s.table.announcedAt = s.now
 	s.table.announcedLost = lost
-	s.broadcast(message.PlatformUpdate{Lost: lost, SeenRevisions: s.table.seenRevisions[:]})
+	s.broadcast("", message.PlatformUpdate{Lost: lost, SeenRevisions: s.table.seenRevisions[:]})
 }
 
 // platformContact announces the contact of this watcher with the platform: changes
@@ -155,7 +155,7 @@
 		return
 	}
 	s.table.announcedAt = s.now
-	s.broadcast(message.PlatformUpdate{
+	s.broadcast("", message.PlatformUpdate{
 		ConfigSource: int(ev.ConfigSource), Since: ev.Since, Revision: ev.Revision, Changes: ev.Changes,
 	})
 }
--- a/fleet/core/peers.go
+++ b/fleet/core/peers.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"slices"
+
 	"ragwortshunt.example/fleet/claim"
 	"ragwortshunt.example/fleet/id"
 	"ragwortshunt.example/fleet/limit"
@@ -38,12 +40,7 @@
 	s.clearSuspicion(ev.From)
 	if hb, ok := ev.Message.(message.Heartbeat); ok {
 		changes = append(changes, member.HandleHeartbeat(s.member, s.now, ev.From, ev.Incarnation, hb)...)
-		s.handlePeerVersion(ev.From, hb.TableVersion, hb.ConfirmedAge, hb.ConfirmedAge > 0)
-		s.compareSettings(ev.From, hb.Settings)
-		s.handlePeerRevisions(hb.SeenRevisions)
-		if hb.Register {
-			s.resetRegistrations(ev.From)
-		}
+		s.handleHeartbeatState(ev.From, hb)
 	}
 	s.memberChanges(changes)
 	if p, known := member.PeerOf(s.member, ev.From); known && p.Address == "" {
@@ -52,6 +49,17 @@
 	s.dispatch(ev.From, ev.Message)
 }
 
+// handleHeartbeatState handles what a heartbeat says about its sender apart from
+// membership.
+func (s *step) handleHeartbeatState(from id.Host, hb message.Heartbeat) {
+	s.handlePeerVersion(from, hb.TableVersion, hb.ConfirmedAge, hb.ConfirmedAge > 0)
+	s.compareSettings(from, hb.Settings)
+	s.handlePeerRevisions(hb.SeenRevisions)
+	if hb.Register {
+		s.resetRegistrations(from)
+	}
+}
+
 // compareSettings logs once that the shared settings of a host differ from those of
 // this host. A digest of 0 means that the host did not report its settings.
 func (s *step) compareSettings(from id.Host, digest uint64) {
@@ -83,6 +91,8 @@
 		s.installPeerTable(m)
 	case message.PlatformUpdate:
 		s.handlePlatformUpdate(from, m)
+	case message.Broadcast:
+		s.handleBroadcast(m)
 	default:
 		s.dispatchTokens(from, m)
 	}
@@ -169,18 +179,30 @@
 }
 
 func (s *step) tickMembers() {
-	recipients, changes := member.Tick(s.member, s.now)
+	heartbeats, changes := member.Tick(s.member, s.now)
 	s.memberChanges(changes)
-	if len(recipients) == 0 {
+	if len(heartbeats.To) == 0 && !heartbeats.Broadcast {
 		return
 	}
 	hb := s.heartbeat()
 	hb.ConfirmedAge = s.confirmedAge()
 	hb.Reports = member.Reports(s.member)
 	hb.Settings = s.settingsDigest
-	for _, to := range recipients {
-		s.send(to, hb)
+	for _, to := range heartbeats.To {
+		s.send(to.Host, s.heartbeatFor(to, hb))
+	}
+	if heartbeats.Broadcast {
+		s.broadcast(s.cfg.Zone, hb)
+	}
+}
+
+// heartbeatFor returns the variant of a heartbeat for one recipient.
+func (s *step) heartbeatFor(to member.Recipient, hb message.Heartbeat) message.Heartbeat {
+	hb.AwaitsReply = to.AwaitsReply
+	if to.Newcomer {
+		hb.Reports = slices.Concat(hb.Reports, member.Departed(s.member))
 	}
+	return hb
 }
 
 // heartbeat returns a heartbeat with the fields that every heartbeat of this host
@@ -195,12 +217,3 @@
 	}
 	return hb
 }
-
-// broadcast sends a message to all known hosts except this one.
-func (s *step) broadcast(m message.Message) {
-	for _, p := range member.Peers(s.member) {
-		if p.Host != s.cfg.Host {
-			s.send(p.Host, m)
-		}
-	}
-}
--- a/fleet/core/tick.go
+++ b/fleet/core/tick.go
@@ -131,7 +131,7 @@
 	member.SetLeaving(s.member)
 	s.limitActions(limit.Drain(s.limit, s.now))
 	s.applyHosts()
-	s.broadcast(s.heartbeat())
+	s.broadcast("", s.heartbeat())
 	s.log(LogInfo, partPeer, "Host is leaving.")
 }
 
--- a/fleet/member/member.go
+++ b/fleet/member/member.go
@@ -1,17 +1,24 @@
 // Package member tracks group membership: one host's view of which hosts are alive,
 // leaving or dead.
 //
-// Within a zone, every host exchanges heartbeats with its neighbours on a hash
-// ring: at most Config.Monitors successors, which monitor it, and as many
-// predecessors, which it monitors. A small zone is therefore a full mesh. Monitors
+// Within a zone, every host sends heartbeats to its monitors: at most Config.Monitors
+// successors on a hash ring. In a small zone all hosts monitor each other. Monitors
 // report to the whole zone which hosts have died, returned or begun to leave. A
 // false report of a death is corrected by the host itself, or by a monitor that has
 // received a message from it since.
 //
-// A host that is listed but has never sent a message counts as alive for
-// Config.DeadAfter while a reply from it is awaited. In each heartbeat round one
-// host of the zone that is not monitored is spot-checked in the same way, so that a
-// lost report is noticed after one pass over the zone.
+// A report for the whole zone is a broadcast: the caller of Tick chooses how it
+// reaches the hosts. A host that has received it from a relay passes it to
+// HandleForwarded, since it says nothing about the path between the two hosts.
+//
+// A monitor asks a host that has missed heartbeats for a reply before it counts it as
+// dead. The host may not know yet that this monitor has replaced others.
+//
+// A host that is listed but has never sent a message counts as alive until a monitor
+// reports its death. A host that has just started learns from its monitors which hosts
+// are dead or leaving. In each heartbeat round one host of the zone that is not
+// monitored is spot-checked: a reply is awaited for Config.DeadAfter, so that a lost
+// report is noticed after one pass over the zone.
 //
 // Each other zone is probed through a few of its hosts, called contacts. A host of
 // another zone counts as alive while it is listed, until it has been probed and
@@ -42,14 +49,19 @@
 	// forgetAfter is the time after which a dead host that is no longer listed is
 	// forgotten.
 	forgetAfter = time.Minute
-	// maxProbeInterval bounds the backoff of heartbeats to dead hosts.
-	maxProbeInterval = 16 * time.Second
+	// maxProbeInterval bounds the backoff of heartbeats to dead hosts of the zone, which
+	// only their monitors send.
+	maxProbeInterval = 2 * time.Second
+	// maxRemoteProbeInterval bounds it for other zones, whose dead hosts are probed by all.
+	maxRemoteProbeInterval = 16 * time.Second
 	// maxProbesPerRound bounds the heartbeats to dead hosts in one round.
 	maxProbesPerRound = 8
 	// reportRounds is the number of heartbeat rounds that carry one report.
 	reportRounds = 4
 	// maxReports bounds the reports in one heartbeat.
 	maxReports = 64
+	// maxDeparted bounds the reports for a host that has just started.
+	maxDeparted = 512
 	// scanInterval is the time between two passes over all peers.
 	scanInterval = 50 * time.Millisecond
 )
@@ -115,12 +127,16 @@
 	version        uint64                // increases whenever the result of Live may change
 	ring           []id.Host             // hosts of this host's zone that are not dead, in hash order; nil if out of date
 	monitoredSince map[id.Host]time.Time // hosts that this host monitors, with the time at which it began to
+	monitors       []id.Host             // hosts that monitor this host
 	neighbours     map[id.Host]bool      // ring neighbours on both sides
 
 	reports          []report
 	pendingReplies   map[id.Host]bool // senders of heartbeats outside the ring neighbours that await a reply
+	newcomers        map[id.Host]bool // hosts that have started or returned and do not know who is dead
 	broadcastPending bool             // a change must be sent to the whole zone at once
 
+	lastHeard time.Time // time of the last message from any host
+
 	zoneLastHeard    map[id.Zone]time.Time
 	zoneSilent       map[id.Zone]bool
 	contactRounds    uint64 // rounds of heartbeats to the contacts of other zones
@@ -141,12 +157,12 @@
 	return Config{
 		HeartbeatInterval: 500 * time.Millisecond,
 		DeadAfter:         2 * time.Second,
-		Monitors:          6,
+		Monitors:          4,
 	}
 }
 
 // New returns the view of a host that has just started, which knows only itself.
-// The host announces itself to its whole zone with the first Tick after SetList.
+// The host announces itself to its whole zone as soon as it knows another host.
 func New(cfg Config, now time.Time) *State {
 	s := &State{
 		cfg:            cfg,
@@ -154,10 +170,13 @@
 		monitoredSince: map[id.Host]time.Time{},
 		neighbours:     map[id.Host]bool{},
 		pendingReplies: map[id.Host]bool{},
+		newcomers:      map[id.Host]bool{},
 		zoneLastHeard:  map[id.Zone]time.Time{},
 		zoneSilent:     map[id.Zone]bool{},
 		resumedAt:      now,
 		lastTick:       now,
+
+		broadcastPending: true,
 	}
 	self := add(s, cfg.Host, cfg.Zone)
 	self.Incarnation = cfg.Incarnation
@@ -231,6 +250,34 @@
 	return out
 }
 
+// Departed returns a report of each host of the zone that is dead or leaving, for the
+// hosts in Heartbeats.Newcomers.
+func Departed(s *State) []message.HostReport {
+	var out []message.HostReport
+	for _, h := range s.order {
+		p := s.peers[h]
+		if p.Zone != s.cfg.Zone || p.state() == message.HostAlive || len(out) == maxDeparted {
+			continue
+		}
+		out = append(out, message.HostReport{Host: h, Incarnation: p.Incarnation, State: p.state()})
+	}
+	return out
+}
+
+// Reachable returns the hosts of a zone that are not dead and whose address is known,
+// except this one, sorted by name. An empty zone stands for all zones.
+func Reachable(s *State, zone id.Zone) []id.Host {
+	out := make([]id.Host, 0, len(s.order))
+	for _, h := range s.order {
+		p := s.peers[h]
+		if h == s.cfg.Host || p.Address == "" || p.state() == message.HostDead || zone != "" && p.Zone != zone {
+			continue
+		}
+		out = append(out, h)
+	}
+	return out
+}
+
 // Check returns an error if the state violates an invariant of the package.
 func Check(s *State) error {
 	self, ok := s.peers[s.cfg.Host]
@@ -307,6 +354,7 @@
 func remove(s *State, p *peer) {
 	delete(s.peers, p.Host)
 	delete(s.pendingReplies, p.Host)
+	delete(s.newcomers, p.Host)
 	i := sort.Search(len(s.order), func(i int) bool { return s.order[i] >= p.Host })
 	s.order = append(s.order[:i], s.order[i+1:]...)
 	invalidate(s, p.Zone)
--- a/fleet/member/receive.go
+++ b/fleet/member/receive.go
@@ -9,7 +9,7 @@
 )
 
 // SetList applies the platform's list of hosts, which lags behind the actual state.
-// New hosts count as alive until they fail to reply in time. An empty list is
+// New hosts count as alive until a monitor reports their death. An empty list is
 // ignored. A host that is not listed stays while it sends messages, and is
 // forgotten some time after its death.
 func SetList(s *State, now time.Time, hosts []object.Host) {
@@ -19,7 +19,7 @@
 	listed := map[id.Host]bool{}
 	for _, h := range hosts {
 		listed[h.Host] = true
-		setListed(s, now, h)
+		setListed(s, h)
 	}
 	for _, h := range append([]id.Host(nil), s.order...) {
 		if !listed[h] && h != s.cfg.Host {
@@ -29,14 +29,11 @@
 }
 
 // setListed applies one entry of the list.
-func setListed(s *State, now time.Time, h object.Host) {
+func setListed(s *State, h object.Host) {
 	p, known := s.peers[h.Host]
 	if !known {
 		p = add(s, h.Host, h.Zone)
 		p.zoneDead = s.zoneSilent[h.Zone]
-		if h.Zone == s.cfg.Zone {
-			awaitReply(p, now)
-		}
 	}
 	p.Address = h.Address
 	p.listed = true
@@ -111,6 +108,7 @@
 	wasDead := p.dead
 	restarted := adoptIncarnation(p, inc)
 	p.lastHeard = now
+	s.lastHeard = now
 	p.awaitingSince = time.Time{}
 	p.suspectedAt = time.Time{}
 	p.dead = false
@@ -120,7 +118,9 @@
 		return append(changes, recordChange(s, p, before, false)...)
 	}
 	changes = append(changes, recordChange(s, p, before, restarted)...)
-	announce(s, now, p)
+	if announce(s, now, p) {
+		s.newcomers[p.Host] = true
+	}
 	return changes
 }
 
@@ -163,10 +163,9 @@
 	return restarted
 }
 
-// HandleHeartbeat processes a heartbeat and its reports. A sender that is not a
-// ring neighbour gets a heartbeat in reply, unless it was sent one within the last
-// three quarters of Config.HeartbeatInterval: that one may have caused this
-// heartbeat.
+// HandleHeartbeat processes a heartbeat and its reports. A sender that awaits a reply or
+// is not a ring neighbour gets a heartbeat, unless it was sent one within the last three
+// quarters of Config.HeartbeatInterval: that one may have caused this heartbeat.
 func HandleHeartbeat(s *State, now time.Time, from id.Host, inc id.Incarnation, m message.Heartbeat) []Change {
 	if from == s.cfg.Host || Stale(s, from, inc) {
 		return nil
@@ -184,7 +183,7 @@
 		p.Address = m.Address
 	}
 	buildRing(s, now)
-	if !s.neighbours[from] && now.Sub(p.lastSent) >= s.cfg.HeartbeatInterval*3/4 {
+	if (m.AwaitsReply || !s.neighbours[from]) && now.Sub(p.lastSent) >= s.cfg.HeartbeatInterval*3/4 {
 		s.pendingReplies[from] = true
 	}
 	if m.Zone != s.cfg.Zone {
@@ -196,6 +195,22 @@
 	return changes
 }
 
+// HandleForwarded processes a heartbeat that has reached this host by way of a relay.
+// It proves that the sender was alive, but not that a direct message would arrive.
+func HandleForwarded(s *State, now time.Time, from id.Host, inc id.Incarnation, m message.Heartbeat) []Change {
+	if from == s.cfg.Host || m.Zone != s.cfg.Zone || Stale(s, from, inc) {
+		return nil
+	}
+	changes := handleReport(s, now, message.HostReport{Host: from, Incarnation: inc, State: m.State})
+	if p, ok := s.peers[from]; ok && p.Address == "" {
+		p.Address = m.Address
+	}
+	for _, r := range m.Reports {
+		changes = append(changes, handleReport(s, now, r)...)
+	}
+	return changes
+}
+
 // handleSelfState applies the state that a host reports about itself. A host reports
 // HostDead in its last message.
 func handleSelfState(s *State, now time.Time, p *peer, state message.HostState) []Change {
@@ -287,12 +302,14 @@
 	return recordChange(s, p, before, restarted)
 }
 
-// announce reports a host of this host's zone to the zone if this host monitors it.
-func announce(s *State, now time.Time, p *peer) {
+// announce reports a host of this host's zone to the zone if this host monitors it, and
+// returns whether it does.
+func announce(s *State, now time.Time, p *peer) bool {
 	if p.Zone != s.cfg.Zone || !isMonitorOf(s, now, p.Host) {
-		return
+		return false
 	}
 	addReport(s, p)
+	return true
 }
 
 // addReport queues a report and requests that it be sent to the whole zone at once.
--- a/fleet/member/ring.go
+++ b/fleet/member/ring.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -27,30 +28,37 @@
 // Owners returns the n hosts with the highest rendezvous scores for a key, best
 // first. It returns fewer if there are fewer hosts.
 func Owners(live []id.Host, key string, n int) []id.Host {
-	type ranked struct {
-		host  id.Host
-		score uint64
-	}
-	all := make([]ranked, 0, len(live))
+	best := make([]ranked, 0, min(n, len(live))+1)
 	for _, h := range live {
-		all = append(all, ranked{host: h, score: score(h, key)})
-	}
-	sort.Slice(all, func(i, j int) bool {
-		if all[i].score != all[j].score {
-			return all[i].score > all[j].score
+		r := ranked{host: h, score: score(h, key)}
+		i := sort.Search(len(best), func(i int) bool { return r.before(best[i]) })
+		if i == n {
+			continue
 		}
-		return all[i].host < all[j].host
-	})
-	if n < len(all) {
-		all = all[:n]
+		best = slices.Insert(best, i, r)
+		best = best[:min(n, len(best))]
 	}
-	out := make([]id.Host, 0, len(all))
-	for _, r := range all {
+	out := make([]id.Host, 0, len(best))
+	for _, r := range best {
 		out = append(out, r.host)
 	}
 	return out
 }
 
+// ranked is a host with its rendezvous score for a key.
+type ranked struct {
+	host  id.Host
+	score uint64
+}
+
+// before reports whether r comes before other in the order of owners.
+func (r ranked) before(other ranked) bool {
+	if r.score != other.score {
+		return r.score > other.score
+	}
+	return r.host < other.host
+}
+
 // score returns the rendezvous weight of a host for a key.
 func score(h id.Host, key string) uint64 {
 	var d xxhash.Digest
@@ -66,7 +74,7 @@
 	return p.Zone == s.cfg.Zone && !p.dead
 }
 
-// buildRing brings ring, monitoredSince and neighbours up to date. A host that
+// buildRing brings ring, monitoredSince, monitors and neighbours up to date. A host that
 // stays monitored keeps its start time.
 func buildRing(s *State, now time.Time) {
 	if s.ring != nil {
@@ -91,7 +99,8 @@
 			s.monitoredSince[h] = since
 		}
 	}
-	for _, h := range ringNeighbours(s, 1) {
+	s.monitors = ringNeighbours(s, 1)
+	for _, h := range s.monitors {
 		s.neighbours[h] = true
 	}
 }
--- a/fleet/member/tick.go
+++ b/fleet/member/tick.go
@@ -2,17 +2,30 @@
 
 import (
 	"slices"
-	"sort"
 	"strconv"
+	"strings"
 	"time"
 
 	"ragwortshunt.example/fleet/id"
 	"ragwortshunt.example/fleet/message"
 )
 
-// Tick returns the hosts to send a heartbeat to now, sorted by name, and the deaths
-// that it detected. Call it several times per Config.HeartbeatInterval.
-func Tick(s *State, now time.Time) (recipients []id.Host, changes []Change) {
+// Heartbeats are the heartbeats that a host must send now. All carry Reports.
+type Heartbeats struct {
+	To        []Recipient // sorted by host
+	Broadcast bool        // all hosts of the zone must get one, directly or by way of relays
+}
+
+// Recipient is a host that must get a heartbeat.
+type Recipient struct {
+	Host        id.Host
+	AwaitsReply bool // the heartbeat must ask for a reply
+	Newcomer    bool // the heartbeat must also carry Departed
+}
+
+// Tick returns the heartbeats to send now and the deaths that it detected. Call it
+// several times per Config.HeartbeatInterval.
+func Tick(s *State, now time.Time) (heartbeats Heartbeats, changes []Change) {
 	detectPause(s, now)
 	targets := map[id.Host]bool{}
 	if !now.Before(s.nextScan) {
@@ -29,16 +42,28 @@
 		s.nextContact = now.Add(contactInterval)
 		addContactTargets(s, now, targets)
 	}
-	if s.broadcastPending && !now.Before(s.nextBroadcast) {
-		s.broadcastPending = false
-		s.nextBroadcast = now.Add(s.cfg.HeartbeatInterval / 2)
-		addAllInZone(s, targets)
-	}
 	for h := range s.pendingReplies {
 		targets[h] = true
 	}
+	for h := range s.newcomers {
+		targets[h] = true
+	}
+	heartbeats.To = recordSent(s, now, targets)
 	clear(s.pendingReplies)
-	return recordSent(s, now, targets), changes
+	clear(s.newcomers)
+	heartbeats.Broadcast = takeBroadcast(s, now)
+	return heartbeats, changes
+}
+
+// takeBroadcast reports whether a broadcast is due. Broadcasts keep a distance of half a
+// Config.HeartbeatInterval, so that changes in quick succession share one.
+func takeBroadcast(s *State, now time.Time) bool {
+	if !s.broadcastPending || len(s.order) == 1 || now.Before(s.nextBroadcast) {
+		return false
+	}
+	s.broadcastPending = false
+	s.nextBroadcast = now.Add(s.cfg.HeartbeatInterval / 2)
+	return true
 }
 
 // detectPause restarts the silence timeouts if this host itself was paused, because
@@ -109,9 +134,10 @@
 	return monitored && now.Sub(later(lastHeard, since)) >= limit
 }
 
-// markDead marks a host as dead. A monitor reports the death if it has ever
-// received a message from the host. If nothing has been received from another zone
-// for remoteDeadAfter, all hosts of that zone are marked.
+// markDead marks a host as dead. A monitor reports the death unless it may itself be
+// cut off: it must have received a message from the host at some time, or one from any
+// host within Config.DeadAfter. If nothing has been received from another zone for
+// remoteDeadAfter, all hosts of that zone are marked.
 func markDead(s *State, now time.Time, p *peer) []Change {
 	_, monitored := s.monitoredSince[p.Host]
 	before := p.state()
@@ -124,7 +150,7 @@
 	p.probeInterval = s.cfg.HeartbeatInterval
 	p.nextProbe = now.Add(p.probeInterval)
 	changes := recordChange(s, p, before, false)
-	if monitored && !p.lastHeard.IsZero() {
+	if monitored && (!p.lastHeard.IsZero() || now.Sub(s.lastHeard) < s.cfg.DeadAfter) {
 		addReport(s, p)
 	}
 	return changes
@@ -159,23 +185,29 @@
 	s.reports = kept
 }
 
-// addZoneTargets adds the ring neighbours, the hosts whose reply is awaited, and
-// the next host of the spot check.
+// addZoneTargets adds the monitors of this host, the hosts whose reply is awaited, the
+// monitored hosts that are overdue, and the next host of the spot check.
 func addZoneTargets(s *State, now time.Time, targets map[id.Host]bool) {
 	buildRing(s, now)
-	for h := range s.neighbours {
+	for _, h := range s.monitors {
 		targets[h] = true
 	}
 	if len(s.ring) > len(s.monitoredSince)+1 {
 		spotCheckNext(s, now)
 	}
 	for _, h := range s.order {
-		if p := s.peers[h]; !p.awaitingSince.IsZero() {
+		if p := s.peers[h]; !p.awaitingSince.IsZero() || isOverdue(s, now, p) {
 			targets[h] = true
 		}
 	}
 }
 
+// isOverdue reports whether a host that this host monitors has missed heartbeats.
+func isOverdue(s *State, now time.Time, p *peer) bool {
+	since, monitored := s.monitoredSince[p.Host]
+	return monitored && !p.dead && now.Sub(later(p.lastHeard, since)) >= 2*s.cfg.HeartbeatInterval
+}
+
 // spotCheckNext awaits a reply from the next host of the zone that this host does
 // not monitor. The monitors of this host are among those hosts.
 //
@@ -196,8 +228,9 @@
 	}
 }
 
-// addProbeTargets adds dead hosts whose probe is due. The interval between probes
-// of a host grows exponentially.
+// addProbeTargets adds dead hosts whose probe is due. A dead host of this zone is probed
+// by its monitors only, which report its return. The interval between probes of a host
+// grows exponentially.
 func addProbeTargets(s *State, now time.Time, targets map[id.Host]bool) {
 	n := 0
 	for _, h := range s.order {
@@ -205,8 +238,15 @@
 		if !p.dead || p.Address == "" || now.Before(p.nextProbe) {
 			continue
 		}
+		limit := maxRemoteProbeInterval
+		if p.Zone == s.cfg.Zone {
+			if !isMonitorOf(s, now, h) {
+				continue
+			}
+			limit = maxProbeInterval
+		}
 		targets[h] = true
-		p.probeInterval = min(max(2*p.probeInterval, s.cfg.HeartbeatInterval), maxProbeInterval)
+		p.probeInterval = min(max(2*p.probeInterval, s.cfg.HeartbeatInterval), limit)
 		p.nextProbe = now.Add(p.probeInterval)
 		n++
 		if n == maxProbesPerRound {
@@ -241,27 +281,21 @@
 	}
 }
 
-// addAllInZone adds all hosts of the zone that are not dead.
-func addAllInZone(s *State, targets map[id.Host]bool) {
-	for _, h := range s.order {
-		if inRing(s, s.peers[h]) {
-			targets[h] = true
-		}
-	}
-}
-
-// recordSent records the time of the heartbeats and returns their recipients,
-// sorted by name. It skips hosts whose address is unknown.
-func recordSent(s *State, now time.Time, targets map[id.Host]bool) []id.Host {
-	var recipients []id.Host
+// recordSent records the time of the heartbeats and returns their recipients, sorted by
+// name. It skips hosts whose address is unknown.
+func recordSent(s *State, now time.Time, targets map[id.Host]bool) []Recipient {
+	var out []Recipient
 	for h := range targets {
 		p, ok := s.peers[h]
 		if !ok || h == s.cfg.Host || p.Address == "" {
 			continue
 		}
 		p.lastSent = now
-		recipients = append(recipients, h)
+		out = append(out, Recipient{
+			Host: h, Newcomer: s.newcomers[h],
+			AwaitsReply: p.dead || !p.awaitingSince.IsZero() || isOverdue(s, now, p),
+		})
 	}
-	sort.Slice(recipients, func(i, j int) bool { return recipients[i] < recipients[j] })
-	return recipients
+	slices.SortFunc(out, func(a, b Recipient) int { return strings.Compare(string(a.Host), string(b.Host)) })
+	return out
 }
--- a/fleet/message/envelope.go
+++ b/fleet/message/envelope.go
@@ -23,6 +23,7 @@
 	TableReplies   []TableReply    `cbor:"16,keyasint,omitempty"`
 
 	PlatformUpdates []PlatformUpdate `cbor:"17,keyasint,omitempty"`
+	Broadcasts      []Broadcast      `cbor:"18,keyasint,omitempty"`
 }
 
 // Add appends m to the list of its type.
@@ -58,6 +59,8 @@
 		e.TableReplies = append(e.TableReplies, m)
 	case PlatformUpdate:
 		e.PlatformUpdates = append(e.PlatformUpdates, m)
+	case Broadcast:
+		e.Broadcasts = append(e.Broadcasts, m)
 	}
 }
 
@@ -76,6 +79,9 @@
 	for _, m := range e.PlatformUpdates {
 		out = append(out, m)
 	}
+	for _, m := range e.Broadcasts {
+		out = append(out, m)
+	}
 	for _, m := range e.TableRequests {
 		out = append(out, m)
 	}
--- a/fleet/message/message.go
+++ b/fleet/message/message.go
@@ -73,6 +73,22 @@
 	// SeenRevisions holds the latest revision that the sender has read of each source
 	// of the platform's configuration, indexed by core.ConfigSource.
 	SeenRevisions []uint64 `cbor:"10,keyasint,omitempty"`
+	AwaitsReply   bool     `cbor:"11,keyasint,omitempty"` // the sender counts the receiver as dead if it stays silent
+}
+
+// Broadcast carries a message to many hosts by way of relays; see package fanout. It
+// counts as sent by Origin, but says nothing about the path from there.
+type Broadcast struct {
+	Origin      id.Host        `cbor:"1,keyasint"`
+	Incarnation id.Incarnation `cbor:"2,keyasint"`           // of Origin
+	Zone        id.Zone        `cbor:"3,keyasint,omitempty"` // the receiver forwards to hosts of this zone; empty stands for all zones
+	First       id.Host        `cbor:"4,keyasint,omitempty"` // the receiver forwards to the hosts from First to Last, in the order of names
+	Last        id.Host        `cbor:"5,keyasint,omitempty"`
+	Relays      []id.Host      `cbor:"6,keyasint,omitempty"` // relays that the message has passed
+
+	// One of the two holds the message.
+	Heartbeats []Heartbeat      `cbor:"7,keyasint,omitempty"`
+	Updates    []PlatformUpdate `cbor:"8,keyasint,omitempty"`
 }
 
 // SlotRequest requests prefill, transfer and decode capacity from a scheduler.
@@ -260,3 +276,4 @@
 func (TableRequest) isMessage()   {}
 func (TableReply) isMessage()     {}
 func (PlatformUpdate) isMessage() {}
+func (Broadcast) isMessage()      {}
