--- a/fleet/core/request.go
+++ b/fleet/core/request.go
@@ -44,6 +44,7 @@
 	CodeNoClaim        = "claim-unavailable"
 	CodeRouteRemoved   = "route-removed"
 	CodeCallerGone     = "caller-gone"
+	CodeInternal       = "internal-error" // an unexpected error of this host
 )
 
 // partRequest marks log lines about requests.
--- a/router/internal/app/adapters.go
+++ b/router/internal/app/adapters.go
@@ -107,7 +107,7 @@
 func newObjectAdapters(
 	lifetime Lifetime, s *settings.Settings, clock clockwork.Clock, log *zap.Logger, r *reactor.Reactor,
 ) Adapters {
-	exchanges := exchange.NewStore()
+	exchanges := exchange.NewStore(exchange.WithMemory(exchangeMemory(s.MachineMemory)))
 	c := objectcaller.New(r, clock, log, exchanges)
 	objects := store.New(lifetime, s.PlatformURL, clock, log, r)
 	params := deployment.HostParams{
@@ -126,3 +126,15 @@
 		},
 	}
 }
+
+// exchangeShare is the part of a machine's memory that requests and responses may fill.
+const exchangeShare = 0.25
+
+// exchangeMemory returns the memory for requests and responses in bytes, for a machine
+// with megabytes of memory.
+func exchangeMemory(megabytes int64) int64 {
+	if megabytes <= 0 {
+		return exchange.DefaultMemory
+	}
+	return int64(float64(megabytes<<20) * exchangeShare)
+}
--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -84,8 +84,8 @@
 	return id.Incarnation(clock.Now().UnixMilli())
 }
 
-func newReactor(cfg core.Config, clock clockwork.Clock) *reactor.Reactor {
-	return reactor.New(cfg, clock)
+func newReactor(cfg core.Config, clock clockwork.Clock, log *zap.Logger) *reactor.Reactor {
+	return reactor.New(cfg, clock, reactor.WithLog(log))
 }
 
 func newSender(
@@ -122,6 +122,8 @@
 	serveErrs := serve(servers)
 	select {
 	case err = <-serveErrs:
+	case <-r.reactor.Failed():
+		err = fmt.Errorf("%w: the decision core is invalid", ErrApp)
 	case <-ctx.Done():
 		r.drain(servers[callerIndex].listener)
 	}
@@ -158,7 +160,7 @@
 		{address: r.settings.PeerAddress, handler: peer.NewHandler(r.reactor), streams: true},
 	}
 	if r.adapters.Ready != nil {
-		specs = append(specs, listenSpec{address: r.settings.ReadyAddress, handler: r.adapters.Ready})
+		specs = append(specs, listenSpec{address: r.settings.ReadyAddress, handler: whileHealthy(r.reactor, r.adapters.Ready)})
 	}
 	errorLog, err := zap.NewStdLogAt(r.log, zap.WarnLevel)
 	if err != nil {
@@ -183,6 +185,17 @@
 	return out, nil
 }
 
+// whileHealthy returns a readiness check that fails while the decision core is not healthy.
+func whileHealthy(c *reactor.Reactor, ready http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if !c.Healthy() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		ready.ServeHTTP(w, req)
+	})
+}
+
 func closeListeners(servers []server) {
 	for _, s := range servers {
 		_ = s.listener.Close()
--- a/router/internal/app/wire_gen.go
+++ b/router/internal/app/wire_gen.go
@@ -18,7 +18,7 @@
 func New(lifetime Lifetime, s *settings.Settings, log *zap.Logger, clock clockwork.Clock) *Router {
 	incarnation := newIncarnation(clock)
 	config := newCoreConfig(s, incarnation)
-	reactor := newReactor(config, clock)
+	reactor := newReactor(config, clock, log)
 	adapters := newAdapters(lifetime, s, incarnation, clock, log, reactor)
 	sender := newSender(lifetime, s, incarnation, log, reactor)
 	metrics := newMetrics(s)
--- a/router/internal/caller/error.go
+++ b/router/internal/caller/error.go
@@ -51,6 +51,8 @@
 		return http.StatusConflict
 	case core.CodeEndpointFailed:
 		return http.StatusBadGateway
+	case core.CodeInternal:
+		return http.StatusInternalServerError
 	default:
 		return http.StatusServiceUnavailable
 	}
--- a/router/internal/operator/operator.go
+++ b/router/internal/operator/operator.go
@@ -24,6 +24,8 @@
 type Querier interface {
 	Query(ctx context.Context, fn func(st *core.State, now time.Time)) bool
 	Load() (processed int64, busy time.Duration)
+	// Healthy reports whether the decision core handles events without errors.
+	Healthy() bool
 }
 
 // Server serves the HTTP requests of operators.
@@ -83,7 +85,7 @@
 	if !s.query(r, w, func(st *core.State, now time.Time) { ready = core.IsReady(st, now) }) {
 		return
 	}
-	if !ready {
+	if !ready || !s.core.Healthy() {
 		writeJSON(w.ResponseWriter, http.StatusServiceUnavailable, message{"not ready"})
 		return
 	}
--- a/router/internal/operator/operator_test.go
+++ b/router/internal/operator/operator_test.go
@@ -39,6 +39,8 @@
 
 func (f *fakeCore) Load() (int64, time.Duration) { return 7, 5 * time.Millisecond }
 
+func (f *fakeCore) Healthy() bool { return true }
+
 func newCore() *fakeCore {
 	now := time.Unix(1000, 0)
 	return &fakeCore{st: core.New(core.DefaultConfig("h-1", 3, "a", []id.Zone{"a"}), now), now: now}
--- a/router/internal/reactor/reactor.go
+++ b/router/internal/reactor/reactor.go
@@ -8,10 +8,12 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
 
 	"ragwortshunt.example/fleet/core"
 )
@@ -39,6 +41,12 @@
 	done      chan struct{}
 	busy      atomic.Int64 // nanoseconds spent in core.Reduce
 	processed atomic.Int64 // number of events passed to core.Reduce
+	log       *zap.Logger
+	failed    chan struct{}
+	failOnce  sync.Once
+
+	mu     sync.Mutex
+	panics []time.Time // the last maxPanics events that panicked
 }
 
 // Option changes a Reactor in New.
@@ -60,6 +68,8 @@
 		events:  make(chan core.Event, queueLength),
 		queries: make(chan func(*core.State, time.Time)),
 		done:    make(chan struct{}),
+		failed:  make(chan struct{}),
+		log:     zap.NewNop(),
 	}
 	for _, o := range opts {
 		o(r)
@@ -131,6 +141,7 @@
 // reduce processes one event and passes the effects to the handler. Only the time in the
 // decision core counts as busy.
 func (r *Reactor) reduce(ev core.Event) {
+	defer r.recoverStep(ev)
 	now := r.clock.Now()
 	effects := core.Reduce(r.state, core.Input{Now: now, Wall: now, Seed: r.rng.Uint64(), Event: ev})
 	r.processed.Add(1)
--- a/router/internal/reactor/reactor_test.go
+++ b/router/internal/reactor/reactor_test.go
@@ -66,3 +66,58 @@
 	cancel()
 	assert.Assert(t, !r.Query(ctx, func(*core.State, time.Time) { t.Error("query ran") }))
 }
+
+// faulty is a Handler that panics on the refusals of some requests.
+type faulty struct {
+	effects
+	panics map[id.Request]int // how often it still panics
+}
+
+func (f *faulty) Handle(e core.Effect) {
+	if refuse, ok := e.(core.Refuse); ok && f.panics[refuse.Request] > 0 {
+		f.panics[refuse.Request]--
+		panic("unexpected")
+	}
+	f.effects.Handle(e)
+}
+
+// nextRefusal returns the next refusal.
+func (e effects) nextRefusal() core.Refuse {
+	for {
+		if refuse, ok := (<-e).(core.Refuse); ok {
+			return refuse
+		}
+	}
+}
+
+// TestPanic guards against an unexpected error with one request that ends the whole
+// process, leaves that request without an answer or calls it not run.
+func TestPanic(t *testing.T) {
+	r, out, clock := newReactor()
+	r.SetHandler(&faulty{effects: out, panics: map[id.Request]int{"r-1": 1, "r-3": 3}})
+	go r.Run(t.Context())
+	r.Post(core.RequestArrived{Request: "r-1", Route: "x"})
+	r.Post(core.RequestArrived{Request: "r-2", Route: "x"})
+	first := out.nextRefusal()
+	assert.Equal(t, first.Request, id.Request("r-1"))
+	assert.Equal(t, first.Code, core.CodeInternal)
+	assert.Assert(t, !first.NotRun)
+	assert.Equal(t, out.nextRefusal().Request, id.Request("r-2"))
+	assert.Assert(t, r.Healthy())
+	select {
+	case <-r.Failed():
+		t.Fatal("the state is valid")
+	default:
+	}
+
+	for range 3 {
+		r.Post(core.RequestArrived{Request: "r-3", Route: "x"})
+	}
+	for range 2 {
+		assert.Equal(t, out.nextRefusal().Request, id.Request("r-3"))
+	}
+	<-r.Failed() // the abort of the first event has panicked, too
+	assert.Assert(t, !r.Healthy())
+	clock.Advance(time.Minute)
+	assert.Assert(t, r.Healthy())
+}
--- a/router/internal/settings/field.go
+++ b/router/internal/settings/field.go
@@ -46,6 +46,8 @@
 		func(s *Settings) *time.Duration { return &s.DrainTimeout }, time.Second, 24*time.Hour)},
 	{"host", "memory-limit", "0", "Memory that the process tries to stay within, in bytes; 0 is no limit.", integer(
 		func(s *Settings) *int64 { return &s.MemoryLimit }, 0, 1<<40)},
+	{"host", "machine-memory", "0", "Memory of the machine in MB, rounded down; 0 is unknown. Requests and responses may fill a quarter of it, or 64 MB.", allowance(
+		func(s *Settings) *int64 { return &s.MachineMemory }, 1<<24)},
 	{"caller", "address", "", "ip:port on which callers are served.", address(
 		func(s *Settings) *string { return &s.CallerAddress })},
 	{"caller", "max-body-bytes", "1048576", "Largest request body in bytes, 1024 to 67108864.", integer(
--- a/router/internal/settings/settings.go
+++ b/router/internal/settings/settings.go
@@ -35,17 +35,18 @@
 	PeerAddress     string
 	OperatorAddress string
 
-	Protocol     Protocol
-	ReadyAddress string    // empty: readiness is served only on OperatorAddress
-	Domain       id.Zone   // scheduling domain; empty: the availability zone
-	Domains      []id.Zone // all scheduling domains, sorted; empty: Zones
-	ChecksFences bool      // engines reject orders with a lower fencing token than they have seen
-	BlockTokens  int64     // tokens per KV block
-	PrefillRate  int64     // tokens per second
-	RetryRatio   float64   // retries per request of a service, 0 to 1
-	RetryWindow  time.Duration
-	RetryExtra   int64 // retries per window in addition to RetryRatio
-	MemoryLimit  int64 // bytes; 0: no limit
+	Protocol      Protocol
+	ReadyAddress  string    // empty: readiness is served only on OperatorAddress
+	Domain        id.Zone   // scheduling domain; empty: the availability zone
+	Domains       []id.Zone // all scheduling domains, sorted; empty: Zones
+	ChecksFences  bool      // engines reject orders with a lower fencing token than they have seen
+	BlockTokens   int64     // tokens per KV block
+	PrefillRate   int64     // tokens per second
+	RetryRatio    float64   // retries per request of a service, 0 to 1
+	RetryWindow   time.Duration
+	RetryExtra    int64 // retries per window in addition to RetryRatio
+	MemoryLimit   int64 // bytes; 0: no limit
+	MachineMemory int64 // MB; 0 is unknown
 
 	PlatformURL     string
 	PlatformTimeout time.Duration
