--- a/fleet/core/follow.go
+++ b/fleet/core/follow.go
@@ -71,6 +71,7 @@
 			eligible = append(eligible, h)
 		}
 	}
+	eligible = member.Strong(s.member, eligible)
 	return slices.Contains(member.Owners(eligible, watcherHashKey, s.cfg.Watchers), s.cfg.Host)
 }
 
--- a/fleet/core/follow_test.go
+++ b/fleet/core/follow_test.go
@@ -127,6 +127,27 @@
 	assert.Equal(t, f.countMode(core.FollowWatchers), 10)
 }
 
+// TestStrongWatchers guards against watchers on hosts that cannot carry the work, and
+// against a fleet without watchers after the strong hosts are gone.
+func TestStrongWatchers(t *testing.T) {
+	f, list := newStartedFollowers(t, 12)
+	strong := map[id.Host]bool{"h3": true, "h8": true}
+	for i := range list {
+		list[i].Capacity = 0.2
+		if strong[list[i].Host] {
+			list[i].Capacity = 0.8
+		}
+	}
+	f.installHosts(list)
+	f.advance(4*time.Second, nil)
+	assert.DeepEqual(t, f.watchers(), strong)
+	f.advance(200*time.Millisecond, strong)
+	assert.Equal(t, f.countMode(core.FollowAsWatcher), 2)
+	for name := range f.watchers() {
+		assert.Assert(t, !strong[name], "%s has lost contact", name)
+	}
+}
+
 // TestStartOfAll guards against hosts that start together and all watch the platform, and
 // against a start after which no host watches it.
 func TestStartOfAll(t *testing.T) {
--- a/fleet/core/peers.go
+++ b/fleet/core/peers.go
@@ -24,10 +24,12 @@
 // applyHosts passes the live hosts to rate limiting and to the order lease.
 func (s *step) applyHosts() {
 	live := make(map[id.Zone][]id.Host, len(s.cfg.Zones))
+	holders := make(map[id.Zone][]id.Host, len(s.cfg.Zones))
 	for _, z := range s.cfg.Zones {
 		live[z] = s.liveIn(z)
+		holders[z] = s.strongIn(z)
 	}
-	s.limitActions(limit.SetHosts(s.limit, s.now, live))
+	s.limitActions(limit.SetHosts(s.limit, s.now, live, holders))
 	s.applyOrders()
 }
 
--- a/fleet/core/tablesync.go
+++ b/fleet/core/tablesync.go
@@ -287,7 +287,7 @@
 		desired = append(desired, order.DesiredState{Endpoint: ep.Name, Role: pool.Role, Model: pool.Model, Fencing: ep.Fencing})
 	}
 	sort.Slice(desired, func(i, j int) bool { return desired[i].Endpoint < desired[j].Endpoint })
-	leader := member.Owner(s.liveIn(s.cfg.Zone), "order") == s.cfg.Host && !s.draining
+	leader := member.Owner(s.strongIn(s.cfg.Zone), "order") == s.cfg.Host && !s.draining
 	s.orderActions(order.SetDesiredStates(s.orders, s.now, desired, leader))
 }
 
--- a/fleet/core/views.go
+++ b/fleet/core/views.go
@@ -23,6 +23,7 @@
 	until   time.Time // earliest end of a suspicion; zero means none
 
 	liveHosts   map[id.Zone][]id.Host // live hosts without suspects
+	strongHosts map[id.Zone][]id.Host // those of them that can carry work for all hosts
 	cellOwners  map[cellKey]id.Host
 	claimOwners map[string]id.Host // owner of each shard of claims
 	cells       map[id.Model][]cellKey
@@ -50,14 +51,16 @@
 	s.views = views{
 		built: true, version: member.Version(s.member), until: s.firstSuspicionEnd(),
 		liveHosts:   make(map[id.Zone][]id.Host),
+		strongHosts: make(map[id.Zone][]id.Host),
 		cellOwners:  make(map[cellKey]id.Host),
 		claimOwners: make(map[string]id.Host),
 		cells:       make(map[id.Model][]cellKey),
 	}
 	for z, hosts := range member.Live(s.member) {
 		s.views.liveHosts[z] = s.withoutSuspects(hosts)
+		s.views.strongHosts[z] = member.Strong(s.member, s.views.liveHosts[z])
 	}
-	for _, h := range member.Owners(s.views.liveHosts[s.cfg.Zone], "table-watch", s.cfg.Watchers) {
+	for _, h := range member.Owners(s.views.strongHosts[s.cfg.Zone], "table-watch", s.cfg.Watchers) {
 		if h == s.cfg.Host {
 			s.views.watcher = true
 		}
@@ -93,12 +96,18 @@
 	return s.hostViews().liveHosts[z]
 }
 
+// strongIn returns the hosts of liveIn that can carry work for all hosts. The caller must
+// not modify the result.
+func (s *step) strongIn(z id.Zone) []id.Host {
+	return s.hostViews().strongHosts[z]
+}
+
 // schedulerOf returns the host that schedules a cell, or "" if there is none.
 func (s *step) schedulerOf(k cellKey) id.Host {
 	v := s.hostViews()
 	owner, ok := v.cellOwners[k]
 	if !ok {
-		owner = member.Owner(v.liveHosts[k.Zone], k.String())
+		owner = member.Owner(v.strongHosts[k.Zone], k.String())
 		v.cellOwners[k] = owner
 	}
 	return owner
--- a/fleet/limit/hosts.go
+++ b/fleet/limit/hosts.go
@@ -8,17 +8,16 @@
 	"ragwortshunt.example/fleet/id"
 )
 
-// SetHosts replaces the live hosts of all zones. A host that is missing from the list
-// of its zone is not a preferred holder and hands over its groups.
-func SetHosts(s *State, now time.Time, live map[id.Zone][]id.Host) []Action {
+// SetHosts replaces the live hosts of all zones, and those of them that may be preferred
+// holders. A host that is missing from the holders of its zone hands over its groups.
+func SetHosts(s *State, now time.Time, live, holders map[id.Zone][]id.Host) []Action {
 	for _, zone := range s.cfg.Zones {
-		hosts := slices.Clone(live[zone])
-		slices.Sort(hosts)
-		hosts = slices.Compact(hosts)
-		if slices.Equal(hosts, s.live[zone]) {
+		s.live[zone] = sorted(live[zone])
+		hosts := sorted(holders[zone])
+		if slices.Equal(hosts, s.holders[zone]) {
 			continue
 		}
-		s.live[zone] = hosts
+		s.holders[zone] = hosts
 		delete(s.preferredHolders, zone)
 	}
 	for i, g := range s.groups {
@@ -32,8 +31,15 @@
 	return s.stepGroups(now)
 }
 
+// sorted returns the hosts in order and without duplicates.
+func sorted(hosts []id.Host) []id.Host {
+	out := slices.Clone(hosts)
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 // preferredHolder returns the preferred holder of a group, selected by rendezvous
-// hashing over the live hosts of the zone. It is empty if the zone has no live host.
+// hashing over the holders of the zone. It is empty if the zone has none.
 func (s *State) preferredHolder(zone id.Zone, group int) id.Host {
 	cached, ok := s.preferredHolders[zone]
 	if !ok {
@@ -41,7 +47,7 @@
 		s.preferredHolders[zone] = cached
 	}
 	if cached[group] == "" {
-		cached[group] = rendezvous(groupName(zone, group), s.live[zone])
+		cached[group] = rendezvous(groupName(zone, group), s.holders[zone])
 	}
 	return cached[group]
 }
--- a/fleet/limit/limit.go
+++ b/fleet/limit/limit.go
@@ -100,6 +100,7 @@
 	budgets          map[id.Account]Budget
 	shares           [][]share // by group of this host's zone, sorted by account
 	live             map[id.Zone][]id.Host
+	holders          map[id.Zone][]id.Host // hosts that may be preferred holders
 	preferredHolders map[id.Zone][]id.Host // preferred holder by group, computed on demand
 	groups           []*group              // lease groups of this host's zone
 	draining         bool
@@ -154,6 +155,7 @@
 		budgets:          map[id.Account]Budget{},
 		shares:           make([][]share, cfg.Groups),
 		live:             map[id.Zone][]id.Host{},
+		holders:          map[id.Zone][]id.Host{},
 		preferredHolders: map[id.Zone][]id.Host{},
 		requests:         map[id.Request]*request{},
 		pending:          map[id.Request]*request{},
--- a/fleet/limit/simulation_test.go
+++ b/fleet/limit/simulation_test.go
@@ -178,7 +178,7 @@
 	for _, h := range sim.hosts {
 		inc := h.inc
 		sim.after(time.Duration(sim.rnd.IntN(2000))*time.Millisecond, func() {
-			sim.runOn(h, inc, func(now time.Time) { sim.perform(h, limit.SetHosts(h.st, now, sim.view(h))) })
+			sim.runOn(h, inc, func(now time.Time) { sim.perform(h, limit.SetHosts(h.st, now, sim.view(h), sim.view(h))) })
 		})
 	}
 }
--- a/fleet/limit/single_test.go
+++ b/fleet/limit/single_test.go
@@ -29,7 +29,7 @@
 func newReadingHost(t *testing.T, cfg limit.Config, b limit.Budget) *limit.State {
 	s := limit.New(cfg)
 	limit.SetBudgets(s, sec(-2), map[id.Account]limit.Budget{"a": b})
-	limit.SetHosts(s, sec(-2), map[id.Zone][]id.Host{"z1": {"h1"}})
+	limit.SetHosts(s, sec(-2), map[id.Zone][]id.Host{"z1": {"h1"}}, map[id.Zone][]id.Host{"z1": {"h1"}})
 	_, actions := limit.Tick(s, sec(-1))
 	assert.DeepEqual(t, actions, []limit.Action{limit.ReadLease{Group: "z1.0"}})
 	return s
--- a/fleet/member/member.go
+++ b/fleet/member/member.go
@@ -74,6 +74,7 @@
 	HeartbeatInterval time.Duration // time between heartbeats within the zone
 	DeadAfter         time.Duration // silence after which a host of the zone counts as dead
 	Monitors          int           // number of monitors of each host
+	Capacity          float64       // part of a processor core that this host may use; 0 is unknown
 }
 
 // Peer is what this host knows about one host.
@@ -83,6 +84,7 @@
 	Address     string         // ip:port; empty until the host is listed or has sent its address
 	Incarnation id.Incarnation // 0 until the host has sent a message or has been reported
 	State       message.HostState
+	Capacity    float64 // part of a processor core that the host may use; 0 is unknown
 }
 
 // Change reports that the state or the incarnation of a host has changed. A host
@@ -180,6 +182,7 @@
 	}
 	self := add(s, cfg.Host, cfg.Zone)
 	self.Incarnation = cfg.Incarnation
+	self.Capacity = cfg.Capacity
 	return s
 }
 
--- a/fleet/member/receive.go
+++ b/fleet/member/receive.go
@@ -36,6 +36,10 @@
 		p.zoneDead = s.zoneSilent[h.Zone]
 	}
 	p.Address = h.Address
+	if h.Host != s.cfg.Host && p.Capacity != h.Capacity {
+		p.Capacity = h.Capacity
+		invalidate(s, p.Zone)
+	}
 	p.listed = true
 	p.missingSince = time.Time{}
 	if p.listLeaving != h.Leaving {
--- a/fleet/member/ring.go
+++ b/fleet/member/ring.go
@@ -45,6 +45,33 @@
 	return out
 }
 
+// Strong returns the hosts that can carry work for all hosts: those with at least half of
+// the largest capacity. A host of unknown capacity is one of them. The order is kept, and
+// the result may share the memory of hosts.
+func Strong(s *State, hosts []id.Host) []id.Host {
+	largest := 0.0
+	for _, h := range hosts {
+		largest = max(largest, s.capacity(h))
+	}
+	out := make([]id.Host, 0, len(hosts))
+	for _, h := range hosts {
+		if c := s.capacity(h); c == 0 || c >= largest*strongShare {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// strongShare is the part of the largest capacity from which on a host is strong.
+const strongShare = 0.5
+
+func (s *State) capacity(h id.Host) float64 {
+	if p, ok := s.peers[h]; ok {
+		return p.Capacity
+	}
+	return 0
+}
+
 // ranked is a host with its rendezvous score for a key.
 type ranked struct {
 	host  id.Host
--- a/fleet/object/object.go
+++ b/fleet/object/object.go
@@ -55,4 +55,6 @@
 	Zone    id.Zone `json:"zone"`
 	Address string  `json:"address"` // ip:port of the router's peer protocol
 	Leaving bool    `json:"leaving,omitempty"`
+	// Capacity is the part of a processor core that the host may use; 0 is unknown.
+	Capacity float64 `json:"capacity,omitempty"`
 }
--- a/router/internal/app/adapters.go
+++ b/router/internal/app/adapters.go
@@ -122,7 +122,9 @@
 		SetTable: func(core.TableInstalled) {},
 		Feed:     feed,
 		Register: func(ctx context.Context) {
-			objects.Register(ctx, string(s.Host), objectwire.Host{Zone: string(params.Domain), Address: s.PeerAddress})
+			objects.Register(ctx, string(s.Host), objectwire.Host{
+				Zone: string(params.Domain), Address: s.PeerAddress, Capacity: s.Capacity,
+			})
 		},
 	}
 }
--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -63,6 +63,7 @@
 	cfg := core.DefaultConfig(s.Host, inc, domain, domains)
 	cfg.Address = s.PeerAddress
 	cfg.AZ = s.Zone
+	cfg.Member.Capacity = s.Capacity
 	cfg.Limit.Groups = s.LeaseGroups
 	cfg.Limit.SlotRate = s.SlotRate
 	cfg.Limit.ReserveShare = s.ReserveShare
--- a/router/internal/settings/field.go
+++ b/router/internal/settings/field.go
@@ -35,6 +35,7 @@
 const (
 	maxTokensLimit = 1 << 20  // tokens
 	maxBodyLimit   = 64 << 20 // bytes
+	maxCapacity    = 1024     // processor cores
 	maxRate        = 1 << 40  // also the limit of the other counts without a stated range
 )
 
@@ -46,6 +47,9 @@
 		func(s *Settings) *time.Duration { return &s.DrainTimeout }, time.Second, 24*time.Hour)},
 	{"host", "memory-limit", "0", "Memory that the process tries to stay within, in bytes; 0 is no limit.", integer(
 		func(s *Settings) *int64 { return &s.MemoryLimit }, 0, 1<<40)},
+	{"host", "capacity", "0", "Part of a processor core that the host may use, 0 to 1024; 0 is unknown. Hosts with at least half of the largest capacity do the work for all hosts.", func(s *Settings, text string) error {
+		return setNumber(&s.Capacity, text, maxCapacity)
+	}},
 	{"host", "machine-memory", "0", "Memory of the machine in MB, rounded down; 0 is unknown. Requests and responses may fill a quarter of it, or 64 MB.", allowance(
 		func(s *Settings) *int64 { return &s.MachineMemory }, 1<<24)},
 	{"caller", "address", "", "ip:port on which callers are served.", address(
@@ -186,11 +190,16 @@
 	return setFraction(&s.ReserveShare, text)
 }
 
-// setFraction parses a number from 0 to 1. It rejects NaN.
+// setFraction parses a number from 0 to 1.
 func setFraction(dst *float64, text string) error {
+	return setNumber(dst, text, 1)
+}
+
+// setNumber parses a number from 0 to high. It rejects NaN.
+func setNumber(dst *float64, text string, high float64) error {
 	v, err := strconv.ParseFloat(text, 64)
-	if err != nil || !(v >= 0 && v <= 1) {
-		return fmt.Errorf("%q is not a number from 0 to 1", text)
+	if err != nil || !(v >= 0 && v <= high) {
+		return fmt.Errorf("%q is not a number from 0 to %g", text, high)
 	}
 	*dst = v
 	return nil
@@ -237,9 +246,9 @@
 // be exceeded. The platform may state it with a fraction, which is cut off.
 func allowance(dst func(*Settings) *int64, high int64) func(*Settings, string) error {
 	return func(s *Settings, text string) error {
-		v, err := strconv.ParseFloat(text, 64)
-		if err != nil || !(v >= 0 && v <= float64(high)) {
-			return fmt.Errorf("%q is not a number from 0 to %d", text, high)
+		var v float64
+		if err := setNumber(&v, text, float64(high)); err != nil {
+			return err
 		}
 		*dst(s) = int64(v)
 		return nil
--- a/router/internal/settings/settings.go
+++ b/router/internal/settings/settings.go
@@ -44,9 +44,10 @@
 	PrefillRate   int64     // tokens per second
 	RetryRatio    float64   // retries per request of a service, 0 to 1
 	RetryWindow   time.Duration
-	RetryExtra    int64 // retries per window in addition to RetryRatio
-	MemoryLimit   int64 // bytes; 0: no limit
-	MachineMemory int64 // MB; 0 is unknown
+	RetryExtra    int64   // retries per window in addition to RetryRatio
+	MemoryLimit   int64   // bytes; 0: no limit
+	MachineMemory int64   // MB; 0 is unknown
+	Capacity      float64 // part of a processor core; 0 is unknown
 
 	PlatformURL     string
 	PlatformTimeout time.Duration
