--- a/fleet/core/core.go
+++ b/fleet/core/core.go
@@ -47,6 +47,7 @@
 
 	Relay        bool          // requests and configuration arrive in the protocols of the users' platform; see relay.go
 	TickInterval time.Duration // interval between two Tick events
+	IdleTick     time.Duration // the same while this host has nothing to do that depends on it; 0 means TickInterval
 
 	Limit    limit.Config
 	Schedule schedule.Config
@@ -220,6 +221,17 @@
 	}
 }
 
+// TickInterval returns the time from the last Tick event to the next one. It is longer while
+// this host has no open request, schedules no cell and does not drain: only membership,
+// leases and the choice of watchers depend on Tick then.
+func TickInterval(st *State) time.Duration {
+	busy := len(st.requests) > 0 || len(st.scheduler.cells) > 0 || st.draining
+	if busy || st.cfg.IdleTick == 0 {
+		return st.cfg.TickInterval
+	}
+	return st.cfg.IdleTick
+}
+
 // step handles one input and collects its effects.
 type step struct {
 	*State
--- a/fleet/core/event.go
+++ b/fleet/core/event.go
@@ -160,7 +160,7 @@
 	SourceCount
 )
 
-// Tick drives all timers. It arrives every Config.TickInterval.
+// Tick drives all timers. It arrives at the interval that TickInterval returns.
 type Tick struct{}
 
 // DrainRequested starts a graceful shutdown.
--- a/fleet/member/member.go
+++ b/fleet/member/member.go
@@ -16,7 +16,7 @@
 //
 // A host that is listed but has never sent a message counts as alive until a monitor
 // reports its death. A host that has just started learns from its monitors which hosts
-// are dead or leaving. In each heartbeat round one host of the zone that is not
+// are dead or leaving. In some heartbeat rounds one host of the zone that is not
 // monitored is spot-checked: a reply is awaited for Config.DeadAfter, so that a lost
 // report is noticed after one pass over the zone.
 //
@@ -62,6 +62,11 @@
 	maxReports = 64
 	// maxDeparted bounds the reports for a host that has just started.
 	maxDeparted = 512
+	// spotCheckRing is the number of hosts in a zone from which on spot checks are made in
+	// fewer rounds: every second one from twice this number, and so on up to
+	// maxSpotCheckRounds. Each needs a connection of its own.
+	spotCheckRing      = 16
+	maxSpotCheckRounds = 4
 	// scanInterval is the time between two passes over all peers.
 	scanInterval = 50 * time.Millisecond
 )
@@ -141,6 +146,7 @@
 
 	zoneLastHeard    map[id.Zone]time.Time
 	zoneSilent       map[id.Zone]bool
+	spotCheckRounds  int    // rounds of heartbeats since the last spot check
 	contactRounds    uint64 // rounds of heartbeats to the contacts of other zones
 	spotCheckIndex   int    // ring index of the last host that was spot-checked
 	spotCheckStarted bool   // spotCheckIndex is set
--- a/fleet/member/member_test.go
+++ b/fleet/member/member_test.go
@@ -476,8 +476,10 @@
 	cfg.Host, cfg.Zone, cfg.Incarnation, cfg.Capacity = "a", "z", 1, 0.192
 	s := member.New(cfg, start)
 	member.SetList(s, start, []object.Host{
-		{Host: "a", Zone: "z", Address: "127.0.0.1:1"}, {Host: "b", Zone: "z", Address: "127.0.0.1:2", Capacity: 0.8},
-		{Host: "c", Zone: "z", Address: "127.0.0.1:3", Capacity: 0.5}, {Host: "d", Zone: "z", Address: "127.0.0.1:4", Capacity: 0.192},
+		{Host: "a", Zone: "z", Address: "127.0.0.1:1"},
+		{Host: "b", Zone: "z", Address: "127.0.0.1:2", Capacity: 0.8},
+		{Host: "c", Zone: "z", Address: "127.0.0.1:3", Capacity: 0.5},
+		{Host: "d", Zone: "z", Address: "127.0.0.1:4", Capacity: 0.192},
 		{Host: "e", Zone: "z", Address: "127.0.0.1:5"},
 	})
 	assert.DeepEqual(t, member.Strong(s, []id.Host{"a", "b", "c", "d", "e"}), []id.Host{"b", "c", "e"})
--- a/fleet/member/tick.go
+++ b/fleet/member/tick.go
@@ -192,7 +192,9 @@
 	for _, h := range s.monitors {
 		targets[h] = true
 	}
-	if len(s.ring) > len(s.monitoredSince)+1 {
+	s.spotCheckRounds++
+	if len(s.ring) > len(s.monitoredSince)+1 && s.spotCheckRounds >= min(len(s.ring)/spotCheckRing, maxSpotCheckRounds) {
+		s.spotCheckRounds = 0
 		spotCheckNext(s, now)
 	}
 	for _, h := range s.order {
--- a/router/internal/app/relay.go
+++ b/router/internal/app/relay.go
@@ -13,6 +13,9 @@
 	// relayTickInterval is the time between two Ticks. Each Tick costs CPU time, also on
 	// an idle host.
 	relayTickInterval = 20 * time.Millisecond
+	// relayIdleTick is the time between two Ticks of a host without requests and cells. It
+	// is a fifth of the time between two heartbeats.
+	relayIdleTick = 100 * time.Millisecond
 	// relayHandOverTimeout is short because the platform kills a process a few seconds
 	// after it has asked it to stop.
 	relayHandOverTimeout  = time.Second
@@ -46,6 +49,7 @@
 func applyRelayConfig(cfg *core.Config, s *settings.Settings) {
 	cfg.Relay = true
 	cfg.TickInterval = relayTickInterval
+	cfg.IdleTick = relayIdleTick
 	cfg.HandOverTimeout = relayHandOverTimeout
 	cfg.LoadInterval = 0
 	cfg.Order.LetLeaseExpire = true
--- a/router/internal/peer/client.go
+++ b/router/internal/peer/client.go
@@ -18,8 +18,8 @@
 	maxQueuedMessages = 16384                  // per peer; the oldest message is dropped when the queue is full
 	sendTimeout       = 2 * time.Second        // for one batch
 	dialTimeout       = 500 * time.Millisecond // for one connection
-	queueIdleTimeout  = 10 * time.Second       // a queue without messages and its stream are removed after this time
-	idleConnTimeout   = 30 * time.Second       // a connection without a stream is closed after this time
+	queueIdleTimeout  = 5 * time.Second        // a queue without messages and its stream are removed after this time
+	idleConnTimeout   = 2 * time.Second        // a connection without a stream is closed after this time, before its first ping
 
 	// A connection that has been silent for pingAfter is checked with a ping. Without
 	// the ping, a connection broken by a network partition would stay in use until
--- a/router/internal/peer/server.go
+++ b/router/internal/peer/server.go
@@ -28,6 +28,10 @@
 // target size.
 const maxEnvelopeBytes = 16 << 20
 
+// minCompressedBytes is the size from which on responses are compressed. They are empty, and
+// a compressor takes more memory than all messages.
+const minCompressedBytes = 4 << 10
+
 // ErrPeer is wrapped by the codec errors of this package.
 var ErrPeer = errors.New("peer")
 
@@ -59,7 +63,10 @@
 		}
 		return connect.NewResponse(&Ack{}), nil
 	}
-	opts := []connect.HandlerOption{connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxEnvelopeBytes)}
+	opts := []connect.HandlerOption{
+		connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxEnvelopeBytes),
+		connect.WithCompressMinBytes(minCompressedBytes),
+	}
 	mux := http.NewServeMux()
 	mux.Handle(procedure, connect.NewUnaryHandler(procedure, deliver, opts...))
 	mux.Handle(streamProcedure, connect.NewClientStreamHandler(streamProcedure, receive, opts...))
--- a/router/internal/reactor/reactor.go
+++ b/router/internal/reactor/reactor.go
@@ -34,7 +34,8 @@
 	clock     clockwork.Clock
 	state     *core.State
 	handler   Handler
-	tick      time.Duration
+	lastTick  time.Time
+	nextTick  time.Time
 	rng       *rand.Rand
 	events    chan core.Event
 	queries   chan func(st *core.State, now time.Time)
@@ -63,7 +64,6 @@
 	r := &Reactor{
 		clock:   clock,
 		state:   core.New(cfg, clock.Now()),
-		tick:    cfg.TickInterval,
 		rng:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		events:  make(chan core.Event, queueLength),
 		queries: make(chan func(*core.State, time.Time)),
@@ -122,22 +122,38 @@
 // discarded.
 func (r *Reactor) Run(ctx context.Context) {
 	defer close(r.done)
-	ticker := r.clock.NewTicker(r.tick)
-	defer ticker.Stop()
+	r.lastTick = r.clock.Now()
+	timer := r.clock.NewTimer(core.TickInterval(r.state))
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.Chan():
+		case <-timer.Chan():
+			r.lastTick = r.clock.Now()
+			r.nextTick = time.Time{}
 			r.reduce(core.Tick{})
+			r.scheduleTick(timer)
 		case ev := <-r.events:
 			r.reduce(ev)
+			r.scheduleTick(timer)
 		case fn := <-r.queries:
 			fn(r.state, r.clock.Now())
 		}
 	}
 }
 
+// scheduleTick sets the timer of the next Tick, if its time has changed. It depends on the
+// state, so that an idle host wakes up rarely.
+func (r *Reactor) scheduleTick(timer clockwork.Timer) {
+	next := r.lastTick.Add(core.TickInterval(r.state))
+	if next.Equal(r.nextTick) {
+		return
+	}
+	r.nextTick = next
+	timer.Reset(max(next.Sub(r.clock.Now()), 0))
+}
+
 // reduce processes one event and passes the effects to the handler. Only the time in the
 // decision core counts as busy.
 func (r *Reactor) reduce(ev core.Event) {
--- a/router/internal/reactor/reactor_test.go
+++ b/router/internal/reactor/reactor_test.go
@@ -121,3 +121,40 @@
 	clock.Advance(time.Minute)
 	assert.Assert(t, r.Healthy())
 }
+
+// awaitEvents waits until the reactor has processed n events.
+func awaitEvents(t *testing.T, r *reactor.Reactor, n int64) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		if processed, _ := r.Load(); processed == n {
+			return
+		}
+		assert.Assert(t, time.Now().Before(end))
+	}
+}
+
+// TestTickInterval guards against an idle host that wakes up as often as a busy one, and
+// against one that becomes busy and still waits for the rare tick.
+func TestTickInterval(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	cfg := core.DefaultConfig("h-1", 1, "a", []id.Zone{"a"})
+	cfg.IdleTick = 10 * cfg.TickInterval
+	r := reactor.New(cfg, clock, reactor.WithSeed(1))
+	r.SetHandler(make(effects, 4096))
+	go r.Run(t.Context())
+	advance := func() {
+		assert.NilError(t, clock.BlockUntilContext(t.Context(), 1))
+		clock.Advance(cfg.TickInterval)
+	}
+	for range 9 {
+		advance()
+	}
+	assert.Assert(t, r.Query(t.Context(), func(*core.State, time.Time) {}))
+	awaitEvents(t, r, 0)
+	advance()
+	awaitEvents(t, r, 1)
+	r.Post(core.DrainRequested{})
+	awaitEvents(t, r, 2)
+	advance()
+	awaitEvents(t, r, 3)
+}
