--- a/fleet/limit/simulation_test.go
+++ b/fleet/limit/simulation_test.go
@@ -27,6 +27,7 @@
 	partitioned  map[id.Zone]bool // zones whose hosts cannot reach other zones or the platform
 	faulty       bool             // network and platform lose, delay and duplicate messages
 	wrongHosts   bool             // hosts receive incorrect lists of live hosts
+	strong       int              // number of hosts that may hold leases; 0: all
 
 	charges           map[id.Account][]*usage
 	undecided         map[id.Request]undecidedRequest // requests without a decision
@@ -178,11 +179,27 @@
 	for _, h := range sim.hosts {
 		inc := h.inc
 		sim.after(time.Duration(sim.rnd.IntN(2000))*time.Millisecond, func() {
-			sim.runOn(h, inc, func(now time.Time) { sim.perform(h, limit.SetHosts(h.st, now, sim.view(h), sim.view(h))) })
+			sim.runOn(h, inc, func(now time.Time) { sim.setHosts(h, now) })
 		})
 	}
 }
 
+func (sim *simulation) setHosts(h *host, now time.Time) {
+	live := sim.view(h)
+	holders := live
+	if sim.strong > 0 {
+		holders = map[id.Zone][]id.Host{}
+		for zone, hosts := range live {
+			holders[zone] = slices.DeleteFunc(slices.Clone(hosts), func(name id.Host) bool { return !sim.isStrong(name) })
+		}
+	}
+	sim.perform(h, limit.SetHosts(h.st, now, live, holders))
+}
+
+func (sim *simulation) isStrong(name id.Host) bool {
+	return slices.ContainsFunc(sim.hosts[:sim.strong], func(h *host) bool { return h.name == name })
+}
+
 func (sim *simulation) view(of *host) map[id.Zone][]id.Host {
 	out := map[id.Zone][]id.Host{}
 	for _, h := range sim.hosts {
