--- a/load/internal/cluster/check.go
+++ b/load/internal/cluster/check.go
@@ -59,7 +59,7 @@
 	seen := map[string]Execution{}
 	for _, e := range r.Executions {
 		if first, ok := seen[e.IdempotencyKey]; ok {
-			f.addf("idempotency key %s was executed for %s on %s and for %s on %s", e.IdempotencyKey, first.Request, first.Service, e.Request, e.Service)
+			f.addf("idempotency key %q was executed for %s and for %s", e.IdempotencyKey, first, e)
 		}
 		seen[e.IdempotencyKey] = e
 	}
--- a/load/internal/cluster/record.go
+++ b/load/internal/cluster/record.go
@@ -38,9 +38,16 @@
 	Service        string    `json:"service"`
 	Request        string    `json:"request-id"` // ID of the request
 	IdempotencyKey string    `json:"idempotency-key"`
+	Method         string    `json:"method"`
+	Path           string    `json:"path"`
 	Time           time.Time `json:"time"`
 }
 
+// String describes an execution in one line.
+func (e Execution) String() string {
+	return fmt.Sprintf("request %q (%s %s) on %s at %s", e.Request, e.Method, e.Path, e.Service, e.Time.Format(time.StampMilli))
+}
+
 // searchResult is the reply of a stand-in to a search in the calls that it received.
 type searchResult struct {
 	Matches []struct {
