--- a/fleet/core/follow.go
+++ b/fleet/core/follow.go
@@ -17,7 +17,7 @@
 // store itself. A host therefore learns of a change within 2 s of the store's reply, even if
 // all watchers die at that moment.
 const (
-	contactInterval = 500 * time.Millisecond
+	contactInterval = 750 * time.Millisecond
 	watcherTimeout  = 1800 * time.Millisecond
 	// watcherExclusion is how long a host that has lost contact with the platform is
 	// not eligible as a watcher.
--- a/router/internal/app/relay.go
+++ b/router/internal/app/relay.go
@@ -22,7 +22,12 @@
 	relayHostListInterval = 3 * time.Second
 	// relaySuspectDuration is longer than the membership protocol takes to detect that a
 	// host is dead.
-	relaySuspectDuration = 2500 * time.Millisecond
+	relaySuspectDuration = 3 * time.Second
+	// Hosts of a region are one zone of the membership protocol, so that heartbeats are most
+	// of what an idle host does. Work is not lost until a death is detected: schedulers that
+	// do not answer are passed over at once.
+	relayHeartbeatInterval = 750 * time.Millisecond
+	relayDeadAfter         = 2500 * time.Millisecond
 	relaySettleDelay     = 100 * time.Millisecond
 	// relayPrefillGrace is added to the expected time of a prefill. It is short so that an
 	// unresponsive engine is detected before callers time out.
@@ -56,6 +61,8 @@
 	cfg.PrefillGrace = relayPrefillGrace
 	cfg.DecodeStall = relayDecodeStall
 	cfg.SuspectDuration = relaySuspectDuration
+	cfg.Member.HeartbeatInterval = relayHeartbeatInterval
+	cfg.Member.DeadAfter = relayDeadAfter
 	cfg.HostListInterval = relayHostListInterval
 	cfg.Schedule.KVSurvival = relayKVSurvival
 	cfg.Schedule.ProjectMemory = true
