--- a/router/internal/app/relay.go
+++ b/router/internal/app/relay.go
@@ -28,7 +28,7 @@
 	// do not answer are passed over at once.
 	relayHeartbeatInterval = 750 * time.Millisecond
 	relayDeadAfter         = 2500 * time.Millisecond
-	relaySettleDelay     = 100 * time.Millisecond
+	relaySettleDelay       = 100 * time.Millisecond
 	// relayPrefillGrace is added to the expected time of a prefill. It is short so that an
 	// unresponsive engine is detected before callers time out.
 	relayPrefillGrace = 500 * time.Millisecond
--- a/router/internal/endpoint/endpoint.go
+++ b/router/internal/endpoint/endpoint.go
@@ -49,6 +49,7 @@
 	streamDrainTimeout = 100 * time.Millisecond // for reading a stream after its end marker
 	maxLineBytes       = 1 << 20                // in a token stream; also limits prefill and error replies
 	maxReplyBytes      = 8 << 20
+	maxHeadBytes       = 64 << 10 // status and headers of an answer
 )
 
 // Poster receives the events that the client produces.
@@ -86,11 +87,15 @@
 	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
 	return &Client{
 		ctx: ctx, clock: clock, poster: p, store: store,
-		engines: &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 64}},
+		// Answers of engines do not name their request. With a connection for each call, a
+		// late second copy of one cannot be taken for another.
+		engines: &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}},
 		// net/http retries a request with an Idempotency-Key when a reused connection
 		// breaks. Without connection reuse it never does.
 		services: &http.Client{
-			Transport:     &http.Transport{DialContext: dialNotAfter(clock, dial), DisableKeepAlives: true},
+			Transport: &http.Transport{
+				DialContext: dialNotAfter(clock, dial), DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes,
+			},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 		calls: make(map[attemptKey]*activeCall),
