--- a/fleet/core/effect.go
+++ b/fleet/core/effect.go
@@ -170,9 +170,9 @@
 // forwarded changes (FollowWatchers), and watch the platform themselves while no watcher
 // reports contact with it (FollowSelf).
 const (
-	FollowSelf Follow = iota
+	FollowWatchers Follow = iota // the state of a host that starts
 	FollowAsWatcher
-	FollowWatchers
+	FollowSelf
 )
 
 // FollowPlatform sets the mode in which the platform's configuration is followed.
--- a/fleet/core/tick.go
+++ b/fleet/core/tick.go
@@ -20,7 +20,7 @@
 
 // startHostListInterval is the interval between two reads of the host list while the host
 // starts in relay mode.
-const startHostListInterval = 500 * time.Millisecond
+const startHostListInterval = 800 * time.Millisecond
 
 // requestScanInterval is the interval between two scans of the open requests. Most
 // timeouts that a scan checks are 500 ms or longer, so the delay until the next scan
