--- a/fleet/fanout/fanout.go
+++ b/fleet/fanout/fanout.go
@@ -12,13 +12,20 @@
 package fanout
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"sort"
 
+	"github.com/cespare/xxhash/v2"
+
 	"ragwortshunt.example/fleet/id"
 )
 
+// relaysPerGroup is the number of relays among which the seed chooses. One that is dead
+// without its sender's knowledge then costs a group one message in four.
+const relaysPerGroup = 4
+
 // maxDirect is the number of hosts up to which the sender reaches each of them itself. A
 // relay would save little and adds a delay.
 const maxDirect = 16
@@ -57,16 +64,28 @@
 // planGroup returns the copy for the relay of a group, or copies for all of its hosts if
 // there is no relay.
 func planGroup(group []id.Host, seed uint64, isRelay func(id.Host) bool) []Copy {
-	if len(group) == 1 {
+	relays := relaysOf(group, isRelay)
+	if len(group) == 1 || len(relays) == 0 {
 		return direct(group)
 	}
-	for i := range group {
-		relay := group[(seed+uint64(i))%uint64(len(group))]
-		if isRelay(relay) {
-			return []Copy{{To: relay, Range: Range{First: group[0], Last: group[len(group)-1]}}}
+	relay := relays[seed%uint64(len(relays))]
+	return []Copy{{To: relay, Range: Range{First: group[0], Last: group[len(group)-1]}}}
+}
+
+// relaysOf returns the usable relays of a group with the lowest hashes, at most
+// relaysPerGroup. They are the same for all senders and messages, so that the connections
+// from them to the group are in use.
+func relaysOf(group []id.Host, isRelay func(id.Host) bool) []id.Host {
+	var out []id.Host
+	for _, h := range group {
+		if isRelay(h) {
+			out = append(out, h)
 		}
 	}
-	return direct(group)
+	slices.SortFunc(out, func(a, b id.Host) int {
+		return cmp.Compare(xxhash.Sum64String(string(a)), xxhash.Sum64String(string(b)))
+	})
+	return out[:min(len(out), relaysPerGroup)]
 }
 
 func direct(hosts []id.Host) []Copy {
