--- a/fleet/fake/engine.go
+++ b/fleet/fake/engine.go
@@ -1,7 +1,6 @@
 package fake
 
 import (
-	"fmt"
 	"sort"
 	"time"
 
@@ -44,35 +43,6 @@
 	lastStart     time.Time // when the engine last accepted a prefill or decode
 }
 
-// prefillJob is a queued or running prefill.
-type prefillJob struct {
-	e      core.StartPrefill // the effect that started the prefill
-	host   *host
-	inc    id.Incarnation
-	cancel bool  // discard the result when the prefill ends
-	cached int64 // leading prompt tokens found in the prefix cache
-}
-
-// kvCache is the result of a prefill, which a decode engine can import.
-type kvCache struct {
-	tokens   int64 // prompt tokens computed for it
-	imported bool
-}
-
-// decodeRun is a decode that waits for a slot or occupies one.
-type decodeRun struct {
-	key          runKey
-	e            core.StartDecode // the effect that started the decode
-	host         *host
-	inc          id.Incarnation
-	nextOffset   int64
-	blocks       int64 // KV blocks for the prompt and the maximum output
-	hasSlot      bool
-	ended        bool
-	streamBroken bool // the stream to the host has broken; ResumeDecode repairs it
-	since        time.Time
-}
-
 func (sim *Simulation) addEndpoints() {
 	names := make([]id.Endpoint, 0, len(sim.cfg.Table.Endpoints))
 	for name := range sim.cfg.Table.Endpoints {
@@ -133,35 +103,6 @@
 	sim.engines[name].alive = true
 }
 
-// dropKV removes all KV caches of an engine. It counts those that were never imported
-// as wasted.
-func (sim *Simulation) dropKV(e *fakeEngine) {
-	keys := make([]string, 0, len(e.kv))
-	for k := range e.kv {
-		keys = append(keys, k)
-	}
-	for _, k := range keys {
-		if !e.kv[k].imported {
-			e.wastedTokens += e.kv[k].tokens
-		}
-	}
-	e.kv = make(map[string]*kvCache)
-}
-
-func sortedRuns(runs map[runKey]*decodeRun) []*decodeRun {
-	out := make([]*decodeRun, 0, len(runs))
-	for _, r := range runs {
-		out = append(out, r)
-	}
-	sort.Slice(out, func(i, j int) bool {
-		if out[i].key.request != out[j].key.request {
-			return out[i].key.request < out[j].key.request
-		}
-		return out[i].key.attempt < out[j].key.attempt
-	})
-	return out
-}
-
 // callEndpoint carries out the effects that call engines and services.
 func (sim *Simulation) callEndpoint(h *host, e core.Effect) {
 	inc := h.inc
@@ -214,90 +155,6 @@
 	})
 }
 
-func (sim *Simulation) startPrefill(en *fakeEngine, h *host, inc id.Incarnation, e core.StartPrefill) {
-	if len(en.queue) >= maxPrefillQueue {
-		sim.failRun(h, inc, e.Request, e.Attempt, en.name, engine.CodeFull, true, false)
-		return
-	}
-	en.lastStart = sim.now
-	j := &prefillJob{e: e, host: h, inc: inc}
-	at := sort.Search(len(en.queue), func(i int) bool { return en.queue[i].e.Priority > e.Priority })
-	en.queue = append(en.queue, nil)
-	copy(en.queue[at+1:], en.queue[at:])
-	en.queue[at] = j
-	sim.startNextPrefill(en)
-}
-
-func (sim *Simulation) startNextPrefill(en *fakeEngine) {
-	if en.running != nil || len(en.queue) == 0 {
-		return
-	}
-	j := en.queue[0]
-	en.queue = en.queue[1:]
-	en.running = j
-	epoch := en.epoch
-	j.cached = sim.cachedTokens(en, j)
-	d := time.Duration(float64(j.computedTokens()) / float64(en.pool.PrefillRate) * float64(time.Second))
-	sim.after(d, func() {
-		if en.epoch != epoch || en.running != j {
-			return
-		}
-		en.running = nil
-		en.prefillTokens += j.computedTokens()
-		sim.finishPrefill(en, j)
-		sim.startNextPrefill(en)
-	})
-}
-
-func (sim *Simulation) finishPrefill(en *fakeEngine, j *prefillJob) {
-	if j.cancel {
-		en.wastedTokens += j.computedTokens()
-		return
-	}
-	sim.serial++
-	name := fmt.Sprintf("kv-%d", sim.serial)
-	en.cache.use(sim.callsByRequest[j.e.Request].Prefix)
-	kv := &kvCache{tokens: j.computedTokens()}
-	en.kv[name] = kv
-	sim.after(sim.cfg.KVSurvival, func() { sim.expireKV(en, name, kv) })
-	d, reachable := sim.delay(en.zone, j.host.zone)
-	if !reachable {
-		return
-	}
-	sim.after(d, func() {
-		sim.deliver(j.host, j.inc, core.PrefillDone{Request: j.e.Request, Attempt: j.e.Attempt, KV: name, CachedTokens: j.cached})
-	})
-}
-
-func (sim *Simulation) expireKV(en *fakeEngine, name string, kv *kvCache) {
-	if en.kv[name] != kv {
-		return
-	}
-	if !kv.imported {
-		en.wastedTokens += kv.tokens
-	}
-	delete(en.kv, name)
-}
-
-// startDecode queues the import of the KV cache of a run. The run fails if it gets no
-// slot within KVSurvival.
-func (sim *Simulation) startDecode(en *fakeEngine, h *host, inc id.Incarnation, e core.StartDecode) {
-	en.lastStart = sim.now
-	r := &decodeRun{
-		key: runKey{e.Request, e.Attempt}, e: e, host: h, inc: inc, nextOffset: e.From, since: sim.now,
-		blocks: blocksFor(e.Tokens+e.MaxTokens-e.From, en.pool.BlockTokens),
-	}
-	en.pendingImports = append(en.pendingImports, r)
-	epoch := en.epoch
-	sim.after(sim.cfg.KVSurvival, func() {
-		if en.epoch == epoch && !r.hasSlot && !r.ended {
-			r.ended = true
-			sim.failRun(h, inc, e.Request, e.Attempt, en.name, engine.CodeKVLost, true, false)
-		}
-	})
-	sim.startImports(en)
-}
-
 func blocksFor(tokens, size int64) int64 {
 	if size <= 0 {
 		return 0
@@ -314,54 +171,6 @@
 	return slots, blocks
 }
 
-// startImports starts the pending imports for which there are free slots and KV
-// blocks. An import that does not fit does not hold up later ones.
-func (sim *Simulation) startImports(en *fakeEngine) {
-	slots, blocks := en.usage()
-	rest := en.pendingImports[:0]
-	for _, r := range en.pendingImports {
-		switch {
-		case r.ended:
-		case slots < en.pool.Slots && (en.pool.Blocks == 0 || blocks+r.blocks <= en.pool.Blocks):
-			slots++
-			blocks += r.blocks
-			sim.importKV(en, r)
-		default:
-			rest = append(rest, r)
-		}
-	}
-	en.pendingImports = rest
-}
-
-// importKV imports the KV cache of a run over the engine's link. Transfers over the
-// link run one after the other. The run occupies its slot from the start of the
-// import.
-func (sim *Simulation) importKV(en *fakeEngine, r *decodeRun) {
-	source := sim.engineAt(r.e.Source)
-	if source == nil || !source.alive || source.kv[r.e.KV] == nil {
-		r.ended = true
-		sim.failRun(r.host, r.inc, r.e.Request, r.e.Attempt, en.name, engine.CodeKVLost, true, false)
-		return
-	}
-	source.kv[r.e.KV].imported = true
-	r.hasSlot = true
-	en.runs[r.key] = r
-	begin := sim.now
-	if en.linkFreeAt.After(begin) {
-		begin = en.linkFreeAt
-	}
-	en.linkFreeAt = begin
-	if en.pool.LinkRate > 0 {
-		en.linkFreeAt = begin.Add(time.Duration(float64(r.e.Tokens) / float64(en.pool.LinkRate) * float64(time.Second)))
-	}
-	epoch := en.epoch
-	sim.schedule(en.linkFreeAt, func() {
-		if en.epoch == epoch {
-			sim.emitToken(en, r)
-		}
-	})
-}
-
 func (sim *Simulation) engineAt(address string) *fakeEngine {
 	for name, ep := range sim.cfg.Table.Endpoints {
 		if ep.Address == address {
@@ -371,94 +180,6 @@
 	return nil
 }
 
-// AnswerLength returns the number of output tokens of a request whose answer has natural
-// tokens without a limit.
-func AnswerLength(natural, limit int64) int64 { return min(natural, limit) }
-
-// emitToken sends the next output token of a run and schedules the one after it.
-func (sim *Simulation) emitToken(en *fakeEngine, r *decodeRun) {
-	if r.ended || en.runs[r.key] != r {
-		return
-	}
-	call := sim.callsByRequest[r.e.Request]
-	length := AnswerLength(call.NaturalOutput, r.e.MaxTokens)
-	ev := core.TokensArrived{
-		Request: r.e.Request, Attempt: r.e.Attempt, Offset: r.nextOffset,
-		Tokens: []string{token(r.nextOffset)},
-	}
-	r.nextOffset++
-	if r.nextOffset >= length {
-		ev.End, ev.Finish = true, "stop"
-		r.ended = true
-	}
-	sim.sendChunk(en, r, ev)
-	if r.ended {
-		sim.releaseRun(en, r)
-		return
-	}
-	epoch := en.epoch
-	sim.after(sim.cfg.TokenTime, func() {
-		if en.epoch == epoch {
-			sim.emitToken(en, r)
-		}
-	})
-}
-
-// sendChunk sends a chunk to the host of a run. Under chunk faults the chunk may be
-// duplicated, delayed or lost; a lost chunk also breaks the stream.
-func (sim *Simulation) sendChunk(en *fakeEngine, r *decodeRun, ev core.TokensArrived) {
-	if sim.chunkFaults == 0 || sim.rng.Float64() >= sim.chunkFaults {
-		sim.deliverChunk(en, r, ev)
-		return
-	}
-	switch sim.rng.IntN(3) {
-	case 0:
-		sim.deliverChunk(en, r, ev)
-		sim.deliverChunk(en, r, ev)
-	case 1:
-		sim.after(3*sim.cfg.TokenTime, func() { sim.deliverChunk(en, r, ev) })
-	default:
-		sim.failRun(r.host, r.inc, r.e.Request, r.e.Attempt, en.name, "stream-broken", false, false)
-		r.streamBroken = true
-	}
-}
-
-// token returns the text of the output token at an offset.
-func token(i int64) string { return fmt.Sprintf(" t%d", i) }
-
-// deliverChunk delivers a chunk to the entry host. If the host is unreachable, the
-// stream breaks: chunks are dropped until the run is resumed. The run continues and is
-// freed at its end, as in engines whose client has disconnected.
-func (sim *Simulation) deliverChunk(en *fakeEngine, r *decodeRun, ev core.Event) {
-	d, reachable := sim.delay(en.zone, r.host.zone)
-	if !reachable || r.streamBroken {
-		r.streamBroken = true
-		return
-	}
-	sim.after(d, func() { sim.deliver(r.host, r.inc, ev) })
-}
-
-func (sim *Simulation) releaseRun(en *fakeEngine, r *decodeRun) {
-	delete(en.runs, r.key)
-	sim.startImports(en)
-}
-
-// resumeDecode continues the stream of a run to a host, from offset e.From.
-func (sim *Simulation) resumeDecode(en *fakeEngine, h *host, inc id.Incarnation, e core.ResumeDecode) {
-	r, ok := en.runs[runKey{e.Request, e.Attempt}]
-	if !ok {
-		sim.failRun(h, inc, e.Request, e.Attempt, en.name, engine.CodeNoRun, false, false)
-		return
-	}
-	r.streamBroken = false
-	r.inc = inc
-	for i := e.From; i < r.nextOffset; i++ {
-		sim.deliverChunk(en, r, core.TokensArrived{
-			Request: e.Request, Attempt: e.Attempt, Offset: i, Tokens: []string{token(i)},
-		})
-	}
-}
-
 // cancel ends a decode, drops its pending import or removes a prefill from the
 // queue. A running prefill is computed to its end and its result is discarded.
 func (sim *Simulation) cancel(en *fakeEngine, key runKey) {
--- a/fleet/limit/lease.go
+++ b/fleet/limit/lease.go
@@ -21,44 +21,6 @@
 	retryDoublings = 10
 )
 
-// group is one lease group of this host's zone.
-type group struct {
-	index          int
-	name           string
-	preferred      id.Host
-	preferredSince time.Time // time of the last change of preferred
-	parts          [partCount]part
-
-	known   bool   // version and the records of parts not owned are the latest that this host has seen
-	version uint64 // of the lease object; never decreases
-	reading bool
-	write   *pendingWrite
-	verify  bool // the outcome of write is unknown; read the object before the next write
-
-	failures  int
-	notBefore time.Time // no call before this time
-	renewAt   time.Time
-	rereadAt  time.Time // zero: no reread scheduled
-	rereads   int
-
-	handoverSince time.Time // start of a handover, after which no tokens are transferred; zero: none
-	frozen        bool      // a release was sent, so no bucket may be used
-}
-
-// part is one part of a group: its buckets if this host owns it, or else the last
-// record of it in the lease object.
-type part struct {
-	owned   bool
-	term    uint64
-	expiry  time.Time // end of use by this host, on its own clock
-	buckets map[id.Account]*bucket
-
-	record    partValue // from the lease object, while not owned
-	startFull bool      // the group was never held, so buckets start full
-	freeAt    time.Time // when this host may acquire the part
-	hasRecord bool      // record and freeAt are set
-}
-
 // pendingWrite is a write that is in flight or has an unknown outcome.
 type pendingWrite struct {
 	sentAt  time.Time
@@ -68,10 +30,6 @@
 	release bool
 }
 
-func newGroup(zone id.Zone, index int) *group {
-	return &group{index: index, name: groupName(zone, index)}
-}
-
 // Drain starts releasing all groups. The host acquires no more groups.
 func Drain(s *State, now time.Time) []Action {
 	s.draining = true
@@ -376,140 +334,6 @@
 	return false
 }
 
-// setPreferred records the preferred holder. If this host holds nothing, a change
-// invalidates its copy of the lease object, so that it reads the object again when it
-// is next preferred.
-func (g *group) setPreferred(now time.Time, h id.Host) {
-	if g.preferred == h {
-		return
-	}
-	g.preferred = h
-	g.preferredSince = now
-	g.rereads = 0
-	if !g.holdsAny() && g.write == nil {
-		g.known = false
-	}
-}
-
-func (g *group) read() []Action {
-	g.reading = true
-	return []Action{ReadLease{Group: g.name}}
-}
-
-func (g *group) backoff(cfg Config, now time.Time) {
-	d := min(retryBase<<min(g.failures, retryDoublings), max(cfg.PooledLease/4, retryBase))
-	g.failures++
-	spread := d / 32 * time.Duration(g.index%32)
-	g.notBefore = now.Add(d + spread/2)
-}
-
-func (g *group) holdsAny() bool {
-	for k := range g.parts {
-		if g.parts[k].owned {
-			return true
-		}
-	}
-	return false
-}
-
-func (g *group) endHandoverIfEmpty() {
-	if !g.holdsAny() {
-		g.frozen = false
-		g.handoverSince = time.Time{}
-	}
-}
-
-func (g *group) markStartFull() {
-	for k := range g.parts {
-		g.parts[k].startFull = g.parts[k].hasRecord && g.parts[k].record.Released
-	}
-}
-
-// dropExpired drops the parts whose lease has expired on this host's clock.
-func (g *group) dropExpired(now time.Time) {
-	for k := range g.parts {
-		p := &g.parts[k]
-		if p.owned && !now.Before(p.expiry) {
-			p.disown()
-		}
-	}
-	g.endHandoverIfEmpty()
-}
-
-// usable reports whether the buckets of the part may be debited now.
-func (g *group) usable(k partKind, now time.Time) bool {
-	p := &g.parts[k]
-	return p.owned && !g.frozen && now.Before(p.expiry)
-}
-
-// transferable reports whether tokens of the part may be transferred to a peer that
-// spends them before until. They must be spent before the lease ends.
-func (g *group) transferable(k partKind, until time.Time) bool {
-	return g.usable(k, until) && g.handoverSince.IsZero()
-}
-
-// start makes this host the owner of a part that was free.
-func (p *part) start(cfg Config, now time.Time, k partKind, shares []share, term uint64) {
-	p.owned = true
-	p.hasRecord = false
-	p.term = term
-	p.buckets = make(map[id.Account]*bucket, len(shares))
-	for _, sh := range shares {
-		var tokens int64
-		switch {
-		case p.startFull:
-			tokens = sh.parts[k].Burst
-		case p.record.Released:
-			tokens = p.record.Levels[sh.account]
-		case cfg.Reclaim && p.record.Holder == cfg.Host && p.record.Incarnation != cfg.Incarnation:
-			tokens = cfg.Tolerance.restartTokens(sh.parts[k])
-		}
-		p.buckets[sh.account] = newBucket(now, sh.parts[k], tokens)
-	}
-	p.record = partValue{}
-	p.startFull = false
-}
-
-func (p *part) disown() {
-	p.owned = false
-	p.buckets = nil
-}
-
-func (p *part) setRecord(v partValue, freeAt time.Time) {
-	p.record = v
-	p.freeAt = freeAt
-	p.hasRecord = true
-	p.startFull = false
-}
-
-// setShares updates the buckets of the part to new budgets. New slots start empty.
-func (p *part) setShares(now time.Time, k partKind, shares []share) {
-	if !p.owned {
-		return
-	}
-	buckets := make(map[id.Account]*bucket, len(shares))
-	for _, sh := range shares {
-		b := p.buckets[sh.account]
-		if b == nil {
-			b = newBucket(now, sh.parts[k], 0)
-		}
-		b.setBudget(now, sh.parts[k])
-		buckets[sh.account] = b
-	}
-	p.buckets = buckets
-}
-
-// levels returns the level of each bucket in whole tokens, without empty buckets.
-func (p *part) levels(now time.Time) map[id.Account]int64 {
-	out := make(map[id.Account]int64, len(p.buckets))
-	for account, b := range p.buckets {
-		if n := b.tokens(now); n > 0 {
-			out[account] = n
-		}
-	}
-	return out
-}
-
 func (c Config) lease(k partKind) time.Duration {
 	if k == pooled {
 		return c.PooledLease
