--- a/fleet/schedule/balance.go
+++ b/fleet/schedule/balance.go
@@ -17,8 +17,9 @@
 // requests per second as its engines allow.
 
 const (
-	// minBalanceSamples is the number of runs that the averages need before they are
-	// used.
+	// minBalanceSamples is the number of runs that the averages and the token time need
+	// before they are used. A stated token time several times the real one would leave a
+	// cell with too few prefill engines for as long as a change of roles takes.
 	minBalanceSamples = 20
 	// balanceWindow is the number of runs over which the averages are taken.
 	balanceWindow = 100
@@ -132,7 +133,10 @@
 // returns a shortage only if the prefill rate is below minPrefillRatio of the decode
 // rate.
 func (c *Cell) prefillSurplus() int {
-	if !c.cfg.ProjectMemory || c.runAverages.samples < minBalanceSamples || c.rebuilding() || c.capacity.prefillRate <= 0 {
+	if !c.cfg.ProjectMemory || c.rebuilding() || c.capacity.prefillRate <= 0 {
+		return 0
+	}
+	if min(c.runAverages.samples, c.tokenTimeSamples) < minBalanceSamples {
 		return 0
 	}
 	if len(c.prefills) == 0 || len(c.decodes) == 0 || c.runAverages.prompt < 1 || c.runAverages.output < 1 {
--- a/fleet/schedule/balance_test.go
+++ b/fleet/schedule/balance_test.go
@@ -89,6 +89,28 @@
 	assert.Assert(t, max(remaining["a"], remaining["b"], remaining["c"])-min(remaining["a"], remaining["b"], remaining["c"]) <= 1, "%v", remaining)
 }
 
+// TestUnmeasuredTokenTime guards against role changes from a guessed token time: before
+// enough runs have ended there are none, and afterwards a wrong guess has no effect.
+func TestUnmeasuredTokenTime(t *testing.T) {
+	cfg := projectedConfig()
+	right := balanceCell(20, 36)
+	want := balanceAfterDelay(right, serveRequests(right, 0, promptTokens, outputMean))
+	cfg.TokenTime *= 6
+	c := schedule.New(cfg, "m", at(0), false)
+	schedule.SetEndpoints(c, at(0), engines(20, 36))
+	now := time.Duration(0)
+	for i := range 40 {
+		m := memoryRequest(i, func(m *message.SlotRequest) { m.PromptTokens, m.Expected = promptTokens, outputMean })
+		schedule.HandleSlotRequest(c, at(now), "h", m)
+		now += 10 * time.Millisecond
+		schedule.HandleUpdate(c, at(now), "h", message.SlotUpdate{Request: m.Request, Attempt: 1, Phase: message.PhaseDecode})
+	}
+	assert.Equal(t, len(balanceAfterDelay(c, now)), 0)
+	c = schedule.New(cfg, "m", at(0), false)
+	schedule.SetEndpoints(c, at(0), engines(20, 36))
+	assert.Equal(t, len(balanceAfterDelay(c, serveRequests(c, 0, promptTokens, outputMean))), len(want))
+}
+
 // TestBalancedRoles guards against role changes in a cell that is balanced already.
 func TestBalancedRoles(t *testing.T) {
 	c := balanceCell(4, 8)
--- a/fleet/schedule/measure.go
+++ b/fleet/schedule/measure.go
@@ -19,8 +19,8 @@
 	// minMeasuredTokens is the minimum output, in tokens, of a run whose token time is
 	// measured. In a shorter run, the time to start has too much weight.
 	minMeasuredTokens = 100
-	// tokenTimeDecay is the weight of earlier runs in the measured token time.
-	tokenTimeDecay = 0.95
+	// tokenTimeWindow is the number of runs over which the token time is averaged.
+	tokenTimeWindow = 20
 )
 
 // prefillSums holds the decayed sums over the prefills of one endpoint.
@@ -76,12 +76,14 @@
 	c.updateCapacity()
 }
 
-// measureTokenTime adds a run that has ended to the measured token time.
+// measureTokenTime adds a run that has ended to the measured token time. The first one
+// replaces the time of the configuration, which is a guess.
 func (c *Cell) measureTokenTime(e *entry) {
 	if !c.cfg.ProjectMemory || e.phase != message.PhaseDecode || e.tokens < minMeasuredTokens {
 		return
 	}
 	perToken := (c.now - e.decodeSince) / time.Duration(e.tokens)
 	perToken = min(perToken, c.tokenTime*3/2) // bounds the effect of an interrupted run
-	c.tokenTime = time.Duration(tokenTimeDecay*float64(c.tokenTime) + (1-tokenTimeDecay)*float64(perToken))
+	c.tokenTimeSamples++
+	c.tokenTime += (perToken - c.tokenTime) / time.Duration(min(c.tokenTimeSamples, tokenTimeWindow))
 }
--- a/fleet/schedule/schedule.go
+++ b/fleet/schedule/schedule.go
@@ -90,6 +90,7 @@
 
 	projections      []projection  // buffer of peakWith
 	tokenTime        time.Duration // measured time between two output tokens of a run
+	tokenTimeSamples int           // runs that tokenTime was measured from
 	endpointLostAt   time.Duration // when the number of usable endpoints last fell
 	zoneReachability map[zonePair]*zoneReachability
 	runAverages      runAverages
