--- a/fleet/core/peers.go
+++ b/fleet/core/peers.go
@@ -210,7 +210,9 @@
 // heartbeat returns a heartbeat with the fields that every heartbeat of this host
 // carries.
 func (s *step) heartbeat() message.Heartbeat {
-	hb := message.Heartbeat{Zone: s.cfg.Zone, TableVersion: s.version(), Address: s.cfg.Address}
+	hb := message.Heartbeat{
+		Zone: s.cfg.Zone, TableVersion: s.version(), Address: s.cfg.Address, Capacity: s.cfg.Member.Capacity,
+	}
 	if s.draining {
 		hb.State = message.HostLeaving
 	}
--- a/fleet/member/member_test.go
+++ b/fleet/member/member_test.go
@@ -296,8 +296,9 @@
 	assert.Assert(t, heartbeats.Broadcast)
 }
 
-// TestStrong guards against work for all hosts on one that cannot carry it, and against a
-// zone without strong hosts in which no host does that work.
+// TestStrong guards against work for all hosts on one that cannot carry it, also before the
+// list states its capacity, and against a zone without strong hosts in which no host does
+// that work.
 func TestStrong(t *testing.T) {
 	cfg := member.DefaultConfig()
 	cfg.Host, cfg.Zone, cfg.Incarnation, cfg.Capacity = "a", "z", 1, 0.192
@@ -309,7 +310,11 @@
 		{Host: "d", Zone: "z", Address: "127.0.0.1:4", Capacity: 0.192},
 		{Host: "e", Zone: "z", Address: "127.0.0.1:5"},
 	})
-	assert.DeepEqual(t, member.Strong(s, []id.Host{"a", "b", "c", "d", "e"}), []id.Host{"b", "c", "e"})
+	assert.DeepEqual(t, member.Strong(s, []id.Host{"a", "b", "c", "d", "e"}), []id.Host{"b", "c"})
+	assert.DeepEqual(t, member.Strong(s, []id.Host{"e"}), []id.Host{"e"})
+	member.HandleForwarded(s, start, "f", 1, message.Heartbeat{Zone: "z", Capacity: 0.8})
+	member.HandleHeartbeat(s, start, "e", 1, message.Heartbeat{Zone: "z", Capacity: 0.1})
+	assert.DeepEqual(t, member.Strong(s, []id.Host{"b", "d", "e", "f"}), []id.Host{"b", "f"})
 	assert.DeepEqual(t, member.Strong(s, []id.Host{"a", "d"}), []id.Host{"a", "d"})
 	assert.Equal(t, len(member.Strong(s, nil)), 0)
 }
--- a/fleet/member/receive.go
+++ b/fleet/member/receive.go
@@ -36,10 +36,7 @@
 		p.zoneDead = s.zoneSilent[h.Zone]
 	}
 	p.Address = h.Address
-	if h.Host != s.cfg.Host && p.Capacity != h.Capacity {
-		p.Capacity = h.Capacity
-		invalidate(s, p.Zone)
-	}
+	setCapacity(s, p, h.Capacity)
 	p.listed = true
 	p.missingSince = time.Time{}
 	if p.listLeaving != h.Leaving {
@@ -53,6 +50,16 @@
 	}
 }
 
+// setCapacity records the capacity that a host or the list has stated. 0 is unknown and
+// changes nothing.
+func setCapacity(s *State, p *peer, capacity float64) {
+	if capacity <= 0 || p.Host == s.cfg.Host || p.Capacity == capacity {
+		return
+	}
+	p.Capacity = capacity
+	invalidate(s, p.Zone)
+}
+
 // setUnlisted records that a known host is not listed. A reply from a host of
 // another zone is then awaited, because nothing else would detect its death.
 func setUnlisted(s *State, now time.Time, p *peer) {
@@ -181,6 +188,7 @@
 	changes := RecordMessage(s, now, from, inc)
 	changes = append(changes, handleSelfState(s, now, s.peers[from], m.State)...)
 	p := s.peers[from]
+	setCapacity(s, p, m.Capacity)
 	if p.Address == "" {
 		// The list may have been unavailable since this host started. Its entry
 		// replaces the address later.
@@ -206,8 +214,11 @@
 		return nil
 	}
 	changes := handleReport(s, now, message.HostReport{Host: from, Incarnation: inc, State: m.State})
-	if p, ok := s.peers[from]; ok && p.Address == "" {
-		p.Address = m.Address
+	if p, ok := s.peers[from]; ok {
+		setCapacity(s, p, m.Capacity)
+		if p.Address == "" {
+			p.Address = m.Address
+		}
 	}
 	for _, r := range m.Reports {
 		changes = append(changes, handleReport(s, now, r)...)
--- a/fleet/member/ring.go
+++ b/fleet/member/ring.go
@@ -46,8 +46,8 @@
 }
 
 // Strong returns the hosts that can carry work for all hosts: those with at least half of
-// the largest capacity. A host of unknown capacity is one of them. The order is kept, and
-// the result may share the memory of hosts.
+// the largest capacity. A host of unknown capacity is none of them, because other hosts may
+// know it already, unless no capacity is known. The order is kept.
 func Strong(s *State, hosts []id.Host) []id.Host {
 	largest := 0.0
 	for _, h := range hosts {
@@ -55,7 +55,7 @@
 	}
 	out := make([]id.Host, 0, len(hosts))
 	for _, h := range hosts {
-		if c := s.capacity(h); c == 0 || c >= largest*strongShare {
+		if s.capacity(h) >= largest*strongShare {
 			out = append(out, h)
 		}
 	}
--- a/fleet/message/message.go
+++ b/fleet/message/message.go
@@ -74,6 +74,7 @@
 	// of the platform's configuration, indexed by core.ConfigSource.
 	SeenRevisions []uint64 `cbor:"10,keyasint,omitempty"`
 	AwaitsReply   bool     `cbor:"11,keyasint,omitempty"` // the sender counts the receiver as dead if it stays silent
+	Capacity      float64  `cbor:"12,keyasint,omitempty"` // part of a processor core that the sender may use; 0 is unknown
 }
 
 // Broadcast carries a message to many hosts by way of relays; see package fanout. It
--- a/router/internal/peer/peer_test.go
+++ b/router/internal/peer/peer_test.go
@@ -71,6 +71,8 @@
 		v.SetBool(true)
 	case reflect.Uint8, reflect.Uint32, reflect.Uint64:
 		v.SetUint(uint64(n%100 + 1))
+	case reflect.Float64:
+		v.SetFloat(float64(n + 1))
 	case reflect.Int, reflect.Int64:
 		v.SetInt(int64(n + 1))
 	default:
