--- a/fleet/core/roles_test.go
+++ b/fleet/core/roles_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -33,16 +34,20 @@
 // newSurplusHost returns a host whose cell has served enough requests for a decision on
 // role changes.
 func newSurplusHost(t *testing.T) *relayHost {
+	// The runs are long enough to measure the token time, and as many as a decision needs.
+	// They end before it is due.
+	const runs, runTokens = 24, 100
 	h := newRelayHostWith(t, func(cfg *core.Config) {
 		cfg.Schedule.ProjectMemory = true
 		cfg.Schedule.TokenTime = 5 * time.Millisecond
 	})
 	h.reduce(core.TableOpened{Snapshot: surplusTable(2, nil)})
-	for i := range 30 {
+	for i := range runs {
 		req := id.Request(fmt.Sprintf("r%d", i))
 		d := h.advanceToDecode(req, "resumable")
 		h.advance(100 * time.Millisecond)
-		h.reduce(core.TokensArrived{Request: req, Attempt: d.Attempt, Tokens: []string{"x"}, End: true})
+		tokens := slices.Repeat([]string{"x"}, runTokens)
+		h.reduce(core.TokensArrived{Request: req, Attempt: d.Attempt, Tokens: tokens, End: true})
 	}
 	return h
 }
--- a/fleet/member/receive.go
+++ b/fleet/member/receive.go
@@ -53,7 +53,8 @@
 // setCapacity records the capacity that a host or the list has stated. 0 is unknown and
 // changes nothing.
 func setCapacity(s *State, p *peer, capacity float64) {
-	if capacity <= 0 || p.Host == s.cfg.Host || p.Capacity == capacity {
+	isSet := p.Host == s.cfg.Host && s.cfg.Capacity > 0
+	if capacity <= 0 || isSet || p.Capacity == capacity {
 		return
 	}
 	p.Capacity = capacity
