--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,8 @@
 MODULES := fleet platform router ctl standin load
 SHELL := /bin/bash
 TOOLS := bin/tools
-export GOFLAGS := -buildvcs=false
+# Flags of the machine, as go env shows them, stay in force.
+export GOFLAGS := $(strip $(shell go env GOFLAGS) -buildvcs=false)
 
 .PHONY: build test lint format generate tools demo bench clean
 
