core: a stream that has begun is not ended because its endpoint is silent

Callers of resumable streams got the beginning of an answer and then a closed connection, although the engine was sound and went on some 100 ms later. After 1.2 s without an event the run was cancelled before anything was known about a second attempt; the slot request then counted the silence as time in a queue, so that the scheduler refused it as too late even in an idle cell, and a refusal of a stream that has begun closes the connection. Before the first event the same gave a 502.

Now a silent run is cancelled only if the stream may go on elsewhere: it is resumable, attempts and retry budget are left, and another engine of the model has made progress since. The bound is 2 s, since a sound engine may pause for more than a second, and a pause of this host does not count. A request that may have run queues until its deadline, and a stream that has begun searches again after a refusal instead of being refused.

Ruled out: changes of the configuration (streams are cut as often without them).

--- a/fleet/core/core.go
+++ b/fleet/core/core.go
@@ -194,6 +194,7 @@
 	serviceStats     map[id.Endpoint]callStats // by service endpoint; relay mode only
 	outstandingCalls map[id.Endpoint]int       // outstanding service calls of this host
 	unreachable      map[id.Endpoint]bool      // the last call could not reach the endpoint
+	engineProgress   map[id.Endpoint]time.Time // last progress that this host saw; relay mode only
 	hostsReadAt      time.Time
 	rolesBalancedAt  time.Time // last time that the balance of roles was checked
 	lastTick         time.Time
@@ -228,6 +229,7 @@
 		serviceStats:     make(map[id.Endpoint]callStats),
 		outstandingCalls: make(map[id.Endpoint]int),
 		unreachable:      make(map[id.Endpoint]bool),
+		engineProgress:   make(map[id.Endpoint]time.Time),
 		finished:         make([]Record, 0, cfg.FinishedRecords),
 	}
 }
--- a/fleet/core/relay.go
+++ b/fleet/core/relay.go
@@ -70,11 +70,19 @@
 	return s.now.Sub(r.arrived)
 }
 
-// maxQueueWait returns how long the request may queue. The rest of the route's
-// FirstEventTimeout is reserved for prefill and KV transfer, and for a refusal that
-// states when to retry.
-func (r *request) maxQueueWait() time.Duration {
-	return r.route.FirstEventTimeout * maxQueueWaitPercent / 100
+// maxQueueWait returns how long the caller may have waited when the request leaves the
+// queue. The rest of the route's FirstEventTimeout is reserved for prefill and KV transfer,
+// and for a refusal that states when to retry. A request that may have run queues until its
+// deadline, because a refusal could not state that it has not run, and would break off a
+// stream that has begun.
+func (s *step) maxQueueWait(r *request) time.Duration {
+	if !r.relayed || !r.ranEarlier {
+		return r.route.FirstEventTimeout * maxQueueWaitPercent / 100
+	}
+	if r.deadline.IsZero() {
+		return 0
+	}
+	return s.waitedByCaller(r) + r.deadline.Sub(s.now)
 }
 
 // earlierWait returns how long the caller had already waited when the request arrived,
@@ -137,10 +145,12 @@
 	if r.failures >= maxRelayFailures || r.callerLeft {
 		return false
 	}
-	hosts := member.Count(s.member) + 1
-	return retry.Allow(s.retries, s.now, r.retryBudgetKey(), hosts)
+	return retry.Allow(s.retries, s.now, r.retryBudgetKey(), s.retryHosts())
 }
 
+// retryHosts returns the number of hosts that share the retry budget.
+func (s *step) retryHosts() int { return member.Count(s.member) + 1 }
+
 // callTimeout returns the timeout of a call to a plain service, which does not exceed
 // the request's deadline.
 func (s *step) callTimeout(r *request) time.Duration {
@@ -208,6 +218,9 @@
 		s.requestSlot(r)
 		return
 	}
+	if !quarantined && s.resumeLater(r, true) {
+		return
+	}
 	s.relayGiveUp(r, ev.Code)
 }
 
@@ -247,16 +260,21 @@
 	r.avoid = ep
 	r.failures++
 	if r.failures >= maxRelayFailures {
+		if s.resumeLater(r, false) {
+			return
+		}
 		s.refuse(r, CodeNoEndpoint, "the scheduler knows no usable endpoint", time.Second)
 		return
 	}
 	s.requestSlot(r)
 }
 
-// relayStalled ends a stalled prefill, or a stalled stream that another endpoint may
-// resume. A stream that must not be repeated may stall until the caller's deadline.
+// relayStalled ends a stalled prefill, or a stalled stream that can be resumed on another
+// endpoint. Silence alone is no failure: a sound endpoint may pause and continue, and the
+// connections of an endpoint that is gone break. All other streams wait until the endpoint
+// continues, the caller leaves or the deadline has passed.
 func (s *step) relayStalled(r *request, ep id.Endpoint) {
-	if r.stage == StageDecode && r.route.NoResume {
+	if r.stage == StageDecode && !s.isResumableElsewhere(r, ep) {
 		return
 	}
 	s.cancelRun(r.Request, r.attempt, ep)
--- a/fleet/core/request.go
+++ b/fleet/core/request.go
@@ -92,7 +92,11 @@
 	firstToken  time.Time
 	lastToken   time.Time
 	callerLeft  bool // the caller has disconnected; a service call may still run
-	relayed     bool // the host is in relay mode; see Config.Relay
+
+	resumeAt         time.Time // when a stream that no endpoint resumes searches for one again; see resumeLater
+	resumeTakesRetry bool      // that search takes a retry from the budget
+
+	relayed bool // the host is in relay mode; see Config.Relay
 
 	trace []TraceLine
 }
--- /dev/null
+++ b/fleet/core/silence.go
@@ -0,0 +1,104 @@
+package core
+
+import (
+	"time"
+
+	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/retry"
+)
+
+const (
+	// pauseThreshold is the gap between two ticks above which this host is considered to
+	// have been paused. It is longer than the pause that a CPU quota causes.
+	pauseThreshold = 200 * time.Millisecond
+	// resumeRetryInterval is the wait after a failed search for an endpoint that resumes a
+	// stream.
+	resumeRetryInterval = 200 * time.Millisecond
+)
+
+// excludePause excludes a pause of this host from the time without progress of its
+// requests. What their endpoints sent meanwhile is still waiting to be read.
+func (s *step) excludePause() {
+	pause := s.now.Sub(s.lastTick)
+	if !s.cfg.Relay || s.lastTick.IsZero() || pause < pauseThreshold {
+		return
+	}
+	for _, r := range s.requests {
+		if resumed := r.lastProgress.Add(pause); resumed.Before(s.now) {
+			r.lastProgress = resumed
+		} else {
+			r.lastProgress = s.now
+		}
+	}
+}
+
+// recordProgress records that an engine has made progress on a request.
+func (s *step) recordProgress(r *request, ep id.Endpoint) {
+	r.lastProgress = s.now
+	s.engineProgress[ep] = s.now
+}
+
+// forgetEngines forgets the progress of engines that are not in the table any more.
+func (s *step) forgetEngines() {
+	for name := range s.engineProgress {
+		if _, ok := s.snapshot().Endpoints[name]; !ok {
+			delete(s.engineProgress, name)
+		}
+	}
+}
+
+// isResumableElsewhere reports whether a stream that its endpoint has stopped sending may
+// go on at another endpoint now. Another engine of the model must have made progress since:
+// if all of them are silent, a move gains nothing.
+func (s *step) isResumableElsewhere(r *request, silent id.Endpoint) bool {
+	if r.route.NoResume || r.runCount >= r.route.Attempts || r.failures >= maxRelayFailures {
+		return false
+	}
+	if _, _, quarantined := s.findQuarantined(r); quarantined {
+		return false
+	}
+	return s.hasProgressElsewhere(r, silent) && retry.Available(s.retries, s.now, r.retryBudgetKey(), s.retryHosts())
+}
+
+func (s *step) hasProgressElsewhere(r *request, silent id.Endpoint) bool {
+	snap := s.snapshot()
+	for name, at := range s.engineProgress {
+		if name != silent && at.After(r.lastProgress) && snap.Pools[snap.Endpoints[name].Pool].Model == r.route.Model {
+			return true
+		}
+	}
+	return false
+}
+
+// isBegun reports whether the caller has received a part of the answer. Such a request is
+// not refused as long as it can still be resumed.
+func (r *request) isBegun() bool {
+	return r.relayed && r.delivered > 0 && !r.route.NoResume
+}
+
+// resumeLater keeps a stream that has begun queued if no endpoint resumes it now, and
+// reports whether it does. takeRetry is set if its next attempt must be taken from the
+// retry budget. The stream ends at its deadline, or when its caller leaves.
+func (s *step) resumeLater(r *request, takeRetry bool) bool {
+	if !r.isBegun() || r.runCount >= r.route.Attempts {
+		return false
+	}
+	r.stage = StageQueue
+	r.resumeAt = s.now.Add(resumeRetryInterval)
+	r.resumeTakesRetry = r.resumeTakesRetry || takeRetry
+	return true
+}
+
+// resumeNow searches for an endpoint again once the wait of resumeLater has passed.
+func (s *step) resumeNow(r *request) {
+	if s.now.Before(r.resumeAt) {
+		return
+	}
+	if r.resumeTakesRetry && !retry.Allow(s.retries, s.now, r.retryBudgetKey(), s.retryHosts()) {
+		r.resumeAt = s.now.Add(resumeRetryInterval)
+		return
+	}
+	r.resumeAt, r.resumeTakesRetry = time.Time{}, false
+	r.refusals, r.triedCells = 0, nil
+	s.requestSlot(r)
+}
--- a/fleet/core/slot.go
+++ b/fleet/core/slot.go
@@ -51,7 +51,9 @@
 	r.dispatched = false
 	key, ok := s.chooseCell(r)
 	if !ok {
-		s.refuse(r, CodeNoEndpoint, "no endpoint serves the model", time.Second)
+		if !s.resumeLater(r, false) {
+			s.refuse(r, CodeNoEndpoint, "no endpoint serves the model", time.Second)
+		}
 		return
 	}
 	r.cell = key
@@ -163,7 +165,7 @@
 		Avoid:              r.avoid,
 		CellIndex:          r.cell.CellIndex,
 		Expected:           r.Expected,
-		MaxWait:            r.maxQueueWait(),
+		MaxWait:            s.maxQueueWait(r),
 		ElapsedBeforeEntry: r.earlierWait(),
 		AZ:                 s.cfg.AZ,
 	})
@@ -173,6 +175,10 @@
 // immediately if another host schedules the cell now. If the scheduler does not
 // acknowledge the SlotRequest in time, it switches to another cell or suspects the host.
 func (s *step) refreshQueue(r *request) {
+	if !r.resumeAt.IsZero() {
+		s.resumeNow(r)
+		return
+	}
 	owner := s.schedulerOf(r.cell)
 	if owner == "" {
 		if key, ok := s.chooseCell(r); ok {
@@ -220,7 +226,7 @@
 		return
 	}
 	s.recordWait(r, from, m.Wait)
-	if r.attempt != m.Attempt || r.stage != StageQueue {
+	if r.attempt != m.Attempt || r.stage != StageQueue || !r.resumeAt.IsZero() {
 		s.declineGrant(r, from, m)
 		return
 	}
@@ -260,6 +266,9 @@
 	r.refusals++
 	r.triedCells = append(r.triedCells, r.cell)
 	r.addTrace(s.now, "cell %s refused: %s", r.cell, m.Reason)
+	if s.resumeLater(r, false) {
+		return
+	}
 	late := m.Reason == schedule.ReasonTooLate && s.now.Sub(r.arrived) >= r.route.FirstToken
 	if late || r.refusals >= maxRefusals || len(s.cellsOf(r.route.Model)) < 2 {
 		retry := max(m.Retry, refusalBackoff)
--- a/fleet/core/tick.go
+++ b/fleet/core/tick.go
@@ -33,6 +33,7 @@
 		s.dropCells()
 		s.requestHolds()
 	}
+	s.excludePause()
 	s.lastTick = s.now
 	s.tickHosts()
 	s.tickMembers()
--- a/fleet/retry/retry.go
+++ b/fleet/retry/retry.go
@@ -61,15 +61,27 @@
 	if s.cfg.Window <= 0 {
 		return true
 	}
-	c := s.countsAt(now, service)
-	allowed := s.cfg.Ratio*float64(c.windowRequests()) + float64(s.cfg.ExtraRetries)/float64(max(hosts, 1))
-	if float64(sum(c.retries)+1) > allowed {
+	if s.cfg.Window <= 0 {
+		return true
+	}
+	if !Available(s, now, service, hosts) {
 		return false
 	}
+	c := s.countsAt(now, service)
 	c.retries[c.interval%keptIntervals]++
 	return true
 }
 
+// Available reports whether Allow would allow a retry.
+func Available(s *State, now time.Time, service id.Pool, hosts int) bool {
+	if s.cfg.Window <= 0 {
+		return true
+	}
+	c := s.countsAt(now, service)
+	allowed := s.cfg.Ratio*float64(c.windowRequests()) + float64(s.cfg.ExtraRetries)/float64(max(hosts, 1))
+	return float64(sum(c.retries)+1) <= allowed
+}
+
 // countsAt returns the counts of a service after clearing expired intervals.
 func (s *State) countsAt(now time.Time, service id.Pool) *counts {
 	interval := now.UnixNano() / (int64(s.cfg.Window) / intervalsPerWindow)
--- a/router/internal/app/relay.go
+++ b/router/internal/app/relay.go
@@ -32,9 +32,9 @@
 	// relayPrefillGrace is added to the expected time of a prefill. It is short so that an
 	// unresponsive engine is detected before callers time out.
 	relayPrefillGrace = 500 * time.Millisecond
-	// relayDecodeStall is the longest pause of a token stream. Engines send events every
-	// 50 ms, and a preempted run pauses for about 100 ms.
-	relayDecodeStall = 1200 * time.Millisecond
+	// relayDecodeStall is the longest pause of a token stream that is not moved to another
+	// engine. A sound engine may pause for more than a second.
+	relayDecodeStall = 2 * time.Second
 	relayKVSurvival  = 500 * time.Millisecond
 	// relayTokenTime is the time between two output tokens of the platform's engines.
 	relayTokenTime = 4500 * time.Microsecond
