core, router: a host that is leaving answers what it has accepted before it is killed

A draining host accepted calls on open connections until its last moment, and requests that waited for an endpoint stayed open: whatever was still open when the platform killed the process, 8 s after it had asked it to stop, lost its connection without an answer. With an endpoint that is silent for 1.5 s, a call that was accepted in the last 1.5 s is lost.

Now the drain timeout is the whole time until the process may be killed, which the platform states in its settings. What endpoints still work on is logged with its trace.

--- a/fleet/core/core.go
+++ b/fleet/core/core.go
@@ -202,6 +202,8 @@
 	nextRequestScan  time.Time
 	peerVersionKnown bool // a peer has reported its table version
 	draining         bool
+	drainEnd         time.Time // when a draining host must end; zero means none
+	drainExpired     bool      // drainEnd has passed
 	lastRequestEnd   time.Time // end of the last request of a draining host
 	stopped          bool
 }
@@ -283,7 +285,7 @@
 	case Tick:
 		s.tick()
 	case DrainRequested:
-		s.drain()
+		s.drain(ev)
 	default:
 		s.handlePlatform(ev)
 	}
--- a/fleet/core/event.go
+++ b/fleet/core/event.go
@@ -173,7 +173,9 @@
 type Tick struct{}
 
 // DrainRequested starts a graceful shutdown.
-type DrainRequested struct{}
+type DrainRequested struct {
+	Within time.Duration // until the process must end; 0 means that there is no limit
+}
 
 func (RequestArrived) isEvent()  {}
 func (CallerGone) isEvent()      {}
--- a/fleet/core/relay.go
+++ b/fleet/core/relay.go
@@ -97,23 +97,35 @@
 
 // acceptsWhileDraining reports whether a draining host still accepts the request.
 // Callers continue to use their open connections, and a call to a plain service ends
-// long before the shutdown does. A request to a model may take longer and is refused.
+// before the shutdown does, if that is not too close. A request to a model may take longer
+// and is refused.
 func (s *step) acceptsWhileDraining(r *request) bool {
 	if !r.relayed || s.snapshot() == nil {
 		return false
 	}
 	route, ok := s.snapshot().Routes[r.Route]
-	return ok && route.Model == ""
+	if !ok || route.Model != "" {
+		return false
+	}
+	needed := drainCallReserve
+	if timeout := shortestTimeout(r.Timeout, route.Timeout); timeout > 0 {
+		needed = min(needed, timeout)
+	}
+	return s.drainEnd.IsZero() || s.now.Add(needed).Before(s.drainEnd)
+}
+
+// shortestTimeout returns the shorter of two timeouts, of which 0 means none.
+func shortestTimeout(a, b time.Duration) time.Duration {
+	if a <= 0 || b > 0 && b < a {
+		return b
+	}
+	return a
 }
 
 // setDeadline sets the deadline from the shorter of the caller's timeout and the
 // route's timeout.
 func (s *step) setDeadline(r *request) {
-	bound := r.Timeout
-	if t := r.route.Timeout; t > 0 && (bound <= 0 || t < bound) {
-		bound = t
-	}
-	if bound > 0 {
+	if bound := shortestTimeout(r.Timeout, r.route.Timeout); bound > 0 {
 		r.deadline = r.arrived.Add(bound)
 	}
 }
--- a/fleet/core/request.go
+++ b/fleet/core/request.go
@@ -293,6 +293,15 @@
 
 // logEnd writes one log line with the trace and the result of a request.
 func (s *step) logEnd(r *request, result string) {
+	text := "Request ended."
+	if strings.HasPrefix(result, resultFinished) {
+		text = "Request served." // a message of its own, so that log sampling treats it separately
+	}
+	s.logTrace(r, text, result)
+}
+
+// logTrace writes one log line with the trace of a request.
+func (s *step) logTrace(r *request, text, code string) {
 	var trace strings.Builder
 	for i, l := range r.trace {
 		if i > 0 {
@@ -302,13 +311,9 @@
 		trace.WriteString(" ms ")
 		trace.WriteString(l.Text)
 	}
-	text := "Request ended."
-	if strings.HasPrefix(result, resultFinished) {
-		text = "Request served." // a message of its own, so that log sampling treats it separately
-	}
 	s.emit(Log{
 		Level: LogInfo, Component: partRequest, Text: text, Request: r.Request,
-		Account: r.account, Code: result, Trace: trace.String(),
+		Account: r.account, Code: code, Trace: trace.String(),
 	})
 }
 
--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -37,6 +37,9 @@
 	// host out of rotation: it checks readiness once a second and acts on the second
 	// failed check.
 	balancerDelay = 2200 * time.Millisecond
+	// endTime is kept of the drain timeout for the last refusals and for the end of the
+	// process.
+	endTime = 500 * time.Millisecond
 )
 
 // Router is one router process. New creates it; Run must be called once.
@@ -219,15 +222,19 @@
 
 // drain waits until the decision core has finished its requests and has handed over
 // its rate shares. Then it closes the listener for callers and gives callers with an
-// open connection time to close it.
+// open connection time to close it. It takes less than the drain timeout, after which the
+// process may be killed.
 func (r *Router) drain(callerListener net.Listener) {
 	r.log.Info("router: Shutdown has begun.")
+	within := r.settings.DrainTimeout - endTime
 	r.adapters.Caller.Drain()
 	if r.adapters.Ready != nil {
 		r.clock.Sleep(balancerDelay)
+		within -= balancerDelay
 	}
-	r.reactor.Post(core.DrainRequested{})
-	deadline := r.clock.NewTimer(r.settings.DrainTimeout)
+	within = max(within, endTime)
+	r.reactor.Post(core.DrainRequested{Within: within})
+	deadline := r.clock.NewTimer(within + endTime/2)
 	defer deadline.Stop()
 	select {
 	case <-r.dispatcher.Stopped():
--- a/router/internal/settings/field.go
+++ b/router/internal/settings/field.go
@@ -43,7 +43,7 @@
 	{"host", "name", "", "Name of this host, as in the platform's host list.", setHost},
 	{"host", "zone", "", "Availability zone of this host.", setZone},
 	{"host", "zones", "", "All availability zones, separated by commas; the same on every host.", setZones},
-	{"host", "drain-timeout", "10m", "Longest graceful shutdown, 1s to 24h.", duration(
+	{"host", "drain-timeout", "10m", "Longest graceful shutdown, after which the process may be killed, 1s to 24h.", duration(
 		func(s *Settings) *time.Duration { return &s.DrainTimeout }, time.Second, 24*time.Hour)},
 	{"host", "memory-limit", "0", "Memory that the process tries to stay within, in bytes; 0 is no limit.", integer(
 		func(s *Settings) *int64 { return &s.MemoryLimit }, 0, 1<<40)},
