core: a stream that may have run is searched another endpoint before its first event too

A caller whose stream had no event yet got 502 at the first refusal of the scheduler after its engine had failed or been left as silent, although its route may be resumed and other engines were about to take it. A request that may have run now waits for another endpoint as long as its caller waits for the first event; only then it is refused.

Red before: TestLostStreamIsNotRefused with no event and all decode engines leaving ('the stream was ended: {begun:0 leaving:[d1 d2]}').

--- a/fleet/core/relay.go
+++ b/fleet/core/relay.go
@@ -72,14 +72,16 @@
 
 // maxQueueWait returns how long the caller may have waited when the request leaves the
 // queue. The rest of the route's FirstEventTimeout is reserved for prefill and KV transfer,
-// and for a refusal that states when to retry. A request that may have run queues until its
-// deadline, because a refusal could not state that it has not run, and would break off a
-// stream that has begun.
+// and for a refusal that states when to retry. A request that may have run queues as long as
+// its caller waits, because a refusal could not state that it has not run, and would break
+// off a stream that has begun.
 func (s *step) maxQueueWait(r *request) time.Duration {
-	if !r.relayed || !r.ranEarlier {
+	switch {
+	case !r.relayed || !r.ranEarlier:
 		return r.route.FirstEventTimeout * maxQueueWaitPercent / 100
-	}
-	if r.deadline.IsZero() {
+	case r.delivered == 0:
+		return r.route.FirstEventTimeout
+	case r.deadline.IsZero():
 		return 0
 	}
 	return s.waitedByCaller(r) + r.deadline.Sub(s.now)
--- a/fleet/core/silence.go
+++ b/fleet/core/silence.go
@@ -70,17 +70,22 @@
 	return false
 }
 
-// isBegun reports whether the caller has received a part of the answer. Such a request is
-// not refused as long as it can still be resumed.
-func (r *request) isBegun() bool {
-	return r.relayed && r.delivered > 0 && !r.route.NoResume
+// isResumable reports whether another attempt may continue the request after an attempt that
+// may have run. Such a request is not refused at once, because a refusal breaks off a stream
+// that has begun, and can't state that the request has not run. A caller that has received
+// nothing waits for FirstEventTimeout at most.
+func (s *step) isResumable(r *request) bool {
+	if !r.relayed || !r.ranEarlier || r.route.NoResume || r.runCount >= r.route.Attempts {
+		return false
+	}
+	return r.delivered > 0 || s.waitedByCaller(r) < r.route.FirstEventTimeout
 }
 
-// resumeLater keeps a stream that has begun queued if no endpoint resumes it now, and
-// reports whether it does. takeRetry is set if its next attempt must be taken from the
-// retry budget. The stream ends at its deadline, or when its caller leaves.
+// resumeLater keeps a resumable request queued if no endpoint resumes it now, and reports
+// whether it does. takeRetry is set if its next attempt must be taken from the retry budget.
+// The request ends at its deadline, or when its caller leaves.
 func (s *step) resumeLater(r *request, takeRetry bool) bool {
-	if !r.isBegun() || r.runCount >= r.route.Attempts {
+	if !s.isResumable(r) {
 		return false
 	}
 	r.stage = StageQueue
--- a/fleet/core/silence_test.go
+++ b/fleet/core/silence_test.go
@@ -107,18 +107,31 @@
 	h.assertFinishes(again, 1)
 }
 
-// TestBegunStreamIsNotRefused guards against breaking off a stream that has lost its
-// endpoint, because it is late or because no other endpoint resumes it at once.
-func TestBegunStreamIsNotRefused(t *testing.T) {
-	for _, leaving := range [][]id.Endpoint{nil, {"d1", "d2"}, {"p1"}} {
+// TestLostStreamIsNotRefused guards against ending a stream that has lost its endpoint
+// because it is late, or because no other endpoint resumes it at once.
+func TestLostStreamIsNotRefused(t *testing.T) {
+	tests := []struct {
+		begun   int64 // events before the failure
+		leaving []id.Endpoint
+	}{
+		{begun: 1},
+		{begun: 1, leaving: []id.Endpoint{"d1", "d2"}},
+		{begun: 1, leaving: []id.Endpoint{"p1"}},
+		{begun: 0},
+		{begun: 0, leaving: []id.Endpoint{"d1", "d2"}},
+	}
+	for _, tt := range tests {
 		h := newRelayHost(t)
-		d := h.beginStream("r")
+		d := h.advanceToDecode("r", "resumable")
+		for n := range tt.begun {
+			h.deliverEvent(d, n)
+		}
 		h.advance(1300 * time.Millisecond)
-		h.reduce(core.TableOpened{Snapshot: relayTable(2, leaving...)})
+		h.reduce(core.TableOpened{Snapshot: relayTable(2, tt.leaving...)})
 		out := h.reduce(core.RunFailed{Request: "r", Attempt: d.Attempt, Endpoint: d.Endpoint, Code: "broken"})
 		out = append(out, h.advance(time.Second)...)
-		assert.Assert(t, !has(out, core.Refuse{}), "the stream was broken off with %v leaving", leaving)
+		assert.Assert(t, !has(out, core.Refuse{}), "the stream was ended: %+v", tt)
 		h.reduce(core.TableOpened{Snapshot: relayTable(3)})
-		h.assertFinishes(h.completePrefill(append(out, h.advance(time.Second)...)), 1)
+		h.assertFinishes(h.completePrefill(append(out, h.advance(time.Second)...)), tt.begun)
 	}
 }
