core, caller: a request that crosses a change of the configuration is not refused for good

A request whose route was moved to another service, or whose key was replaced, while it arrived was answered 404 or 401, which callers don't retry, although both versions allow it. The adapter looks the route and the key up in its view before it reads the body; the decision core looks the same names up later, in the table that is in force by then.

--- a/fleet/core/event.go
+++ b/fleet/core/event.go
@@ -17,6 +17,7 @@
 // is not part of the event; the caller adapter keeps the body.
 type RequestArrived struct {
 	Request        id.Request
+	Table          uint64 // version of the table in which the caller's adapter looked up the route and the key; 0 is unknown
 	Route          id.Route
 	Account        id.Account // owner of the key; empty without a key
 	Key            id.KeyID   // empty without a key
--- a/fleet/core/request.go
+++ b/fleet/core/request.go
@@ -33,6 +33,7 @@
 	CodeUnauthorized   = "unauthorized"
 	CodeKeyWithdrawn   = "key-withdrawn"
 	CodeStaleTable     = "stale-table"
+	CodeTableChanged   = "table-changed"
 	CodeTooManyTokens  = "too-many-tokens"
 	CodeRateLimited    = "rate-limited"
 	CodeEndpointFailed = "endpoint-failed"
@@ -168,7 +169,7 @@
 // retryAfter returns the delay after which the caller may retry a request that was
 // refused on arrival, or 0 if a retry does not help.
 func (s *step) retryAfter(code string) time.Duration {
-	if code == CodeLeaving && s.cfg.Relay {
+	if code == CodeLeaving && s.cfg.Relay || code == CodeTableChanged {
 		return drainRetryAfter
 	}
 	switch code {
@@ -191,7 +192,7 @@
 	}
 	route, ok := snap.Routes[r.Route]
 	if !ok {
-		return CodeUnknownRoute, fmt.Sprintf("route %q does not exist", r.Route)
+		return s.lookupError(r, CodeUnknownRoute, fmt.Sprintf("route %q does not exist", r.Route))
 	}
 	r.route = route
 	if code, text := s.authorizationError(r); code != "" {
@@ -209,6 +210,16 @@
 	return "", ""
 }
 
+// lookupError returns the code and text for a request whose route or key is not in the table
+// in force. If the adapter found them in an older table, the caller may retry: the route or
+// the key may have another name in the new table.
+func (s *step) lookupError(r *request, code, text string) (string, string) {
+	if r.Table > 0 && r.Table < s.version() {
+		return CodeTableChanged, "the table has changed while the request arrived"
+	}
+	return code, text
+}
+
 func (s *step) authorizationError(r *request) (code, text string) {
 	if r.route.Open {
 		r.account = r.route.Account
@@ -216,7 +227,7 @@
 	}
 	key, ok := s.snapshot().Keys[r.Key]
 	if !ok || r.Key == "" {
-		return CodeUnauthorized, "a valid key is required"
+		return s.lookupError(r, CodeUnauthorized, "a valid key is required")
 	}
 	if key.State != table.StateActive {
 		return CodeKeyWithdrawn, "the key has been withdrawn"
