router: streams of engines that are silent for less than 2.5 s stay with them

Two engines worked on one stream for more than 400 ms: an engine that is left while it is silent notices the closed connection only when it goes on. Sound engines are silent for a second or so; with 2.5 s a stream is left only where it would otherwise be lost, and 1.1 s remain before callers leave.

--- a/router/internal/app/relay.go
+++ b/router/internal/app/relay.go
@@ -33,8 +33,9 @@
 	// unresponsive engine is detected before callers time out.
 	relayPrefillGrace = 500 * time.Millisecond
 	// relayDecodeStall is the longest pause of a token stream that is not moved to another
-	// engine. A sound engine may pause for more than a second.
-	relayDecodeStall = 2 * time.Second
+	// engine. A sound engine may pause for more than a second, and one that has been left would
+	// work on beside its successor until it notices.
+	relayDecodeStall = 2500 * time.Millisecond
 	relayKVSurvival  = 500 * time.Millisecond
 	// relayTokenTime is the time between two output tokens of the platform's engines.
 	relayTokenTime = 4500 * time.Microsecond
