core: a silent stream is moved only if another decode engine can take it

While all decode engines were silent, a stream was cancelled after 2 s as soon as any prefill was finished, because the end of a prefill counted as progress of another engine. The next attempt went to another silent engine, and took a run and a retry. It was the same if the only engine that went on was leaving and could get no new work.

Now only events of a stream count, and only those of an engine that may get new work.

--- a/fleet/core/core.go
+++ b/fleet/core/core.go
@@ -194,7 +194,7 @@
 	serviceStats     map[id.Endpoint]callStats // by service endpoint; relay mode only
 	outstandingCalls map[id.Endpoint]int       // outstanding service calls of this host
 	unreachable      map[id.Endpoint]bool      // the last call could not reach the endpoint
-	engineProgress   map[id.Endpoint]time.Time // last progress that this host saw; relay mode only
+	engineProgress   map[id.Endpoint]time.Time // time of the last event of each decode engine
 	hostsReadAt      time.Time
 	rolesBalancedAt  time.Time // last time that the balance of roles was checked
 	lastTick         time.Time
--- a/fleet/core/run.go
+++ b/fleet/core/run.go
@@ -93,7 +93,7 @@
 	}
 	r.stage = StageDecode
 	r.runCount++
-	s.recordProgress(r, r.prefill)
+	r.lastProgress = s.now
 	r.lastRegistered = s.now
 	r.addTrace(s.now, "prefill done, %d tokens cached", ev.CachedTokens)
 	s.send(r.schedulerHost, message.SlotUpdate{Request: r.Request, Attempt: r.attempt, Phase: message.PhaseDecode})
@@ -112,7 +112,7 @@
 	if !ok {
 		return
 	}
-	s.recordProgress(r, r.decode)
+	s.recordProgress(r)
 	r.resumed = false
 	if ev.Offset > r.delivered {
 		r.outOfOrder[ev.Offset] = ev
--- a/fleet/core/silence.go
+++ b/fleet/core/silence.go
@@ -32,10 +32,11 @@
 	}
 }
 
-// recordProgress records that an engine has made progress on a request.
-func (s *step) recordProgress(r *request, ep id.Endpoint) {
+// recordProgress records that the decode engine of a request has sent an event. A prefill
+// does not count, because it shows nothing about the engines that decode.
+func (s *step) recordProgress(r *request) {
 	r.lastProgress = s.now
-	s.engineProgress[ep] = s.now
+	s.engineProgress[r.decode] = s.now
 }
 
 // forgetEngines forgets the progress of engines that are not in the table any more.
@@ -48,8 +49,8 @@
 }
 
 // isResumableElsewhere reports whether a stream that its endpoint has stopped sending may
-// go on at another endpoint now. Another engine of the model must have made progress since:
-// if all of them are silent, a move gains nothing.
+// go on at another endpoint now. Another engine of the model that is not leaving must have
+// sent events since: if all of them are silent, a move gains nothing.
 func (s *step) isResumableElsewhere(r *request, silent id.Endpoint) bool {
 	if r.route.NoResume || r.runCount >= r.route.Attempts || r.failures >= maxRelayFailures {
 		return false
@@ -63,7 +64,10 @@
 func (s *step) hasProgressElsewhere(r *request, silent id.Endpoint) bool {
 	snap := s.snapshot()
 	for name, at := range s.engineProgress {
-		if name != silent && at.After(r.lastProgress) && snap.Pools[snap.Endpoints[name].Pool].Model == r.route.Model {
+		if name == silent || !at.After(r.lastProgress) || s.firstUnusable(name) != "" {
+			continue
+		}
+		if snap.Pools[snap.Endpoints[name].Pool].Model == r.route.Model {
 			return true
 		}
 	}
--- a/fleet/core/silence_test.go
+++ b/fleet/core/silence_test.go
@@ -74,6 +74,17 @@
 			d := h.beginStream("r")
 			return d, h.advance(longSilence)
 		}},
+		{"only prefills go on", func(*core.Config) {}, func(h *relayHost) (core.StartDecode, []core.Effect) {
+			d := h.beginStream("r")
+			out := h.advance(time.Second)
+			h.advanceToDecode("later", "resumable")
+			return d, append(out, h.advance(longSilence-time.Second)...)
+		}},
+		{"the other engine is leaving", func(*core.Config) {}, func(h *relayHost) (core.StartDecode, []core.Effect) {
+			d, other := h.beginTwo()
+			h.reduce(core.TableOpened{Snapshot: relayTable(2, other.Endpoint)})
+			return d, h.progressOn(other, longSilence)
+		}},
 		{"no retry is left", noBudget, func(h *relayHost) (core.StartDecode, []core.Effect) {
 			d, other := h.beginTwo()
 			return d, h.progressOn(other, longSilence)
