core: a caller without an event is answered when its wait for a retry is over

A resumable stream that lost its engine before the first event, with the retry budget used up, waited for a retry until its deadline: the wait was prolonged without a look at FirstEventTimeout, after which its caller has left. Nor did its caller get the failure that the engine had answered with.

Now each prolongation has the same limits as the first one. At the end the caller gets the engine's answer, or a refusal if there is none.

Red before: TestUnresumedStreamEnds ('false != true', neither Refuse nor Reply after 3.5 s with FirstEventTimeout at 3 s).

--- a/fleet/core/silence.go
+++ b/fleet/core/silence.go
@@ -7,6 +7,9 @@
 	"ragwortshunt.example/fleet/retry"
 )
 
+// codeNoRetryLeft is the code of a request whose retry budget was used up while it waited.
+const codeNoRetryLeft = "no-retry-left"
+
 const (
 	// pauseThreshold is the gap between two ticks above which this host is considered to
 	// have been paused. It is longer than the pause that a CPU quota causes.
@@ -98,13 +101,16 @@
 	return true
 }
 
-// resumeNow searches for an endpoint again once the wait of resumeLater has passed.
+// resumeNow searches for an endpoint again once the wait of resumeLater has passed. It ends the
+// request if the caller has waited too long for a retry from the budget.
 func (s *step) resumeNow(r *request) {
 	if s.now.Before(r.resumeAt) {
 		return
 	}
 	if r.resumeTakesRetry && !retry.Allow(s.retries, s.now, r.retryBudgetKey(), s.retryHosts()) {
-		r.resumeAt = s.now.Add(resumeRetryInterval)
+		if !s.resumeLater(r, true) {
+			s.relayGiveUp(r, codeNoRetryLeft)
+		}
 		return
 	}
 	r.resumeAt, r.resumeTakesRetry = time.Time{}, false
--- a/fleet/core/silence_test.go
+++ b/fleet/core/silence_test.go
@@ -146,3 +146,16 @@
 		h.assertFinishes(h.completePrefill(append(out, h.advance(time.Second)...)), tt.begun)
 	}
 }
+
+// TestUnresumedStreamEnds guards against a caller without an event that gets no answer until
+// its deadline, because the retry budget is used up.
+func TestUnresumedStreamEnds(t *testing.T) {
+	for _, answered := range []bool{false, true} {
+		h := newRelayHostWith(t, func(cfg *core.Config) { cfg.Retry = retry.Config{Window: 10 * time.Second} })
+		d := h.advanceToDecode("r", "resumable")
+		failed := core.RunFailed{Request: "r", Attempt: d.Attempt, Endpoint: d.Endpoint, Code: "broken", HasReply: answered}
+		out := append(h.reduce(failed), h.advance(3500*time.Millisecond)...) // FirstEventTimeout is 3 s
+		assert.Equal(t, has(out, core.Refuse{}), !answered)
+		assert.Equal(t, has(out, core.Reply{}), answered)
+	}
+}
