core: a grant that arrives while a stream waits to search again is returned

While a cell moves between hosts, two schedulers may answer the same attempt. After the refusal of one, the stream waits before it searches again; the grant of the other was then neither used nor returned, because it looked like a duplicate. Its slots and memory stayed reserved until the next attempt reached the same scheduler, or for GrantTimeout.

Found by review. Red before: TestLateGrantIsReturned ('0 != 1: core.SendPeer in []').

--- a/fleet/core/silence_test.go
+++ b/fleet/core/silence_test.go
@@ -9,6 +9,7 @@
 
 	"ragwortshunt.example/fleet/core"
 	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/message"
 	"ragwortshunt.example/fleet/retry"
 )
 
@@ -159,3 +160,19 @@
 		assert.Equal(t, has(out, core.Reply{}), answered)
 	}
 }
+
+// TestLateGrantIsReturned guards against a reservation that is kept although the request has
+// stopped waiting for it: two schedulers may answer while a cell moves between hosts.
+func TestLateGrantIsReturned(t *testing.T) {
+	h, scheduler := newHostWithPeer(t)
+	h.sendRequest("r", "resumable")
+	grant := message.SlotGrant{Request: "r", Attempt: 1, Prefill: "p1", Decode: "d1", Valid: time.Second}
+	d := h.completePrefill(h.reduce(core.PeerMessage{From: scheduler, Incarnation: 1, Message: grant}))
+	h.reduce(core.RunFailed{Request: "r", Attempt: 1, Endpoint: d.Endpoint, Code: "broken"})
+	refusal := message.SlotRefusal{Request: "r", Attempt: 2, Reason: "too-late"}
+	h.reduce(core.PeerMessage{From: "former", Incarnation: 1, Message: refusal})
+	grant.Attempt = 2
+	out := h.reduce(core.PeerMessage{From: scheduler, Incarnation: 1, Message: grant})
+	sent := find(t, out, core.SendPeer{}).(core.SendPeer)
+	assert.DeepEqual(t, sent.Message, message.SlotUpdate{Request: "r", Attempt: 2, Phase: message.PhaseCancelled})
+}
--- a/fleet/core/slot.go
+++ b/fleet/core/slot.go
@@ -241,9 +241,10 @@
 }
 
 // declineGrant returns a grant that the request no longer needs. A duplicate grant of
-// the current attempt belongs to the same reservation and is kept.
+// the current attempt belongs to the same reservation and is kept, unless the attempt has
+// ended and the request waits to search again.
 func (s *step) declineGrant(r *request, from id.Host, m message.SlotGrant) {
-	if r.attempt == m.Attempt && r.schedulerHost == from {
+	if r.attempt == m.Attempt && r.schedulerHost == from && r.resumeAt.IsZero() {
 		return
 	}
 	s.send(from, message.SlotUpdate{Request: m.Request, Attempt: m.Attempt, Phase: message.PhaseCancelled})
