--- a/fleet/retry/retry.go
+++ b/fleet/retry/retry.go
@@ -58,9 +58,6 @@
 // hosts is the number of hosts that share the budget. A zero or negative Window
 // disables the limit.
 func Allow(s *State, now time.Time, service id.Pool, hosts int) bool {
-	if s.cfg.Window <= 0 {
-		return true
-	}
 	if s.cfg.Window <= 0 {
 		return true
 	}
