core: an attempt that an engine has rejected does not count as a run of a stream

A run was counted when its decode was sent, also if the engine then stated that it had not run it, as it does when a KV transfer would take too long or its handle is gone. A stream that had lost one engine and was rejected by the next was ended at the next refusal of a scheduler, as if its attempts were used up. A rejected attempt is taken off the count again; it still takes a retry from the budget.

Red before: TestRejectedRunIsNotCounted ('the stream was ended').

--- a/fleet/core/relay.go
+++ b/fleet/core/relay.go
@@ -208,6 +208,9 @@
 	r.addTrace(s.now, "attempt %d failed on %s: %s (not-run %t, %d events), segments %v",
 		r.attempt, ev.Endpoint, ev.Code, ev.NotRun, r.delivered-r.decodeFrom, r.Segments)
 	ran := r.stage == StageDecode && !ev.NotRun
+	if r.stage == StageDecode && ev.NotRun {
+		r.runCount--
+	}
 	if r.stage == StageDecode {
 		s.emit(Count{Name: MetricWastedPrefill, Account: r.account, N: r.PromptTokens})
 	}
--- a/fleet/core/silence_test.go
+++ b/fleet/core/silence_test.go
@@ -148,6 +148,20 @@
 	}
 }
 
+// TestRejectedRunIsNotCounted guards against ending a stream as if its attempts were used up,
+// although an engine has rejected one of them.
+func TestRejectedRunIsNotCounted(t *testing.T) {
+	h := newRelayHost(t)
+	d := h.beginStream("r")
+	again := h.completePrefill(h.reduce(core.RunFailed{Request: "r", Attempt: d.Attempt, Endpoint: d.Endpoint, Code: "broken"}))
+	h.reduce(core.TableOpened{Snapshot: relayTable(2, "d1", "d2")})
+	out := h.reduce(core.RunFailed{Request: "r", Attempt: again.Attempt, Endpoint: again.Endpoint, Code: "full", NotRun: true})
+	out = append(out, h.advance(time.Second)...)
+	assert.Assert(t, !has(out, core.Refuse{}), "the stream was ended")
+	h.reduce(core.TableOpened{Snapshot: relayTable(3)})
+	h.assertFinishes(h.completePrefill(h.advance(time.Second)), 1)
+}
+
 // TestUnresumedStreamEnds guards against a caller without an event that gets no answer until
 // its deadline, because the retry budget is used up.
 func TestUnresumedStreamEnds(t *testing.T) {
