core: a host that was paused does not suspect its scheduler at once

After a pause of 300 ms or more, the first Tick found that a scheduler had not acknowledged a SlotRequest in time, although its reply was waiting to be read. The scheduler was passed over for 3 s, and another one granted the same engines conservatively. This is the fault of the stream timer, which ran on while the host stood still, in another place; the waits for a scheduler, also for one in another zone, now start anew after a pause.

Found by review. Red before: TestPausedHostTrustsScheduler ('the host has moved the cell to itself').

--- a/fleet/core/core.go
+++ b/fleet/core/core.go
@@ -198,7 +198,8 @@
 	hostsReadAt      time.Time
 	rolesBalancedAt  time.Time // last time that the balance of roles was checked
 	lastTick         time.Time
-	addressUnknown   bool // a message arrived from a host whose address may be missing or outdated
+	resumedAt        time.Time // end of the last pause of this host; relay mode only
+	addressUnknown   bool      // a message arrived from a host whose address may be missing or outdated
 	nextRequestScan  time.Time
 	peerVersionKnown bool // a peer has reported its table version
 	draining         bool
--- a/fleet/core/relay.go
+++ b/fleet/core/relay.go
@@ -246,7 +246,7 @@
 // Membership detects a dead or unreachable scheduler only after 2 s, which is too late
 // for most requests.
 func (s *step) schedulerSilent(r *request) bool {
-	if !r.relayed || r.schedulerHost == "" || r.schedulerHost == s.cfg.Host || s.now.Sub(r.lastSlotRequest) < schedulerAckTimeout {
+	if !r.relayed || r.schedulerHost == "" || r.schedulerHost == s.cfg.Host || s.waitedFor(r.lastSlotRequest) < schedulerAckTimeout {
 		return false
 	}
 	if _, ok := s.suspectUntil[r.schedulerHost]; ok {
--- a/fleet/core/silence.go
+++ b/fleet/core/silence.go
@@ -26,6 +26,7 @@
 	if !s.cfg.Relay || s.lastTick.IsZero() || pause < pauseThreshold {
 		return
 	}
+	s.resumedAt = s.now
 	for _, r := range s.requests {
 		if resumed := r.lastProgress.Add(pause); resumed.Before(s.now) {
 			r.lastProgress = resumed
@@ -35,6 +36,12 @@
 	}
 }
 
+// waitedFor returns how long this host has waited for a reply to a message that it sent at the
+// given time. The wait starts anew after a pause, because the reply may not have been read yet.
+func (s *step) waitedFor(sent time.Time) time.Duration {
+	return min(s.now.Sub(sent), s.now.Sub(s.resumedAt))
+}
+
 // recordProgress records that the decode engine of a request has sent an event. A prefill
 // does not count, because it shows nothing about the engines that decode.
 func (s *step) recordProgress(r *request) {
--- a/fleet/core/silence_test.go
+++ b/fleet/core/silence_test.go
@@ -190,3 +190,15 @@
 	sent := find(t, out, core.SendPeer{}).(core.SendPeer)
 	assert.DeepEqual(t, sent.Message, message.SlotUpdate{Request: "r", Attempt: 2, Phase: message.PhaseCancelled})
 }
+
+// TestPausedHostTrustsScheduler guards against suspecting a sound scheduler after a pause of
+// this host, because its reply has not been read yet.
+func TestPausedHostTrustsScheduler(t *testing.T) {
+	h, scheduler := newHostWithPeer(t)
+	h.sendRequest("r", "once")
+	h.now = h.now.Add(700 * time.Millisecond)
+	out := h.advance(100 * time.Millisecond)
+	assert.Assert(t, !has(out, core.StartPrefill{}), "the host has moved the cell to itself")
+	grant := message.SlotGrant{Request: "r", Attempt: 1, Prefill: "p1", Decode: "d1", Valid: time.Second}
+	assert.Assert(t, has(h.reduce(core.PeerMessage{From: scheduler, Incarnation: 1, Message: grant}), core.StartPrefill{}))
+}
--- a/fleet/core/slot.go
+++ b/fleet/core/slot.go
@@ -203,7 +203,7 @@
 // queue, so that a request does not wait until membership detects that the zone is
 // unreachable.
 func (s *step) remoteRequestTimedOut(r *request) bool {
-	if r.cell.Zone == s.cfg.Zone || r.schedulerHost == "" || s.now.Sub(r.queuedAt) < zoneAckTimeout {
+	if r.cell.Zone == s.cfg.Zone || r.schedulerHost == "" || s.waitedFor(r.queuedAt) < zoneAckTimeout {
 		return false
 	}
 	return member.LastHeard(s.member, r.schedulerHost).Before(r.queuedAt)
