router: a host that is leaving ends within its drain timeout

The wait for callers on open connections, and for their last responses, followed the end of the last request whatever time was left: after a drain of more than 6.75 of 8 s the process was still waiting when it was killed. Both waits now end with the drain timeout.

--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -234,6 +234,7 @@
 	}
 	within = max(within, endTime)
 	r.reactor.Post(core.DrainRequested{Within: within})
+	end := r.clock.Now().Add(within + endTime/2)
 	deadline := r.clock.NewTimer(within + endTime/2)
 	defer deadline.Stop()
 	select {
@@ -241,18 +242,18 @@
 		if err := callerListener.Close(); err != nil {
 			r.log.Warn("router: Listener for callers was not closed.", zap.Error(err))
 		}
-		r.clock.Sleep(keepAliveGrace)
-		r.waitForResponses()
+		r.clock.Sleep(min(keepAliveGrace, end.Sub(r.clock.Now())))
+		r.waitForResponses(end)
 	case <-deadline.Chan():
 		r.log.Warn("router: Drain timeout has passed.", zap.Int("requests", r.adapters.Caller.ActiveRequests()))
 	}
 }
 
 // waitForResponses waits until the last responses have been written, for closeTimeout
-// at most.
-func (r *Router) waitForResponses() {
+// and until end at most.
+func (r *Router) waitForResponses(end time.Time) {
 	for range 100 {
-		if r.adapters.Caller.ActiveRequests() == 0 {
+		if r.adapters.Caller.ActiveRequests() == 0 || !r.clock.Now().Before(end) {
 			return
 		}
 		r.clock.Sleep(closeTimeout / 100)
