core: a stream that no engine can hold is not searched an engine until its deadline

A refusal as too large holds for every engine. A stream that had begun waited for its deadline all the same. Found by review; no test, the rule is one condition.

--- a/fleet/core/slot.go
+++ b/fleet/core/slot.go
@@ -267,7 +267,7 @@
 	r.refusals++
 	r.triedCells = append(r.triedCells, r.cell)
 	r.addTrace(s.now, "cell %s refused: %s", r.cell, m.Reason)
-	if s.resumeLater(r, false) {
+	if m.Reason != schedule.ReasonTooLarge && s.resumeLater(r, false) {
 		return
 	}
 	late := m.Reason == schedule.ReasonTooLate && s.now.Sub(r.arrived) >= r.route.FirstToken
