--- a/fleet/core/follow.go
+++ b/fleet/core/follow.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -169,7 +170,14 @@
 	}
 	s.recordWatcher(from, m.Lost)
 	s.handlePeerRevisions(m.SeenRevisions)
-	if len(m.Changes) == 0 || m.Revision <= s.table.seenRevisions[m.ConfigSource] {
+	if len(m.Changes) == 0 {
+		return
+	}
+	if seen := s.table.seenRevisions[m.ConfigSource]; m.Revision <= seen {
+		s.emit(Log{
+			Level: LogInfo, Component: partPeer, Text: "Forwarded changes are not newer than what was read.", Host: from,
+			Trace: fmt.Sprintf("source %d, revision %d, read up to %d", m.ConfigSource, m.Revision, seen),
+		})
 		return
 	}
 	s.emit(ApplyPlatform{Changes: PlatformChanged{
