store, core: what the store says is ordered by era and revision

Hosts ordered all that they read, and what watchers forward, by the store's revision. After a restore revisions are lower and given out again, so that forwarded changes were dropped until the revision had passed the old one.

Every answer names the era of the store, which rises with a restore. Hosts that don't send one are understood: their revisions are compared until a restore has been seen, and afterwards their changes only cause another read.

--- a/fleet/core/core.go
+++ b/fleet/core/core.go
@@ -201,7 +201,9 @@
 	resumedAt        time.Time // end of the last pause of this host; relay mode only
 	addressUnknown   bool      // a message arrived from a host whose address may be missing or outdated
 	nextRequestScan  time.Time
-	peerVersionKnown bool // a peer has reported its table version
+	storeEra         uint64 // highest known era of the platform's store; 0 if none is known; relay mode only
+	restoredEra      uint64 // era that began with the last restore of the store that this host has seen; 0 if none
+	peerVersionKnown bool   // a peer has reported its table version
 	draining         bool
 	drainEnd         time.Time // when a draining host must end; zero means none
 	drainExpired     bool      // drainEnd has passed
--- a/fleet/core/effect.go
+++ b/fleet/core/effect.go
@@ -147,6 +147,7 @@
 	Name  string
 	After uint64
 	Wait  time.Duration
+	Era   uint64 // era of the store that the core knows
 }
 
 // WriteObject updates an object of the platform if its version is IfVersion. The
@@ -156,6 +157,7 @@
 	Name      string
 	IfVersion uint64
 	Value     []byte
+	Era       uint64 // era of the store that the core knows
 }
 
 // ListHosts reads the platform's list of hosts. The result is HostsListed.
@@ -184,8 +186,11 @@
 type ApplyPlatform struct{ Changes PlatformChanged }
 
 // RefreshPlatform reads the platform's configuration again, because a peer has read newer
-// revisions of it.
-type RefreshPlatform struct{ SeenRevisions [SourceCount]uint64 }
+// revisions of it, or has seen a newer era of the store.
+type RefreshPlatform struct {
+	Era           uint64
+	SeenRevisions [SourceCount]uint64
+}
 
 // PollLoad reads the load report of an engine. The results are LoadReported and one
 // CacheChanged for each new cache event.
--- a/fleet/core/event.go
+++ b/fleet/core/event.go
@@ -96,6 +96,8 @@
 	Unchanged bool
 	Failed    bool
 	Sent      time.Time // when the call was made
+	SentEra   uint64    // Era of the ReadObject
+	Era       uint64    // era of the store that answered; 0 if it is unknown
 }
 
 // ObjectWritten is the result of WriteObject.
@@ -104,6 +106,8 @@
 	Name    string
 	Version uint64
 	Outcome object.WriteOutcome
+	SentEra uint64 // Era of the WriteObject
+	Era     uint64 // era of the store that answered; 0 if it is unknown
 }
 
 // EndpointLimited reports that an endpoint has named the rate of requests that it takes from
@@ -144,8 +148,11 @@
 }
 
 // PlatformSeen reports the revisions of the platform's configuration that this host
-// has read.
-type PlatformSeen struct{ SeenRevisions [SourceCount]uint64 }
+// has read, and the era of the store in which it has read them.
+type PlatformSeen struct {
+	Era           uint64
+	SeenRevisions [SourceCount]uint64
+}
 
 // PlatformContact reports that a watch on the platform's configuration has succeeded,
 // or that it has failed (Lost).
@@ -155,6 +162,7 @@
 // has read from the platform itself.
 type PlatformChanged struct {
 	ConfigSource ConfigSource
+	Era          uint64 // of the store; 0 if it is unknown
 	Since        uint64 // revision to which the changes apply
 	Revision     uint64
 	Changes      []message.PlatformChange
--- a/fleet/core/follow.go
+++ b/fleet/core/follow.go
@@ -100,9 +100,14 @@
 }
 
 // platformSeen records the revisions that this host has read. A watcher announces newer
-// ones.
+// ones, and a new era of the store.
 func (s *step) platformSeen(ev PlatformSeen) {
-	newer := false
+	if ev.Era < s.storeEra {
+		return
+	}
+	restored := s.restoredEra
+	s.observeEra(ev.Era)
+	newer := s.restoredEra > restored
 	for i, rev := range ev.SeenRevisions {
 		newer = newer || rev > s.table.seenRevisions[i]
 		s.table.seenRevisions[i] = max(s.table.seenRevisions[i], rev)
@@ -117,7 +122,7 @@
 func (s *step) announceContact(lost bool) {
 	s.table.announcedAt = s.now
 	s.table.announcedLost = lost
-	s.broadcast("", message.PlatformUpdate{Lost: lost, SeenRevisions: s.table.seenRevisions[:]})
+	s.broadcast("", message.PlatformUpdate{Lost: lost, SeenRevisions: s.table.seenRevisions[:], StoreEra: s.storeEra})
 }
 
 // platformContact announces the contact of this watcher with the platform: changes
@@ -153,12 +158,12 @@
 
 // platformChanged forwards the changes that this watcher has read to all hosts.
 func (s *step) platformChanged(ev PlatformChanged) {
-	if s.table.followMode != FollowAsWatcher {
+	if s.table.followMode != FollowAsWatcher || ev.Era < s.storeEra {
 		return
 	}
 	s.table.announcedAt = s.now
 	s.broadcast("", message.PlatformUpdate{
-		ConfigSource: int(ev.ConfigSource), Since: ev.Since, Revision: ev.Revision, Changes: ev.Changes,
+		ConfigSource: int(ev.ConfigSource), Since: ev.Since, Revision: ev.Revision, Changes: ev.Changes, StoreEra: ev.Era,
 	})
 }
 
@@ -169,30 +174,45 @@
 		return
 	}
 	s.recordWatcher(from, m.Lost)
-	s.handlePeerRevisions(m.SeenRevisions)
+	s.handlePeerRevisions(m.StoreEra, m.SeenRevisions)
 	if len(m.Changes) == 0 {
 		return
 	}
-	if seen := s.table.seenRevisions[m.ConfigSource]; m.Revision <= seen {
+	s.observeEra(m.StoreEra)
+	if !s.isNewUpdate(m) {
 		s.emit(Log{
 			Level: LogInfo, Component: partPeer, Text: "Forwarded changes are not newer than what was read.", Host: from,
-			Trace: fmt.Sprintf("source %d, revision %d, read up to %d", m.ConfigSource, m.Revision, seen),
+			Trace: fmt.Sprintf("source %d, era %d, revision %d, read up to %d of era %d",
+				m.ConfigSource, m.StoreEra, m.Revision, s.table.seenRevisions[m.ConfigSource], s.storeEra),
 		})
 		return
 	}
 	s.emit(ApplyPlatform{Changes: PlatformChanged{
-		ConfigSource: ConfigSource(m.ConfigSource), Since: m.Since, Revision: m.Revision, Changes: m.Changes,
+		ConfigSource: ConfigSource(m.ConfigSource), Era: m.StoreEra, Since: m.Since, Revision: m.Revision, Changes: m.Changes,
 	}})
 }
 
+// isNewUpdate reports whether forwarded changes may be newer than what this host has read.
+func (s *step) isNewUpdate(m message.PlatformUpdate) bool {
+	if s.sameEra(m.StoreEra) {
+		return m.Revision > s.table.seenRevisions[m.ConfigSource]
+	}
+	return m.StoreEra == 0
+}
+
 // handlePeerRevisions requests another read of the platform's configuration if a peer has
-// read a newer revision.
-func (s *step) handlePeerRevisions(seenRevisions []uint64) {
+// read a newer revision, or has seen a newer era of the store.
+func (s *step) handlePeerRevisions(era uint64, seenRevisions []uint64) {
 	if !s.cfg.Relay || len(seenRevisions) != int(SourceCount) {
 		return
 	}
-	var ev RefreshPlatform
-	newer := false
+	restored := s.restoredEra
+	s.observeEra(era)
+	if !s.sameEra(era) {
+		return
+	}
+	ev := RefreshPlatform{Era: era}
+	newer := s.restoredEra > restored
 	for i, rev := range seenRevisions {
 		ev.SeenRevisions[i] = rev
 		newer = newer || rev > s.table.seenRevisions[i]
--- a/fleet/core/follow_test.go
+++ b/fleet/core/follow_test.go
@@ -24,6 +24,7 @@
 	applied     map[id.Host]int // number of ApplyPlatform effects
 	copies      map[id.Host]int // messages with changes that a host has sent
 	sentBytes   map[id.Host]int // bytes of the changes in them
+	refreshed   int             // number of RefreshPlatform effects
 }
 
 // newFollowers returns hosts that know each other and have been running for 4 s.
@@ -81,6 +82,8 @@
 		case core.ApplyPlatform:
 			f.lastApplied[name] = e
 			f.applied[name]++
+		case core.RefreshPlatform:
+			f.refreshed++
 		}
 	}
 }
@@ -287,3 +290,53 @@
 	}
 	return n
 }
+
+// TestChangeAfterRestore guards against followers that drop a forwarded change because the
+// store has come back from an older copy, in which the revision of the change is lower than
+// what they have read. A message of before the restore that arrives late, and a host that
+// sends no eras, must not raise the revisions again.
+func TestChangeAfterRestore(t *testing.T) {
+	f := newFollowers(t, 6)
+	watcher := f.anyWatcher()
+	for _, name := range f.names {
+		f.reduce(name, core.PlatformSeen{Era: 1, SeenRevisions: [core.SourceCount]uint64{77, 77}})
+	}
+	changes := []message.PlatformChange{{Name: "main", Version: 61, Spec: []byte("x")}}
+	for _, late := range []message.PlatformUpdate{
+		{},
+		{StoreEra: 1, SeenRevisions: []uint64{80, 80}},
+		{StoreEra: 1, Revision: 81, Changes: changes},
+		{SeenRevisions: []uint64{82, 82}},
+	} {
+		f.refreshed = 0
+		f.reduce(watcher, core.PlatformSeen{Era: 2, SeenRevisions: [core.SourceCount]uint64{60, 60}})
+		for _, name := range f.names {
+			if name == watcher {
+				continue
+			}
+			f.applied[name] = 0
+			f.reduce(name, core.PeerMessage{From: watcher, Incarnation: 1, Message: late})
+			assert.Equal(t, f.applied[name], 0, "%s applied a change of before the restore", name)
+		}
+		f.reduce(watcher, core.PlatformChanged{ConfigSource: core.SourceConfig, Era: 2, Since: 60, Revision: 61, Changes: changes})
+		for _, name := range f.names {
+			if name != watcher {
+				assert.Equal(t, f.applied[name], 1, name)
+				assert.Equal(t, f.lastApplied[name].Changes.Era, uint64(2))
+			}
+		}
+	}
+	assert.Equal(t, f.refreshed, 0, "sources are read again although nothing is newer")
+}
+
+// TestRefreshAfterRestore guards against hosts that read nothing again after a restore that
+// only one of them has seen.
+func TestRefreshAfterRestore(t *testing.T) {
+	f := newFollowers(t, 6)
+	for _, name := range f.names {
+		f.reduce(name, core.PlatformSeen{Era: 1, SeenRevisions: [core.SourceCount]uint64{77, 77}})
+	}
+	f.refreshed = 0
+	f.reduce(f.anyWatcher(), core.PlatformSeen{Era: 2})
+	assert.Equal(t, f.refreshed, len(f.names)-1)
+}
--- a/fleet/core/peers.go
+++ b/fleet/core/peers.go
@@ -58,7 +58,7 @@
 func (s *step) handleHeartbeatState(from id.Host, hb message.Heartbeat) {
 	s.handlePeerVersion(from, hb.TableVersion, hb.ConfirmedAge, hb.ConfirmedAge > 0)
 	s.compareSettings(from, hb.Settings)
-	s.handlePeerRevisions(hb.SeenRevisions)
+	s.handlePeerRevisions(hb.StoreEra, hb.SeenRevisions)
 	s.mergeQuarantine(hb.Quarantine)
 	if hb.Register {
 		s.resetRegistrations(from)
@@ -228,6 +228,7 @@
 	}
 	if s.cfg.Relay {
 		hb.SeenRevisions = s.table.seenRevisions[:]
+		hb.StoreEra = s.storeEra
 	}
 	return hb
 }
--- a/fleet/message/message.go
+++ b/fleet/message/message.go
@@ -77,6 +77,11 @@
 	Capacity      float64  `cbor:"12,keyasint,omitempty"` // part of a processor core that the sender may use; 0 is unknown
 
 	Quarantine []QuarantineEntry `cbor:"13,keyasint,omitempty"` // all entries that the sender knows
+
+	// StoreEra is the era of the store in which SeenRevisions were read. The era rises by
+	// one when the store comes back from an older copy, and revisions are given out again.
+	// Hosts without knowledge of eras send 0.
+	StoreEra uint64 `cbor:"14,keyasint,omitempty"`
 }
 
 // Broadcast carries a message to many hosts by way of relays; see package fanout. It
@@ -264,6 +269,7 @@
 	Changes       []PlatformChange `cbor:"4,keyasint,omitempty"`
 	Lost          bool             `cbor:"5,keyasint,omitempty"` // the watcher has lost contact with the platform
 	SeenRevisions []uint64         `cbor:"6,keyasint,omitempty"` // as in Heartbeat
+	StoreEra      uint64           `cbor:"7,keyasint,omitempty"` // of all revisions in the message; as in Heartbeat
 }
 
 // CrashReport reports that a run has broken off before it had produced much output. The
