order: the order lease and its fencing tokens survive a restore of the store

A copy of the store names an earlier holder of the order lease, or none. The earlier holder renewed it at once with its old token while the real holder went on, and a new holder got a token that had been given out before.

Values carry the era of the store in which they were written. After a new era the holder keeps its lease by its own clock and writes it again; any other host waits for a full lease from its first read, also of a released or absent lease.

--- a/fleet/order/lease.go
+++ b/fleet/order/lease.go
@@ -15,6 +15,8 @@
 	Fence       uint64         `json:"fence"`
 	LeaseMS     int64          `json:"lease-ms"`
 	Released    bool           `json:"released,omitempty"`
+	// Era is the era of the store in which the holder wrote the lease; 0 if it is unknown.
+	Era uint64 `json:"era,omitempty"`
 }
 
 // writeAttempt is an outstanding write.
@@ -35,6 +37,9 @@
 	acquiredAt time.Time // time since which this host has held the lease without interruption
 	raiseFence bool      // an endpoint has seen a higher token, so the next write increases it
 
+	lost        bool      // this host holds the lease, but the store has lost it; it is written again
+	absentUntil time.Time // until then, the lease may be held although the store has no object
+
 	reading         bool
 	pendingWrite    *writeAttempt
 	firstUnresolved time.Time // start of the first write that may still take effect
@@ -42,9 +47,14 @@
 	backoff         time.Duration
 }
 
-// heldBySelf reports whether the stored value names this process as the holder.
-func (l *lease) heldBySelf(cfg Config) bool {
-	return l.version != 0 && l.stored.Holder == cfg.Host && l.stored.Incarnation == cfg.Incarnation && !l.stored.Released
+// heldBySelf reports whether this process is the last holder. A value of an older era does
+// not say so, unless this process has held the lease since.
+func heldBySelf(s *State) bool {
+	l := &s.lease
+	if l.version == 0 || isOutdated(s) {
+		return l.lost
+	}
+	return l.stored.Holder == s.cfg.Host && l.stored.Incarnation == s.cfg.Incarnation && !l.stored.Released
 }
 
 // HoldsLease reports whether this host holds a valid lease and so may send orders.
@@ -64,7 +74,9 @@
 	case !l.loaded:
 		l.reading = true
 		return []Action{Read{Name: string(s.cfg.Zone)}}
-	case l.heldBySelf(s.cfg):
+	case l.lost:
+		return restoreLease(s, now)
+	case heldBySelf(s):
 		return renew(s, now)
 	default:
 		return acquire(s, now)
@@ -98,24 +110,31 @@
 	v := l.stored
 	v.LeaseMS = s.cfg.Lease.Milliseconds()
 	if l.raiseFence {
-		v.Fence++
+		v.Fence = nextFence(s)
 	}
 	return write(s, now, v)
 }
 
 // acquire acquires the lease once that of the previous holder has expired or been
-// released.
+// released. A value of an older era says nothing about the present holder, so its lease may
+// have started just before the value was read.
 func acquire(s *State, now time.Time) []Action {
 	l := &s.lease
 	duration := max(s.cfg.Lease, time.Duration(l.stored.LeaseMS)*time.Millisecond)
-	free := l.stored.Fence == 0 || l.stored.Released
-	if !free && now.Before(l.firstSeen.Add(duration+s.cfg.Margin)) {
+	notBefore := l.firstSeen.Add(duration + s.cfg.Margin)
+	switch {
+	case l.stored.Fence == 0:
+		notBefore = l.absentUntil
+	case l.stored.Released && !isOutdated(s):
+		notBefore = time.Time{}
+	}
+	if now.Before(notBefore) {
 		return nil
 	}
 	return write(s, now, stored{
 		Holder:      s.cfg.Host,
 		Incarnation: s.cfg.Incarnation,
-		Fence:       l.stored.Fence + 1,
+		Fence:       nextFence(s),
 		LeaseMS:     s.cfg.Lease.Milliseconds(),
 	})
 }
@@ -123,6 +142,7 @@
 // write starts a conditional update of the lease object.
 func write(s *State, now time.Time, v stored) []Action {
 	l := &s.lease
+	v.Era = s.era
 	value, err := json.Marshal(v)
 	if err != nil {
 		return nil
@@ -154,6 +174,11 @@
 	}
 	l.backoff = 0
 	l.loaded = true
+	if l.lost && HoldsLease(s, now) && v.Era != s.era {
+		l.version = r.Version
+		return Tick(s, now)
+	}
+	forgetLost(l)
 	if r.Version == l.version {
 		return Tick(s, now)
 	}
@@ -192,12 +217,13 @@
 // counts from start.
 func install(s *State, now time.Time, version uint64, v stored, start time.Time) {
 	l := &s.lease
-	held := l.heldBySelf(s.cfg)
+	held := heldBySelf(s)
+	l.lost = false
 	l.version = version
 	l.stored = v
 	l.firstSeen = now
 	l.validUntil = time.Time{}
-	if !l.heldBySelf(s.cfg) {
+	if !heldBySelf(s) {
 		l.raiseFence = false
 		return
 	}
@@ -228,7 +254,7 @@
 // increased.
 func handleStaleFence(s *State, now time.Time, fence uint64) {
 	l := &s.lease
-	if fence != l.fence || !l.heldBySelf(s.cfg) {
+	if fence != l.fence || !heldBySelf(s) {
 		return
 	}
 	l.raiseFence = true
--- a/fleet/order/order.go
+++ b/fleet/order/order.go
@@ -117,7 +117,8 @@
 // State holds the order lease and the targets of one host.
 type State struct {
 	cfg     Config
-	leader  bool // this host should hold the order lease
+	era     uint64 // of the store; 0 if it is unknown
+	leader  bool   // this host should hold the order lease
 	targets map[id.Endpoint]*target
 	lease   lease
 }
@@ -302,7 +303,7 @@
 	if l.reading && l.pendingWrite != nil {
 		return fmt.Errorf("order: two platform calls outstanding")
 	}
-	if !l.validUntil.IsZero() && (!l.heldBySelf(s.cfg) || l.fence != l.stored.Fence) {
+	if !l.validUntil.IsZero() && (!heldBySelf(s) || l.fence != l.stored.Fence) {
 		return fmt.Errorf("order: lease of %q with fence %d is used by %q with fence %d", l.stored.Holder, l.stored.Fence, s.cfg.Host, l.fence)
 	}
 	for e, t := range s.targets {
--- a/fleet/order/order_test.go
+++ b/fleet/order/order_test.go
@@ -45,6 +45,8 @@
 	unreachableUntil time.Time // the platform refuses all calls before this time
 	offset           time.Duration
 	rate             float64
+	era              uint64 // highest era of the platform in an answer
+	restoredEra      uint64 // era after the last restore that the process has seen
 }
 
 // endpoint is one simulated engine.
@@ -69,6 +71,7 @@
 	now       time.Time
 	hosts     []*host
 	events    []event
+	era       uint64
 	version   uint64
 	value     []byte
 	endpoints map[id.Endpoint]*endpoint
@@ -104,6 +107,28 @@
 	h.cfg.Incarnation++
 	h.state = order.New(h.cfg)
 	h.pausedUntil = sim.now
+	h.era, h.restoredEra = 0, 0
+}
+
+// restoreFrom brings the platform back from a copy of its contents.
+func (sim *simulation) restoreFrom(version uint64, value []byte) {
+	sim.era++
+	sim.version, sim.value = version, value
+}
+
+// answer handles an answer of the platform as the core does: the era first, and no results of
+// calls that were made before a restore was seen.
+func (sim *simulation) answer(h *host, sentEra, era uint64, handle func()) {
+	if era > h.era {
+		if h.era != 0 {
+			h.restoredEra = era
+		}
+		h.era = era
+		order.SetEra(h.state, sim.clock(h), era)
+	}
+	if sentEra >= h.restoredEra {
+		handle()
+	}
 }
 
 // clock returns the time on the clock of a host.
@@ -185,16 +210,25 @@
 
 func (sim *simulation) read(h *host) {
 	r := object.ReadResult{Name: "z", Failed: sim.chance(sim.lost) || sim.now.Before(h.unreachableUntil)}
-	handle := sim.ifCurrent(h, func() { sim.perform(h, order.HandleRead(h.state, sim.clock(h), r)) })
+	sentEra, era := h.era, uint64(0)
+	handle := sim.ifCurrent(h, func() {
+		sim.answer(h, sentEra, era, func() { sim.perform(h, order.HandleRead(h.state, sim.clock(h), r)) })
+	})
 	sim.at(sim.delay(sim.maxDelay), nil, func() {
 		r.Version, r.Value = sim.version, sim.value
+		if !r.Failed {
+			era = sim.era
+		}
 		sim.at(sim.delay(sim.maxDelay), h, handle)
 	})
 }
 
 func (sim *simulation) write(h *host, a order.Write) {
 	r := object.WriteResult{Name: "z"}
-	handle := sim.ifCurrent(h, func() { sim.perform(h, order.HandleWrite(h.state, sim.clock(h), r)) })
+	sentEra, era := h.era, uint64(0)
+	handle := sim.ifCurrent(h, func() {
+		sim.answer(h, sentEra, era, func() { sim.perform(h, order.HandleWrite(h.state, sim.clock(h), r)) })
+	})
 	reply := func(out object.WriteOutcome, version uint64) {
 		r.Outcome, r.Version = out, version
 		sim.at(sim.delay(sim.maxDelay), h, handle)
@@ -212,6 +246,9 @@
 		if done {
 			sim.version, sim.value = sim.version+1, a.Value
 		}
+		if !lost {
+			era = sim.era
+		}
 		switch {
 		case lost:
 		case done && !falseConflict:
@@ -269,10 +306,20 @@
 // holder after one of a later holder, and against desired states that are never
 // reached. Hosts pause, restart, lose the platform and have clocks of different
 // rates; replies and orders are lost or delayed.
-func TestFencing(t *testing.T) {
+func TestFencing(t *testing.T) { checkFencing(t, false) }
+
+// TestFencingAfterRestore guards against the same faults when the platform also comes back
+// from older copies, which name earlier holders or none, and in which versions are given out
+// again.
+func TestFencingAfterRestore(t *testing.T) { checkFencing(t, true) }
+
+func checkFencing(t *testing.T, restores bool) {
 	holders := 0
 	rapid.Check(t, func(t *rapid.T) {
 		sim := newSimulation(t, rapid.Uint64().Draw(t, "seed"))
+		if restores {
+			sim.era = 1
+		}
 		sim.lost = rapid.SampledFrom([]int{0, 10, 40}).Draw(t, "lost")
 		sim.restarts = rapid.SampledFrom([]int{0, 30}).Draw(t, "restarts")
 		sim.pauses = rapid.SampledFrom([]int{0, 5, 20}).Draw(t, "pauses")
@@ -291,6 +338,10 @@
 			default:
 				h.leader = sim.chance(90)
 			}
+			if restores && sim.chance(30) {
+				version, value := sim.version, sim.value
+				sim.at(sim.delay(20*time.Second), nil, func() { sim.restoreFrom(version, value) })
+			}
 			for _, h := range sim.hosts {
 				if !sim.now.Before(h.pausedUntil) {
 					sim.setDesiredStates(h)
