limit: rate shares survive a restore of the store

After a restore from an older copy, a holder took every read as outdated and lost its shares after their lease, and a host could acquire at once a share that the copy showed as released, or as its own, although another host had acquired it since (rule QUOTA).

Values carry the era. A holder reads the object again and writes its shares on what the copy holds.

--- a/fleet/limit/group.go
+++ b/fleet/limit/group.go
@@ -15,7 +15,7 @@
 	parts          [partCount]part
 
 	known   bool   // version and the records of parts not owned are the latest that this host has seen
-	version uint64 // of the lease object; never decreases
+	version uint64 // of the lease object; never decreases within an era of the store
 	reading bool
 	write   *pendingWrite
 	verify  bool // the outcome of write is unknown; read the object before the next write
@@ -25,6 +25,7 @@
 	renewAt   time.Time
 	rereadAt  time.Time // zero: no reread scheduled
 	rereads   int
+	outdated  bool // the store may have lost a later value than the last that was read
 
 	handoverSince time.Time // start of a handover, after which no tokens are transferred; zero: none
 	frozen        bool      // a release was sent, so no bucket may be used
--- a/fleet/limit/lease.go
+++ b/fleet/limit/lease.go
@@ -112,7 +112,7 @@
 	if g.reading || (g.write != nil && !g.verify) || now.Before(g.notBefore) {
 		return nil
 	}
-	if g.verify {
+	if g.verify || !g.known && g.holdsAny() {
 		return g.read()
 	}
 	if g.holdsAny() {
@@ -192,7 +192,7 @@
 func (s *State) sendWrite(g *group, now time.Time, release bool) []Action {
 	s.lastNonce++
 	w := &pendingWrite{sentAt: now, nonce: s.lastNonce, release: release}
-	w.value = leaseValue{Writer: s.cfg.Host, Incarnation: s.cfg.Incarnation, Nonce: w.nonce}
+	w.value = leaseValue{Writer: s.cfg.Host, Incarnation: s.cfg.Incarnation, Nonce: w.nonce, Era: s.era}
 	for k := range g.parts {
 		kind := partKind(k)
 		w.acquire[k] = !release && s.canAcquire(g, kind, now)
@@ -237,6 +237,7 @@
 	g.failures = 0
 	g.known = true
 	g.version = version
+	g.outdated = false
 	g.renewAt = w.sentAt.Add(s.cfg.PooledLease / 2)
 	for k := range g.parts {
 		kind := partKind(k)
@@ -269,10 +270,16 @@
 	if !g.known || r.Version != g.version {
 		g.known = true
 		g.version = r.Version
+		g.outdated = s.isOutdated(v)
 		for k := range g.parts {
-			s.applyPart(&g.parts[k], *v.part(partKind(k)), now)
+			kind := partKind(k)
+			if g.outdated {
+				s.applyOutdated(g, kind, *v.part(kind), now)
+				continue
+			}
+			s.applyPart(&g.parts[k], *v.part(kind), now)
 		}
-		if r.Version == 0 {
+		if r.Version == 0 && !g.outdated {
 			g.markStartFull()
 		}
 	}
@@ -313,12 +320,13 @@
 }
 
 // scheduleReread schedules another read while a live host holds a part, to notice its
-// release before the lease would expire.
+// release before the lease would expire, and while the store may have lost the last holder,
+// which writes its lease again.
 func (s *State) scheduleReread(g *group, now time.Time) {
 	g.rereadAt = time.Time{}
 	for k := range g.parts {
 		p := &g.parts[k]
-		if p.hasRecord && now.Before(p.freeAt) && s.isLive(p.record.Holder) {
+		if p.hasRecord && now.Before(p.freeAt) && (g.outdated || s.isLive(p.record.Holder)) {
 			g.rereadAt = now.Add((handoverDelay + handoverGrace) << min(g.rereads, retryDoublings))
 		}
 	}
--- a/fleet/limit/limit.go
+++ b/fleet/limit/limit.go
@@ -104,7 +104,9 @@
 	preferredHolders map[id.Zone][]id.Host // preferred holder by group, computed on demand
 	groups           []*group              // lease groups of this host's zone
 	draining         bool
-	splitChecked     bool // Check has verified the split of the budgets
+	era              uint64 // of the store; 0 if it is unknown
+	restored         bool   // the store has come back from an older copy while this process ran
+	splitChecked     bool   // Check has verified the split of the budgets
 
 	requests        map[id.Request]*request
 	pending         map[id.Request]*request
--- a/fleet/limit/limit_test.go
+++ b/fleet/limit/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"maps"
 	"os"
 	"testing"
 	"time"
@@ -49,10 +50,16 @@
 	at, length   time.Duration
 }
 
-func drawFaults(t *rapid.T, end time.Duration) []fault {
+// The numbers of kinds of faults, without and with restores of the platform.
+const (
+	faultKinds            = 6
+	faultKindsWithRestore = 7
+)
+
+func drawFaults(t *rapid.T, end time.Duration, kinds int) []fault {
 	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) fault {
 		return fault{
-			kind:   rapid.IntRange(0, 5).Draw(t, "kind"),
+			kind:   rapid.IntRange(0, kinds-1).Draw(t, "kind"),
 			target: rapid.IntRange(0, 5).Draw(t, "target"),
 			at:     time.Duration(rapid.IntRange(0, int(end/time.Millisecond)).Draw(t, "at-ms")) * time.Millisecond,
 			length: time.Duration(rapid.IntRange(100, 15_000).Draw(t, "length-ms")) * time.Millisecond,
@@ -85,7 +92,24 @@
 		case 5:
 			sim.drain(h)
 			sim.after(f.length, restart)
+		case 6:
+			sim.drain(h)
+			sim.after(150*time.Millisecond, func() { sim.restoreAfter(f.length, restart) })
+		}
+	})
+}
+
+// restoreAfter brings the platform back from a copy of now, once all groups have been held,
+// and then calls restart. If a host has just released its parts, the copy shows them as free
+// although others have acquired them since.
+func (sim *simulation) restoreAfter(d time.Duration, restart func()) {
+	older := maps.Clone(sim.objects)
+	sim.after(d, func() {
+		if len(older) == len(sim.cfg.Zones)*sim.cfg.Groups {
+			sim.era++
+			sim.objects = older
 		}
+		restart()
 	})
 }
 
@@ -100,16 +124,30 @@
 // faults spend every token that any host considers available.
 func TestBoundUnderFaults(t *testing.T) {
 	t.Parallel()
+	checkBound(t, faultKinds)
+}
+
+// TestBoundAfterRestore guards against the same when the platform also comes back from older
+// copies, which name earlier holders, and in which versions are given out again.
+func TestBoundAfterRestore(t *testing.T) {
+	t.Parallel()
+	checkBound(t, faultKindsWithRestore)
+}
+
+func checkBound(t *testing.T, kinds int) {
 	const end = 40 * time.Second
 	rapid.Check(t, func(t *rapid.T) {
 		cfg := testConfig()
 		cfg.Zones = cfg.Zones[:rapid.IntRange(2, 3).Draw(t, "zones")]
 		cfg.Groups = rapid.IntRange(1, 2).Draw(t, "groups")
 		sim := newSimulation(cfg, 2, boundBudgets(), rapid.Uint64().Draw(t, "seed"))
+		if kinds == faultKindsWithRestore {
+			sim.era = 1
+		}
 		sim.faulty = rapid.Bool().Draw(t, "faulty")
 		sim.wrongHosts = rapid.Bool().Draw(t, "wrong-hosts")
 		partialUse := rapid.IntRange(0, 3).Draw(t, "partial-use-in")
-		for _, f := range drawFaults(t, end) {
+		for _, f := range drawFaults(t, end, kinds) {
 			sim.inject(f)
 			for _, at := range []time.Duration{f.at - time.Second, f.at, f.at + f.length, f.at + f.length + cfg.PooledLease} {
 				if sim.rnd.IntN(2) == 0 {
--- a/fleet/limit/simulation_test.go
+++ b/fleet/limit/simulation_test.go
@@ -23,6 +23,7 @@
 	seq          int
 	hosts        []*host
 	objects      map[string]stored
+	era          uint64           // of the platform
 	platformDown bool             // the platform responds to no host
 	partitioned  map[id.Zone]bool // zones whose hosts cannot reach other zones or the platform
 	faulty       bool             // network and platform lose, delay and duplicate messages
@@ -49,6 +50,8 @@
 	clockOffset   time.Duration // offset of the host's clock from virtual time
 	draining      bool          // the process has started to drain
 	transfersSent int           // number of TokenTransfer messages with tokens sent
+	era           uint64        // highest era of the platform in an answer
+	restoredEra   uint64        // era after the last restore that the process has seen
 }
 
 // usage is an admitted request. tokens starts as the charge and drops to the tokens
@@ -137,6 +140,7 @@
 func (sim *simulation) start(h *host) {
 	h.inc++
 	h.up, h.draining, h.pausedUntil = true, false, 0
+	h.era, h.restoredEra = 0, 0
 	cfg := sim.cfg
 	cfg.Host, cfg.Zone, cfg.Incarnation = h.name, h.zone, h.inc
 	h.st = limit.New(cfg)
@@ -250,26 +254,44 @@
 }
 
 func (sim *simulation) read(h *host, a limit.ReadLease) {
-	inc := h.inc
+	inc, sentEra := h.inc, h.era
 	sim.after(sim.latency(), func() {
 		r := object.ReadResult{Name: a.Group, Failed: sim.platformUnreachable(h)}
+		era := uint64(0)
 		if o := sim.objects[a.Group]; !r.Failed {
-			r.Version, r.Value = o.version, o.value
+			r.Version, r.Value, era = o.version, o.value, sim.era
 		}
 		sim.after(sim.latency(), func() {
-			sim.runOn(h, inc, func(now time.Time) { sim.perform(h, limit.HandleRead(h.st, now, r)) })
+			sim.answer(h, inc, sentEra, era, func(now time.Time) { sim.perform(h, limit.HandleRead(h.st, now, r)) })
 		})
 	})
 }
 
+// answer handles an answer of the platform as the core does: the era first, and no results of
+// calls that were made before a restore was seen.
+func (sim *simulation) answer(h *host, inc id.Incarnation, sentEra, era uint64, handle func(now time.Time)) {
+	sim.runOn(h, inc, func(now time.Time) {
+		if era > h.era {
+			if h.era != 0 {
+				h.restoredEra = era
+			}
+			h.era = era
+			limit.SetEra(h.st, now, era)
+		}
+		if sentEra >= h.restoredEra {
+			handle(now)
+		}
+	})
+}
+
 // write executes a write once and reports its outcome once. A simulated timeout
 // reports WriteUnknown, possibly before the write takes effect.
 func (sim *simulation) write(h *host, a limit.WriteLease) {
-	inc := h.inc
+	inc, sentEra, era := h.inc, h.era, uint64(0)
 	report := func(d time.Duration, version uint64, outcome object.WriteOutcome) {
 		r := object.WriteResult{Name: a.Group, Version: version, Outcome: outcome}
 		sim.after(d, func() {
-			sim.runOn(h, inc, func(now time.Time) { sim.perform(h, limit.HandleWrite(h.st, now, r)) })
+			sim.answer(h, inc, sentEra, era, func(now time.Time) { sim.perform(h, limit.HandleWrite(h.st, now, r)) })
 		})
 	}
 	timeout := sim.faulty && sim.rnd.IntN(10) == 0
@@ -282,6 +304,7 @@
 			version, outcome = sim.store(a)
 		}
 		if !timeout {
+			era = sim.era
 			report(sim.latency(), version, outcome)
 		}
 	})
--- a/fleet/limit/value.go
+++ b/fleet/limit/value.go
@@ -15,6 +15,7 @@
 	Writer      id.Host        `json:"writer"`
 	Incarnation id.Incarnation `json:"incarnation"`
 	Nonce       uint64         `json:"nonce"`
+	Era         uint64         `json:"era,omitempty"` // of the store, as the writer knew it; 0 if it was unknown
 	Pooled      partValue      `json:"pooled"`
 	Reserve     partValue      `json:"reserve"`
 }
