core: results of calls of before a restore are dropped, leases learn the era

A write that the store answers after a restore was conditional on a version of before, which may have been given out again. The core tags calls for leases with the era that it knows, tells rate shares and order lease of a new era first, and passes on no result of an earlier call; both have forgotten these calls. Claims and tables are not used on a store with eras.

TestLeasesAfterRestore guards it.

--- a/fleet/core/follow_test.go
+++ b/fleet/core/follow_test.go
@@ -25,6 +25,8 @@
 	copies      map[id.Host]int // messages with changes that a host has sent
 	sentBytes   map[id.Host]int // bytes of the changes in them
 	refreshed   int             // number of RefreshPlatform effects
+	reads       []core.ReadObject
+	writes      []core.WriteObject
 }
 
 // newFollowers returns hosts that know each other and have been running for 4 s.
@@ -84,6 +86,10 @@
 			f.applied[name]++
 		case core.RefreshPlatform:
 			f.refreshed++
+		case core.ReadObject:
+			f.reads = append(f.reads, e)
+		case core.WriteObject:
+			f.writes = append(f.writes, e)
 		}
 	}
 }
@@ -340,3 +346,31 @@
 	f.reduce(f.anyWatcher(), core.PlatformSeen{Era: 2})
 	assert.Equal(t, f.refreshed, len(f.names)-1)
 }
+
+// TestLeasesAfterRestore guards against a host that goes on with leases of which the store may
+// know nothing any more: a result of a call of before a restore must not count, and the
+// objects must be read again under the new era.
+func TestLeasesAfterRestore(t *testing.T) {
+	f := newFollowers(t, 1)
+	host := f.names[0]
+	f.reduce(host, core.PlatformSeen{Era: 1})
+	f.advance(2*time.Second, nil)
+	assert.Assert(t, len(f.reads) > 0)
+	for _, r := range f.reads {
+		f.reduce(host, core.ObjectRead{Kind: r.Kind, Name: r.Name, SentEra: r.Era, Era: 1})
+	}
+	assert.Assert(t, len(f.writes) > 0)
+	writes := f.writes
+	f.writes, f.reads = nil, nil
+	for i, w := range writes {
+		f.reduce(host, core.ObjectWritten{
+			Kind: w.Kind, Name: w.Name, Version: uint64(i + 1), Outcome: object.WriteDone, SentEra: w.Era, Era: 2,
+		})
+	}
+	f.advance(time.Second, nil)
+	assert.Equal(t, len(f.writes), 0, "a lease is used or written although the store may have lost its holder")
+	assert.Assert(t, len(f.reads) > 0)
+	for _, r := range f.reads {
+		assert.Equal(t, r.Era, uint64(2))
+	}
+}
--- a/fleet/core/objects.go
+++ b/fleet/core/objects.go
@@ -11,6 +11,9 @@
 )
 
 func (s *step) objectRead(ev ObjectRead) {
+	if !s.acceptAnswer(ev.Kind, ev.SentEra, ev.Era) {
+		return
+	}
 	r := object.ReadResult{Name: ev.Name, Version: ev.Version, Value: ev.Value, Failed: ev.Failed}
 	switch ev.Kind {
 	case object.KindManifest:
@@ -27,6 +30,9 @@
 }
 
 func (s *step) objectWritten(ev ObjectWritten) {
+	if !s.acceptAnswer(ev.Kind, ev.SentEra, ev.Era) {
+		return
+	}
 	w := object.WriteResult{Name: ev.Name, Version: ev.Version, Outcome: ev.Outcome}
 	switch ev.Kind {
 	case object.KindLease:
@@ -42,9 +48,11 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case limit.ReadLease:
-			s.emit(ReadObject{Kind: object.KindLease, Name: a.Group})
+			s.emit(ReadObject{Kind: object.KindLease, Name: a.Group, Era: s.storeEra})
 		case limit.WriteLease:
-			s.emit(WriteObject{Kind: object.KindLease, Name: a.Group, IfVersion: a.IfVersion, Value: a.Value})
+			s.emit(WriteObject{
+				Kind: object.KindLease, Name: a.Group, IfVersion: a.IfVersion, Value: a.Value, Era: s.storeEra,
+			})
 		case limit.Send:
 			s.send(a.To, a.Message)
 		}
@@ -70,9 +78,11 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case order.Read:
-			s.emit(ReadObject{Kind: object.KindOrder, Name: a.Name})
+			s.emit(ReadObject{Kind: object.KindOrder, Name: a.Name, Era: s.storeEra})
 		case order.Write:
-			s.emit(WriteObject{Kind: object.KindOrder, Name: a.Name, IfVersion: a.IfVersion, Value: a.Value})
+			s.emit(WriteObject{
+				Kind: object.KindOrder, Name: a.Name, IfVersion: a.IfVersion, Value: a.Value, Era: s.storeEra,
+			})
 		case order.SendOrder:
 			s.sendOrder(a)
 		}
