limit: a restarted host reclaims its rate shares 2 s after a restore

What the copy shows can only be wrong if another host has taken the share over, and that host writes it again within about a second of the return. A holder that doesn't reach the store within these 2 s isn't covered.

--- a/fleet/limit/era.go
+++ b/fleet/limit/era.go
@@ -6,7 +6,7 @@
 // earlier process of this host is not reclaimed. Another host may have taken it over in the
 // time that the store has lost; it writes its lease again within about a second of the
 // store's return.
-const restoredReclaimDelay = 4 * time.Second
+const restoredReclaimDelay = 2 * time.Second
 
 // SetEra sets the era of the store, which rises by one when the store comes back from an
 // older copy. The copy may name earlier holders, and the versions of its objects are given
@@ -67,7 +67,7 @@
 	}
 	p.disown()
 	thisHost := !v.Released && v.Holder == s.cfg.Host
-	if thisHost && s.cfg.Reclaim && v.Incarnation != s.cfg.Incarnation && !s.restored {
+	if thisHost && s.cfg.Reclaim && v.Incarnation != s.cfg.Incarnation {
 		p.setRecord(v, now.Add(restoredReclaimDelay))
 		return
 	}
