registry: endpoints that had left stay out of use after a restore of the store

A copy of the store lists endpoints that were deleted, leaving or replaced by a new incarnation in the time that it lacks, and lacks endpoints that had registered since. With a short absence of the store the grace period of outages does not apply.

After a restore, entries of endpoints that are known to have left are held back for 5 s: the store removes a silent endpoint after three heartbeats, and a leaving one reports so again. What is still listed then is used. Missing entries are kept for the grace period.

Red without RecordRestore: TestRestoredPlatform: "gone" is listed as active, "added" is missing and "leaving" is active.

--- a/fleet/registry/registry.go
+++ b/fleet/registry/registry.go
@@ -5,6 +5,9 @@
 // deleted is dropped at once, except after an outage of the platform: entries expire
 // during an outage because no endpoint can renew them. Entries that are missing after
 // an outage are kept for Config.Grace, so that live endpoints can register again.
+//
+// After a restore of the platform from an older copy, entries may be listed that were
+// deleted, or that were leaving, in the time that the copy lacks; see RecordRestore.
 package registry
 
 import (
@@ -22,12 +25,20 @@
 type Config struct {
 	Outage time.Duration // minimum length of a platform failure after which the grace period applies
 	Grace  time.Duration // how long expired entries are kept after an outage
+	// RestoreHold is how long after a restore an endpoint that had left stays out of use
+	// although the copy lists it. By then the platform has removed it again, unless it lives.
+	RestoreHold time.Duration
+	// GoneRetention is how long an endpoint that has left is remembered. It is longer than
+	// a copy from which the platform is restored is old.
+	GoneRetention time.Duration
 }
 
 // DefaultConfig returns settings for a platform whose entries are renewed about once
 // a second.
 func DefaultConfig() Config {
-	return Config{Outage: time.Second, Grace: 2 * time.Second}
+	return Config{
+		Outage: time.Second, Grace: 2 * time.Second, RestoreHold: 5 * time.Second, GoneRetention: time.Minute,
+	}
 }
 
 // Entry is the registration of one endpoint.
@@ -53,6 +64,9 @@
 	contact    time.Time // time of the platform's last response
 	failed     bool      // a call has failed since contact
 	graceUntil time.Time // expired entries are kept until then
+	holdUntil  time.Time // entries of endpoints that had left are held back until then
+	held       map[string]Entry
+	gone       map[id.Endpoint]time.Time // when endpoints have left
 }
 
 type record struct {
@@ -62,7 +76,9 @@
 
 // New returns a registry with no entries.
 func New(cfg Config) *State {
-	return &State{cfg: cfg, entries: make(map[string]*record)}
+	return &State{
+		cfg: cfg, entries: make(map[string]*record), held: make(map[string]Entry), gone: make(map[id.Endpoint]time.Time),
+	}
 }
 
 // RecordResponse records a response of the platform. A long time without responses alone
@@ -78,6 +94,14 @@
 // RecordFailure records a failed call to the platform.
 func RecordFailure(s *State) { s.failed = true }
 
+// RecordRestore records that the platform has come back from an older copy. Entries that the
+// copy lacks are kept for the grace period. Entries of endpoints that had left are held back,
+// as their endpoints may write them again only by leaving once more.
+func RecordRestore(s *State, now time.Time) {
+	s.graceUntil = now.Add(s.cfg.Grace)
+	s.holdUntil = now.Add(s.cfg.RestoreHold)
+}
+
 // Replace replaces the entries with a complete list and reports whether anything changed.
 func Replace(s *State, now time.Time, entries []Entry) bool {
 	RecordResponse(s, now)
@@ -85,7 +109,12 @@
 	changed := false
 	for _, e := range entries {
 		listed[e.Name] = true
-		changed = s.put(e) || changed
+		changed = s.put(now, e) || changed
+	}
+	for name := range s.held {
+		if !listed[name] {
+			delete(s.held, name)
+		}
 	}
 	for name := range s.entries {
 		if !listed[name] {
@@ -106,27 +135,46 @@
 			changed = s.remove(now, c.Entry.Name) || changed
 			continue
 		}
-		changed = s.put(c.Entry) || changed
+		changed = s.put(now, c.Entry) || changed
 	}
 	return changed
 }
 
-// Expire drops missing entries once the grace period has ended, and reports whether
-// it dropped any. It waits until the platform has responded after the grace period.
+// Expire drops missing entries once the grace period has ended, and installs entries that
+// were held back. It reports whether anything changed. It waits until the platform has
+// responded after the grace period.
 func Expire(s *State, now time.Time) bool {
+	changed := s.releaseHeld(now)
+	for ep, at := range s.gone {
+		if now.Sub(at) > s.cfg.GoneRetention {
+			delete(s.gone, ep)
+		}
+	}
 	if now.Before(s.graceUntil) || s.contact.Before(s.graceUntil) {
-		return false
+		return changed
 	}
-	changed := false
 	for name, r := range s.entries {
 		if r.missing {
-			delete(s.entries, name)
+			s.drop(now, name)
 			changed = true
 		}
 	}
 	return changed
 }
 
+// releaseHeld installs the entries that were held back and are still listed.
+func (s *State) releaseHeld(now time.Time) bool {
+	if now.Before(s.holdUntil) {
+		return false
+	}
+	changed := false
+	for _, e := range s.held {
+		changed = s.put(now, e) || changed
+	}
+	clear(s.held)
+	return changed
+}
+
 // Entries returns all entries, sorted by name.
 func Entries(s *State) []Entry {
 	out := make([]Entry, 0, len(s.entries))
@@ -136,13 +184,38 @@
 	return out
 }
 
-func (s *State) put(e Entry) bool {
+func (s *State) put(now time.Time, e Entry) bool {
+	if s.hadLeft(e) && now.Before(s.holdUntil) {
+		s.held[e.Name] = e
+		return false
+	}
+	delete(s.held, e.Name)
+	delete(s.gone, e.Endpoint.Name)
 	old, ok := s.entries[e.Name]
+	if ok && old.Endpoint.Name != e.Endpoint.Name {
+		s.gone[old.Endpoint.Name] = now
+	}
 	s.entries[e.Name] = &record{Entry: e}
 	return !ok || old.Entry != e
 }
 
+// hadLeft reports whether an entry lists an endpoint as usable that was leaving or has left.
+func (s *State) hadLeft(e Entry) bool {
+	if _, ok := s.gone[e.Endpoint.Name]; ok {
+		return true
+	}
+	old, ok := s.entries[e.Name]
+	return ok && old.Endpoint.Name == e.Endpoint.Name && old.State == table.StateLeaving && e.State != table.StateLeaving
+}
+
+// drop deletes an entry and remembers that its endpoint has left.
+func (s *State) drop(now time.Time, name string) {
+	s.gone[s.entries[name].Endpoint.Name] = now
+	delete(s.entries, name)
+}
+
 func (s *State) remove(now time.Time, name string) bool {
+	delete(s.held, name)
 	r, ok := s.entries[name]
 	if !ok {
 		return false
@@ -151,7 +224,7 @@
 		r.missing = true
 		return false
 	}
-	delete(s.entries, name)
+	s.drop(now, name)
 	return true
 }
 
--- a/fleet/registry/registry_test.go
+++ b/fleet/registry/registry_test.go
@@ -87,3 +87,45 @@
 	assert.Equal(t, registry.Instance(first), "i-1")
 	assert.Equal(t, registry.Instance(id.Endpoint("plain")), "")
 }
+
+// TestRestoredPlatform guards against requests to an endpoint that had left, because the
+// platform has come back from a copy that still lists it, and against endpoints that are
+// dropped because the copy lacks them.
+func TestRestoredPlatform(t *testing.T) {
+	leaving := func(e registry.Entry) registry.Entry {
+		e.State = table.StateLeaving
+		return e
+	}
+	older := []registry.Entry{entry("gone"), entry("leaving"), entry("stays"), entry("restarted")}
+	restarted := entry("restarted")
+	restarted.Endpoint.Name = registry.EndpointName("restarted", "2")
+	s := registry.New(registry.DefaultConfig())
+	registry.Replace(s, at(0), older)
+	newer := []registry.Entry{leaving(entry("leaving")), entry("stays"), restarted, entry("added")}
+	registry.Replace(s, at(5*time.Second), newer)
+	want := []registry.Entry{newer[3], newer[0], restarted, newer[1]}
+
+	registry.RecordRestore(s, at(10*time.Second))
+	registry.Replace(s, at(10*time.Second), older)
+	assert.DeepEqual(t, registry.Entries(s), want)
+	registry.Apply(s, at(11*time.Second), []registry.Change{{Entry: entry("added")}, {Entry: restarted}})
+	registry.RecordResponse(s, at(13*time.Second))
+	registry.Expire(s, at(13*time.Second))
+	assert.DeepEqual(t, registry.Entries(s), want)
+
+	// What is still listed after the hold is in use again; what was removed is not.
+	registry.Apply(s, at(14*time.Second), []registry.Change{{Entry: registry.Entry{Name: "gone"}, Removed: true}})
+	assert.Assert(t, registry.Expire(s, at(15*time.Second)))
+	want[1] = entry("leaving")
+	assert.DeepEqual(t, registry.Entries(s), want)
+}
+
+// TestReturnWithoutRestore guards against an endpoint that stays out of use although it has
+// registered again and the platform has not been restored.
+func TestReturnWithoutRestore(t *testing.T) {
+	s := registry.New(registry.DefaultConfig())
+	registry.Replace(s, at(0), []registry.Entry{entry("a")})
+	registry.Apply(s, at(time.Second), []registry.Change{{Entry: registry.Entry{Name: "a"}, Removed: true}})
+	registry.Apply(s, at(2*time.Second), []registry.Change{{Entry: entry("a")}})
+	assert.DeepEqual(t, names(s), []string{"a"})
+}
