caller: the native API aborts the response of a caller that stops sending

A caller that closes only its own direction of the connection got an empty "200 OK" for its request, because net/http cancels the context of the request then and completes the response when the handler returns. The handler now aborts the response.

TestHalfClosedCaller before the change, for completions and services: -HTTP/1.1 200 OK ... -Content-Length: 0

--- a/router/internal/caller/caller.go
+++ b/router/internal/caller/caller.go
@@ -234,8 +234,9 @@
 	}
 }
 
-// processEffects calls fn for each effect until fn returns true or the caller
-// disconnects. A panic in fn is reported as a disconnect.
+// processEffects calls fn for each effect until fn returns true. If the caller disconnects, it
+// aborts the response, which net/http would otherwise complete for a caller that has closed
+// only its own direction of the connection. A panic in fn is reported as a disconnect.
 func (s *Server) processEffects(ctx context.Context, req id.Request, c *session, fn func(core.Effect) bool) {
 	ended := false
 	defer func() {
@@ -254,7 +255,7 @@
 		select {
 		case <-c.notify:
 		case <-ctx.Done():
-			return
+			panic(http.ErrAbortHandler)
 		}
 	}
 }
--- a/router/internal/caller/caller_test.go
+++ b/router/internal/caller/caller_test.go
@@ -366,6 +366,27 @@
 	}
 }
 
+// TestHalfClosedCaller guards against an empty 200 for a caller that has closed only its own
+// direction of the connection and still reads.
+func TestHalfClosedCaller(t *testing.T) {
+	for _, path := range []string{"/v1/completions", "/services/board/x"} {
+		t.Run(path, func(t *testing.T) {
+			r := newHarness(t)
+			conn, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
+			assert.NilError(t, err)
+			defer conn.Close()
+			body := `{"model":"free","prompt":"a"}`
+			_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
+			assert.NilError(t, err)
+			arrived := r.nextEvent(t).(core.RequestArrived)
+			assert.NilError(t, conn.(*net.TCPConn).CloseWrite())
+			answer, _ := io.ReadAll(conn)
+			assert.Equal(t, string(answer), "")
+			assert.DeepEqual(t, r.nextEvent(t), core.Event(core.CallerGone{Request: arrived.Request}))
+		})
+	}
+}
+
 // TestBodyTimeout guards against callers that hold a request open by not sending
 // its body, and against a body deadline that ends a response which takes longer.
 func TestBodyTimeout(t *testing.T) {
