endpoint: an engine that sends an invalid answer has not crashed

A decode that ends with an invalid answer was reported to all hosts as the crash of an engine under the segments of the prompt, so that enough of them quarantine a sound prompt. Since a 503 without the statement not to have run is invalid, this includes engines that only fail. RunFailed now says that the engine is alive.

TestInvalidAnswer before the change: assertion failed: true (reported bool) != false (!alive bool)

--- a/fleet/core/crash_test.go
+++ b/fleet/core/crash_test.go
@@ -10,6 +10,7 @@
 
 	"ragwortshunt.example/fleet/core"
 	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/message"
 )
 
 // crashMixes are the ways in which prompts share segments with crashing ones. n is different
@@ -147,3 +148,22 @@
 	f.advance(10*time.Second, crashingRate, segments)
 	assert.Equal(t, len(f.deaths), deaths)
 }
+
+// TestInvalidAnswer guards against reporting a prompt as crashing because its engine, which is
+// alive, has sent something that is no answer.
+func TestInvalidAnswer(t *testing.T) {
+	for _, alive := range []bool{false, true} {
+		h, _ := newHostWithPeer(t)
+		h.now = h.now.Add(time.Millisecond)
+		h.reduce(core.RequestArrived{Request: "r", Route: "once", Account: "a", Key: "k", PromptTokens: 1000, Segments: []id.Segment{1}})
+		d := h.completePrefill(h.advance(time.Second))
+		reported := false
+		for _, e := range h.reduce(core.RunFailed{Request: "r", Attempt: d.Attempt, Endpoint: d.Endpoint, Code: "invalid-reply", Alive: alive}) {
+			if e, ok := e.(core.SendPeer); ok {
+				_, isReport := e.Message.(message.CrashReport)
+				reported = reported || isReport
+			}
+		}
+		assert.Equal(t, reported, !alive)
+	}
+}
--- a/fleet/core/event.go
+++ b/fleet/core/event.go
@@ -61,6 +61,7 @@
 	NotRun      bool   // the endpoint did not start the work
 	Unreachable bool   // the endpoint could not be reached
 	HasReply    bool   // the endpoint adapter holds the endpoint's reply, which can be sent to the caller
+	Alive       bool   // the endpoint has sent something that is no answer, so it has not crashed
 }
 
 // ServiceDone reports that a plain service has replied. The reply itself stays with
--- a/fleet/core/quarantine.go
+++ b/fleet/core/quarantine.go
@@ -20,7 +20,7 @@
 // recordBrokenRun reports a stream that has broken off, unless it had produced enough output
 // to prove the prompt sound.
 func (s *step) recordBrokenRun(r *request, ev RunFailed) {
-	if len(r.Segments) == 0 || ev.HasReply || ev.Code == codeStalled {
+	if len(r.Segments) == 0 || ev.HasReply || ev.Alive || ev.Code == codeStalled {
 		return
 	}
 	if r.delivered-r.decodeFrom >= provenEvents {
