--- a/fleet/core/effect.go
+++ b/fleet/core/effect.go
@@ -89,6 +89,7 @@
 // Deliver sends tokens to the caller. Offsets are in order and without overlap.
 type Deliver struct {
 	Request id.Request
+	Attempt id.Attempt // attempt that the tokens come from
 	Offset  int64
 	Tokens  []string
 }
--- a/fleet/core/relay.go
+++ b/fleet/core/relay.go
@@ -301,9 +301,9 @@
 // relayGiveUp ends a request that is not retried. It forwards the endpoint's reply if
 // there is one and nothing has been delivered.
 func (s *step) relayGiveUp(r *request, code string) {
-	if r.hasReply && r.delivered == 0 {
+	if r.replyAttempt > 0 && r.delivered == 0 {
 		if !r.callerLeft {
-			s.emit(Reply{Request: r.Request, Attempt: r.attempt})
+			s.emit(Reply{Request: r.Request, Attempt: r.replyAttempt})
 		}
 		s.emit(Count{Name: MetricFinished, Account: r.account, N: 1})
 		s.close(r, "failed by the endpoint")
--- a/fleet/core/relay_test.go
+++ b/fleet/core/relay_test.go
@@ -201,6 +201,17 @@
 	assert.Assert(t, has(out, core.Reply{}))
 }
 
+// TestFirstReply guards against forwarding the reply of another attempt than the one that got
+// it: a later attempt that has ended without a reply may still receive a part of one.
+func TestFirstReply(t *testing.T) {
+	h := newRelayHost(t)
+	first := find(t, h.sendRequest("r", "safe"), core.CallService{}).(core.CallService)
+	failed := core.RunFailed{Request: "r", Attempt: first.Attempt, Endpoint: first.Endpoint, Code: "500", HasReply: true}
+	second := find(t, h.reduce(failed), core.CallService{}).(core.CallService)
+	out := h.reduce(core.RunFailed{Request: "r", Attempt: second.Attempt, Endpoint: second.Endpoint, Code: "broken"})
+	assert.Equal(t, find(t, out, core.Reply{}).(core.Reply).Attempt, first.Attempt)
+}
+
 // TestStreamOnce guards against a second run of a stream that must not be resumed.
 func TestStreamOnce(t *testing.T) {
 	h := newRelayHost(t)
--- a/fleet/core/request.go
+++ b/fleet/core/request.go
@@ -86,7 +86,6 @@
 	dispatched  bool      // the current attempt has been sent to an endpoint
 	runCount    int       // number of attempts that may have run
 	callStarted time.Time // start of the current service call
-	hasReply    bool      // the endpoint adapter holds a reply for the caller
 	delivered   int64
 	decodeFrom  int64                   // value of delivered at the start of the current attempt
 	outOfOrder  map[int64]TokensArrived // chunks beyond the delivered offset
@@ -99,6 +98,8 @@
 
 	relayed bool // the host is in relay mode; see Config.Relay
 
+	replyAttempt id.Attempt // last attempt of which the endpoint adapter holds a reply for the caller; 0 means none
+
 	trace []TraceLine
 }
 
--- a/fleet/core/run.go
+++ b/fleet/core/run.go
@@ -152,7 +152,7 @@
 	skip := r.delivered - ev.Offset
 	if skip < int64(len(ev.Tokens)) {
 		newTokens := ev.Tokens[skip:]
-		s.emit(Deliver{Request: r.Request, Offset: r.delivered, Tokens: newTokens})
+		s.emit(Deliver{Request: r.Request, Attempt: r.attempt, Offset: r.delivered, Tokens: newTokens})
 		r.delivered += int64(len(newTokens))
 		s.observeTokens(r, len(newTokens))
 	}
@@ -198,7 +198,9 @@
 	if !ok || r.attempt != ev.Attempt {
 		return
 	}
-	r.hasReply = r.hasReply || ev.HasReply
+	if ev.HasReply {
+		r.replyAttempt = ev.Attempt
+	}
 	if r.stage == StageCall {
 		s.serviceFailed(r, ev)
 		return
