core: an attempt that has delivered events is not called not run

A decode that ended as not run after events of it had been delivered was repeated on another endpoint, also for a stream that must not be repeated. The adapters report no such failure at present; the core no longer relies on it.

TestRefusalAfterEvents before the change: assertion failed: has(out, core.StartPrefill{}) is true

--- a/fleet/core/relay.go
+++ b/fleet/core/relay.go
@@ -207,8 +207,9 @@
 func (s *step) relayFailed(r *request, ev RunFailed) {
 	r.addTrace(s.now, "attempt %d failed on %s: %s (not-run %t, %d events), segments %v",
 		r.attempt, ev.Endpoint, ev.Code, ev.NotRun, r.delivered-r.decodeFrom, r.Segments)
-	ran := r.stage == StageDecode && !ev.NotRun
-	if r.stage == StageDecode && ev.NotRun {
+	// An attempt that has delivered events has run, whatever its endpoint states.
+	ran := r.stage == StageDecode && (!ev.NotRun || r.delivered > r.decodeFrom)
+	if r.stage == StageDecode && !ran {
 		r.runCount--
 	}
 	if r.stage == StageDecode {
--- a/fleet/core/relay_test.go
+++ b/fleet/core/relay_test.go
@@ -230,6 +230,17 @@
 	assert.Assert(t, h.completePrefill(out).Endpoint != d.Endpoint)
 }
 
+// TestRefusalAfterEvents guards against a second run of a stream that must not be resumed,
+// because a refusal follows events of its run.
+func TestRefusalAfterEvents(t *testing.T) {
+	h := newRelayHost(t)
+	d := h.advanceToDecode("r", "once")
+	h.reduce(core.TokensArrived{Request: "r", Attempt: d.Attempt, Tokens: []string{"one"}})
+	out := h.reduce(core.RunFailed{Request: "r", Attempt: d.Attempt, Endpoint: d.Endpoint, NotRun: true})
+	assert.Assert(t, !has(out, core.StartPrefill{}))
+	assert.Assert(t, !find(t, out, core.Refuse{}).(core.Refuse).NotRun)
+}
+
 // TestStreamResumes guards against a resumed stream that repeats or skips events.
 func TestStreamResumes(t *testing.T) {
 	h := newRelayHost(t)
