endpoint: the native adapter believes a not-run statement only in an error

Engines and services of the native protocol state in an error that they did not run a request. The adapter also believed it in a success, so that a call that had run could be sent again. Such a response is now an invalid reply, after which the call may have run.

--- a/router/internal/endpoint/endpoint.go
+++ b/router/internal/endpoint/endpoint.go
@@ -214,8 +214,12 @@
 	return callError{code: codeStreamBroken}
 }
 
-// engineError decodes an engine's error response.
+// engineError decodes an engine's error response. Only one with the status of an error can
+// state that the request did not run.
 func engineError(resp *http.Response) callError {
+	if resp.StatusCode < http.StatusBadRequest {
+		return callError{code: codeInvalidReply}
+	}
 	var e engine.Error
 	err := json.NewDecoder(io.LimitReader(resp.Body, maxLineBytes)).Decode(&e)
 	if err != nil || e.Code == "" {
--- a/router/internal/endpoint/endpoint_test.go
+++ b/router/internal/endpoint/endpoint_test.go
@@ -147,6 +147,7 @@
 		"unknown code":        {reply(500, `{"code":"rws-k-secret 7","not-run":false}`), runFailed("other-code", false, false)},
 		"error without body":  {reply(500, ""), runFailed("invalid-reply", false, false)},
 		"lost reply":          {breakConnection, runFailed("stream-broken", false, false)},
+		"success as error":    {reply(202, `{"code":"full","not-run":true}`), runFailed("invalid-reply", false, false)},
 		"invalid JSON":        {reply(200, "[1"), runFailed("invalid-reply", false, false)},
 		"reply without cache": {reply(200, `{"cached-tokens":3}`), runFailed("invalid-reply", false, false)},
 	}
--- a/router/internal/endpoint/service.go
+++ b/router/internal/endpoint/service.go
@@ -73,11 +73,12 @@
 }
 
 func (c *Client) handleServiceReply(e core.CallService, item *inflight.Item, resp *http.Response) {
-	if resp.Header.Get(engine.HeaderNotRun) == "true" {
+	statesNotRun := resp.Header.Get(engine.HeaderNotRun) == "true"
+	if statesNotRun && resp.StatusCode >= http.StatusBadRequest {
 		c.postFailure(e.Request, e.Attempt, e.Endpoint, callError{code: codeRefused, notRun: true})
 		return
 	}
-	if resp.StatusCode < http.StatusOK {
+	if statesNotRun || resp.StatusCode < http.StatusOK {
 		c.postFailure(e.Request, e.Attempt, e.Endpoint, callError{code: codeInvalidReply})
 		return
 	}
--- a/router/internal/endpoint/service_test.go
+++ b/router/internal/endpoint/service_test.go
@@ -64,6 +64,9 @@
 			w.Header().Set("Not-Run", "true")
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}, runFailed("refused", true, false)},
+		"success that claims not to have run": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Not-Run", "true")
+		}, runFailed("invalid-reply", false, false)},
 		"huge reply": {reply(200, strings.Repeat("x", 8<<20+1)), runFailed("stream-broken", false, false)},
 		"truncated reply": {func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Content-Length", "100")
