platform: native calls to the platform have a connection each

A second copy of an earlier answer, late, on a connection in use again was taken for the answer to the next call: a write that was done was reported as refused, and one that was refused as done. Answers do not name their call. The clients of engines and of the users' store have had a connection for each call since the same fault was found there; this one kept up to 32.

TestDuplicateAnswer before the change: assertion failed: 4 (... .Outcome object.WriteOutcome) != 1 (want object.WriteOutcome)

--- a/router/internal/platform/platform.go
+++ b/router/internal/platform/platform.go
@@ -60,9 +60,11 @@
 	return &Client{
 		baseURL: baseURL, userAgent: userAgent, timeout: timeout, clock: clock, poster: p, ctx: ctx,
 		health: &health{log: log, clock: clock},
+		// Answers do not name the call that they belong to. With a connection for each call,
+		// a late second copy of one cannot be taken for another.
 		http: &http.Client{Transport: &http.Transport{
-			MaxIdleConnsPerHost: 32,
-			DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
+			DisableKeepAlives: true,
+			DialContext:       (&net.Dialer{Timeout: timeout}).DialContext,
 		}},
 	}
 }
