store: stop using an endpoint whose entry is overwritten by an invalid one

When a watch reported a change of an entry that could not be decoded, the change was left out, and the endpoint of the entry before it stayed in use on watchers and on the hosts that follow them. After an outage of the store it also stayed in use for the grace period of expired entries.

A change now says that an entry is invalid. The registry then drops the endpoint at once, also within the grace period, because the entry is there: it has not expired.

--- a/fleet/registry/registry.go
+++ b/fleet/registry/registry.go
@@ -50,11 +50,13 @@
 	table.Endpoint
 }
 
-// Change is an update or a deletion of an entry. If Removed is set, the entry was deleted
-// and only Entry.Name is set.
+// Change is an update or a deletion of an entry. If Removed is set, the entry was deleted.
+// If Invalid is set, the entry was overwritten and names no endpoint any more. In both
+// cases only Entry.Name is set.
 type Change struct {
 	Entry   Entry
 	Removed bool
+	Invalid bool
 }
 
 // State is the registry of one host.
@@ -125,17 +127,20 @@
 }
 
 // Apply applies changes from the platform's watch and reports whether any entry
-// changed. A deleted entry is dropped at once, except during the grace period after
-// an outage.
+// changed. An invalid entry is dropped at once. So is a deleted one, except during the grace
+// period after an outage.
 func Apply(s *State, now time.Time, changes []Change) bool {
 	RecordResponse(s, now)
 	changed := false
 	for _, c := range changes {
-		if c.Removed {
+		switch {
+		case c.Invalid:
+			changed = s.drop(now, c.Entry.Name) || changed
+		case c.Removed:
 			changed = s.remove(now, c.Entry.Name) || changed
-			continue
+		default:
+			changed = s.put(now, c.Entry) || changed
 		}
-		changed = s.put(now, c.Entry) || changed
 	}
 	return changed
 }
@@ -208,10 +213,17 @@
 	return ok && old.Endpoint.Name == e.Endpoint.Name && old.State == table.StateLeaving && e.State != table.StateLeaving
 }
 
-// drop deletes an entry and remembers that its endpoint has left.
-func (s *State) drop(now time.Time, name string) {
-	s.gone[s.entries[name].Endpoint.Name] = now
+// drop deletes an entry, remembers that its endpoint has left, and reports whether the entry
+// was there.
+func (s *State) drop(now time.Time, name string) bool {
+	delete(s.held, name)
+	r, ok := s.entries[name]
+	if !ok {
+		return false
+	}
+	s.gone[r.Endpoint.Name] = now
 	delete(s.entries, name)
+	return true
 }
 
 func (s *State) remove(now time.Time, name string) bool {
@@ -224,8 +236,7 @@
 		r.missing = true
 		return false
 	}
-	s.drop(now, name)
-	return true
+	return s.drop(now, name)
 }
 
 // EndpointName returns the name that the schedulers use for one incarnation of an
--- a/fleet/registry/registry_test.go
+++ b/fleet/registry/registry_test.go
@@ -79,6 +79,18 @@
 	assert.DeepEqual(t, names(s), []string{})
 }
 
+// TestNoGraceForInvalid guards against granting the grace period to an endpoint whose entry
+// has been overwritten by one that names none.
+func TestNoGraceForInvalid(t *testing.T) {
+	s := registry.New(registry.DefaultConfig())
+	registry.Replace(s, at(0), []registry.Entry{entry("a"), entry("b")})
+	registry.RecordFailure(s)
+	changed := registry.Apply(s, at(5*time.Second), []registry.Change{{Entry: registry.Entry{Name: "a"}, Invalid: true}})
+	assert.Assert(t, changed)
+	assert.DeepEqual(t, names(s), []string{"b"})
+	assert.Assert(t, !registry.Apply(s, at(5*time.Second), []registry.Change{{Entry: registry.Entry{Name: "a"}, Invalid: true}}))
+}
+
 // TestRestart guards against treating a restarted endpoint as its predecessor, whose
 // recorded state no longer applies.
 func TestRestart(t *testing.T) {
