order, limit: recover from a lease that another writer has overwritten

An order lease with a value that no host has written was read again and again and never acquired, so that no engine got orders until someone removed the object. A lease-ms or wait-ns near the largest integer overflowed: the lease counted as free at once, while its holder might still use it; a fence at the largest integer would have started again at 0.

Such a value now counts as held by an unknown host for one lease from the first read, as package limit did for text that is not JSON. The next fencing token exceeds all that this host knows of; an engine that has seen a higher one raises it as before.

--- a/fleet/limit/single_test.go
+++ b/fleet/limit/single_test.go
@@ -182,3 +182,18 @@
 	assert.Equal(t, v.Reserve.Holder, "h9")
 	assert.Equal(t, v.Reserve.Wait, 3539*time.Second)
 }
+
+// TestLongLease guards against a lease of another writer that is so long that its end
+// overflows, so that it counts as free at once, or that never ends.
+func TestLongLease(t *testing.T) {
+	for _, wait := range []string{"9223372036854775807", "-9223372036854775808"} {
+		s := newReadingHost(t, singleConfig(), limit.Budget{Rate: 10, Burst: 100})
+		value := `{"pooled":{"holder":"h2","wait-ns":` + wait + `},"reserve":{"holder":"h2","wait-ns":` + wait + `}}`
+		actions := limit.HandleRead(s, sec(0), object.ReadResult{Name: "z1.0", Version: 4, Value: []byte(value)})
+		assert.Equal(t, len(actions), 0, wait)
+		_, actions = limit.Tick(s, sec(86_400+60))
+		assert.Equal(t, len(actions), 1, wait)
+		_, ok := actions[0].(limit.WriteLease)
+		assert.Assert(t, ok, wait)
+	}
+}
--- a/fleet/limit/value.go
+++ b/fleet/limit/value.go
@@ -42,11 +42,19 @@
 
 func (v partValue) wait() time.Duration { return time.Duration(v.WaitNS) }
 
+// maxLease is longer than any lease that a host writes.
+const maxLease = 24 * time.Hour
+
 func decodeValue(value []byte) (leaseValue, error) {
 	var v leaseValue
 	if err := json.Unmarshal(value, &v); err != nil {
 		return leaseValue{}, fmt.Errorf("decode lease: %w", err)
 	}
+	for _, p := range []partValue{v.Pooled, v.Reserve} {
+		if p.wait() < 0 || p.wait() > maxLease {
+			return leaseValue{}, fmt.Errorf("decode lease: wait of %d ns", p.WaitNS)
+		}
+	}
 	return v, nil
 }
 
--- a/fleet/order/lease.go
+++ b/fleet/order/lease.go
@@ -8,6 +8,12 @@
 	"ragwortshunt.example/fleet/object"
 )
 
+// Values beyond these were not written by a host.
+const (
+	maxLease = 24 * time.Hour
+	maxFence = 1 << 62
+)
+
 // stored is the JSON form of the order lease of a zone.
 type stored struct {
 	Holder      id.Host        `json:"holder"`
@@ -164,14 +170,13 @@
 	l.reading = false
 	var v stored
 	// A read that is older than the copy says nothing about writes in flight.
-	failed := r.Failed || r.Version != 0 && r.Version < l.version
-	if !failed && r.Version != 0 {
-		failed = json.Unmarshal(r.Value, &v) != nil
-	}
-	if failed {
+	if r.Failed || r.Version != 0 && r.Version < l.version {
 		setBackoff(l, now)
 		return nil
 	}
+	if r.Version != 0 {
+		v = s.decode(r.Value)
+	}
 	l.backoff = 0
 	l.loaded = true
 	if l.lost && HoldsLease(s, now) && v.Era != s.era {
@@ -191,6 +196,17 @@
 	return Tick(s, now)
 }
 
+// decode decodes a stored lease. A value that no host has written counts as held by an
+// unknown host from now on.
+func (s *State) decode(value []byte) stored {
+	var v stored
+	err := json.Unmarshal(value, &v)
+	if err == nil && v.Fence > 0 && v.Fence < maxFence && v.LeaseMS >= 0 && v.LeaseMS <= maxLease.Milliseconds() {
+		return v
+	}
+	return stored{Fence: max(s.lease.stored.Fence, s.lease.fence, 1), LeaseMS: s.cfg.Lease.Milliseconds()}
+}
+
 // HandleWrite processes the answer to a Write. After a conflict or a lost reply the
 // object is read again.
 func HandleWrite(s *State, now time.Time, w object.WriteResult) []Action {
