core, endpoint: an endpoint that says it is leaving, or asks for a pause, gets no request

Endpoints say in all their answers that they are leaving (Server-Leaving), and may ask a host for a pause when they refuse a request (Retry-After with 503). Nobody read either: a host went on sending requests to an endpoint that had told it so, until the platform's list said the same, and for good while it could not reach the platform; and it repeated refused calls after 2 s at the latest, whatever pause the endpoint had asked for.

Now the host that got such an answer leaves the endpoint out of its calls and rejects grants on it, and if it schedules the endpoint, grants none.

Other hosts learn it from their own answers or from the platform.

--- a/fleet/core/cell.go
+++ b/fleet/core/cell.go
@@ -101,7 +101,7 @@
 	c.endpoints = make(map[id.Endpoint]bool, len(eps))
 	for i, ep := range eps {
 		c.endpoints[ep.Name] = true
-		eps[i].Leaving = ep.Leaving || s.changesRole(ep.Name)
+		eps[i].Leaving = ep.Leaving || s.changesRole(ep.Name) || !s.takesRequests(ep.Name)
 		eps[i].PerSecond, eps[i].Limited = throttle.PerSecond(s.throttle, ep.Name)
 	}
 	s.cellActions(k, schedule.SetEndpoints(c.cell, s.now, eps))
--- a/fleet/core/core.go
+++ b/fleet/core/core.go
@@ -195,6 +195,7 @@
 	outstandingCalls map[id.Endpoint]int       // outstanding service calls of this host
 	unreachable      map[id.Endpoint]bool      // the last call could not reach the endpoint
 	engineProgress   map[id.Endpoint]time.Time // time of the last event of each decode engine
+	notices          map[id.Endpoint]notice    // what endpoints have said; relay mode only
 	hostsReadAt      time.Time
 	rolesBalancedAt  time.Time // last time that the balance of roles was checked
 	lastTick         time.Time
@@ -235,6 +236,7 @@
 		outstandingCalls: make(map[id.Endpoint]int),
 		unreachable:      make(map[id.Endpoint]bool),
 		engineProgress:   make(map[id.Endpoint]time.Time),
+		notices:          make(map[id.Endpoint]notice),
 		finished:         make([]Record, 0, cfg.FinishedRecords),
 	}
 }
@@ -312,6 +314,8 @@
 		s.cacheChanged(ev)
 	case OrderAnswered:
 		s.orderAnswered(ev)
+	case EndpointNotice:
+		s.endpointNoticed(ev)
 	case EndpointLimited:
 		s.endpointLimited(ev)
 	}
--- a/fleet/core/event.go
+++ b/fleet/core/event.go
@@ -111,6 +111,13 @@
 	Era     uint64 // era of the store that answered; 0 if it is unknown
 }
 
+// EndpointNotice reports what an endpoint has said about further requests of this host.
+type EndpointNotice struct {
+	Endpoint id.Endpoint
+	Leaving  bool          // it is leaving and must get no new work
+	Pause    time.Duration // it wants no request of this host for so long; 0 means none
+}
+
 // EndpointLimited reports that an endpoint has named the rate of requests that it takes from
 // all hosts together, or that it names none any more (Limited is false).
 type EndpointLimited struct {
@@ -199,6 +206,7 @@
 func (ObjectRead) isEvent()      {}
 func (ObjectWritten) isEvent()   {}
 func (EndpointLimited) isEvent() {}
+func (EndpointNotice) isEvent()  {}
 func (LoadReported) isEvent()    {}
 func (CacheChanged) isEvent()    {}
 func (OrderAnswered) isEvent()   {}
--- a/fleet/core/relay.go
+++ b/fleet/core/relay.go
@@ -256,11 +256,11 @@
 	return !member.LastHeard(s.member, r.schedulerHost).After(r.lastSlotRequest)
 }
 
-// firstUnusable returns the first of the endpoints that is leaving or missing in this
-// host's table, or an empty name.
+// firstUnusable returns the first of the endpoints that is leaving, missing in this host's
+// table or takes no requests of this host now, or an empty name.
 func (s *step) firstUnusable(eps ...id.Endpoint) id.Endpoint {
 	for _, name := range eps {
-		if ep, ok := s.snapshot().Endpoints[name]; !ok || ep.State != table.StateActive {
+		if ep, ok := s.snapshot().Endpoints[name]; !ok || ep.State != table.StateActive || !s.takesRequests(name) {
 			return name
 		}
 	}
--- a/fleet/core/service.go
+++ b/fleet/core/service.go
@@ -112,6 +112,10 @@
 
 // refuseUnplacedCall refuses a call that no endpoint takes now.
 func (s *step) refuseUnplacedCall(r *request) {
+	if pause, ok := s.shortestPause(r); ok {
+		s.refuse(r, CodeLimited, "the endpoints take no requests of this host now", min(pause, limitedRetryAfter))
+		return
+	}
 	if next, limited := s.nextCallAfter(s.callableEndpoints(r)); limited {
 		s.refuse(r, CodeLimited, "the endpoints take no more requests now", next)
 		return
@@ -124,7 +128,7 @@
 func (s *step) callableEndpoints(r *request) []table.Endpoint {
 	var eps []table.Endpoint
 	for _, ep := range s.snapshot().Endpoints {
-		if ep.Pool == r.route.Pool && ep.State == table.StateActive && ep.Name != r.avoid {
+		if ep.Pool == r.route.Pool && ep.State == table.StateActive && ep.Name != r.avoid && s.takesRequests(ep.Name) {
 			eps = append(eps, ep)
 		}
 	}
--- a/fleet/core/tablesync.go
+++ b/fleet/core/tablesync.go
@@ -236,6 +236,7 @@
 	s.table.snapshot = snap
 	s.table.endpointCounts = countEndpoints(snap)
 	s.forgetEngines()
+	s.forgetNotices()
 	s.invalidateViews()
 	s.table.manifest = manifest
 	s.table.segments = usedSegments(manifest, segments)
--- a/fleet/core/throttle.go
+++ b/fleet/core/throttle.go
@@ -42,7 +42,7 @@
 	}
 }
 
-// limitChanged passes the limit of an endpoint to the cell that schedules it.
+// limitChanged passes the limit of an endpoint, or its notice, to the cell that schedules it.
 func (s *step) limitChanged(ep id.Endpoint) {
 	for _, k := range sortedCells(s.scheduler.cells) {
 		if c := s.scheduler.cells[k]; c.endpoints[ep] {
