schedule: an engine's new limit starts with an empty bucket

A cell that learned of a limit only after it was created refilled its bucket from the creation of the cell, so that the first requests were granted in a burst of up to three although the engine may have got its whole rate just before. Another host may have granted it, before the scheduler changed.

TestNewLimit before the change: 1 (int) != 0 (int), a grant at the moment at which the limit was learned. The bucket now starts empty at that moment.

--- a/fleet/schedule/endpoint.go
+++ b/fleet/schedule/endpoint.go
@@ -74,6 +74,9 @@
 			continue
 		}
 		ep := c.endpoint(e.Name)
+		if e.Limited && !ep.Limited {
+			c.startRateLimit(ep)
+		}
 		ep.Endpoint = e
 		ep.member = true
 		ep.updateGrantLimits()
--- a/fleet/schedule/limit.go
+++ b/fleet/schedule/limit.go
@@ -15,6 +15,12 @@
 	refilledAt time.Duration
 }
 
+// startRateLimit is called when the cell learns that an endpoint is limited. The bucket starts
+// empty, because this cell or an earlier scheduler may have just used the whole rate.
+func (c *Cell) startRateLimit(ep *endpoint) {
+	ep.limit = rateLimit{refilledAt: c.now}
+}
+
 // withinRate reports whether the endpoint takes another request now.
 func (c *Cell) withinRate(ep *endpoint) bool {
 	if !ep.Limited {
--- a/fleet/schedule/limit_test.go
+++ b/fleet/schedule/limit_test.go
@@ -63,3 +63,15 @@
 	assert.Assert(t, grants["p"] >= 4*10*9/10 && grants["p"] <= 4*10+3, "%v", grants)
 	assert.Assert(t, refusals[schedule.ReasonTooLate] >= 2*refusals[schedule.ReasonWaitLimit], "refused %v", refusals)
 }
+
+// TestNewLimit guards against a burst of grants to an engine whose limit the cell has just
+// learned, although the limit may have been used up.
+func TestNewLimit(t *testing.T) {
+	c := schedule.New(schedule.DefaultConfig(), "m", t0, false)
+	schedule.SetEndpoints(c, t0, []schedule.Endpoint{prefill("p"), decode("d", 24, 100)})
+	schedule.SetEndpoints(c, at(10*time.Second), []schedule.Endpoint{prefill("p"), limited(decode("d", 24, 100), 1)})
+	m := slotRequest("r", func(m *message.SlotRequest) { m.MaxWait, m.CanWait = 2*time.Second, true })
+	assert.Equal(t, len(schedule.HandleSlotRequest(c, at(10*time.Second), "h", m)), 0)
+	assert.Equal(t, len(schedule.Tick(c, at(10900*ms))), 0)
+	assert.Equal(t, len(schedule.Tick(c, at(11100*ms))), 1)
+}
