core: a host that starts or returns is told the limits of endpoints

Engines that had named 1 request a second got 12 in 4 s after the scheduler of their cell had restarted; 11 are allowed. The successor did not know the limits: hosts tell each other of a limit when it changes and again every 5 s, and told a newcomer nothing. Until the next refresh it granted without any limit.

Hosts now send what they know of limits to each host when they first hear from its process, and again after it was dead or suspected. The messages contain the age of the knowledge, so that a limit does not outlive its TTL by them, and so that the newcomer's part of a service's rate starts empty.

--- a/fleet/core/core.go
+++ b/fleet/core/core.go
@@ -188,6 +188,7 @@
 	settingsDigest   uint64                     // see Config.sharedDigest
 	differingHosts   map[id.Host]bool           // hosts with another settingsDigest
 	suspectUntil     map[id.Host]time.Time      // end of the exclusion of a host
+	limitsSentTo     map[id.Host]id.Incarnation // incarnations that have been told the limits of endpoints
 	roleChanges      map[id.Endpoint]roleChange // role changes in progress that this host decided; relay mode only
 	views            views
 	avoid            map[id.Endpoint]time.Time // end of the exclusion of a service endpoint
@@ -230,6 +231,7 @@
 		settingsDigest:   cfg.sharedDigest(),
 		differingHosts:   make(map[id.Host]bool),
 		suspectUntil:     make(map[id.Host]time.Time),
+		limitsSentTo:     make(map[id.Host]id.Incarnation),
 		roleChanges:      make(map[id.Endpoint]roleChange),
 		avoid:            make(map[id.Endpoint]time.Time),
 		serviceStats:     make(map[id.Endpoint]callStats),
--- a/fleet/core/limit_test.go
+++ b/fleet/core/limit_test.go
@@ -9,6 +9,7 @@
 
 	"ragwortshunt.example/fleet/core"
 	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/member"
 )
 
 // The platform's tolerance for requests beyond an endpoint's limit.
@@ -25,12 +26,13 @@
 	const tick = 10 * time.Millisecond
 	var out []id.Request
 	for end := f.now.Add(d); f.now.Before(end); {
+		names := f.usable()
 		for n := f.rng.Float64() + perSecond*tick.Seconds(); n >= 1; n-- {
 			f.sent++
 			req := id.Request(fmt.Sprintf("call-%d", f.sent))
 			out = append(out, req)
 			f.sentAt[req] = f.now
-			f.reduce(f.names[f.rng.IntN(len(f.names))], core.RequestArrived{
+			f.reduce(names[f.rng.IntN(len(names))], core.RequestArrived{
 				Request: req, Route: route, Account: "a", Key: "k", PromptTokens: 1000, MaxTokens: 500, Timeout: relayTimeout,
 			})
 		}
@@ -48,7 +50,7 @@
 		allowed := int(limitOverrun*perSecond*limitWindow.Seconds()) + limitSlack
 		var times []time.Time
 		for _, a := range f.arrivals[ep] {
-			if told, ok := f.told[toldLimit{host: a.host, endpoint: ep}]; ok && a.at.Sub(told) >= limitKnown {
+			if a.told {
 				times = append(times, a.at)
 			}
 		}
@@ -146,3 +148,64 @@
 	assert.Assert(t, f.servedShare(limited) > 0.7*5/20, "served %.3f, refused %v", f.servedShare(limited), f.refused)
 	assert.Equal(t, f.refused[core.CodeDeadline], 0, "refused %v", f.refused)
 }
+
+// limitedHostChanges are the ways in which a host hands its work over and gets it back.
+var limitedHostChanges = map[string]func(f *relayFleet, name id.Host, route id.Route, perSecond float64){
+	"stop": func(f *relayFleet, name id.Host, route id.Route, perSecond float64) {
+		f.leaving[name] = true
+		f.reduce(name, core.DrainRequested{Within: 2 * time.Second})
+		f.sendCalls(3*time.Second, route, perSecond)
+		f.endHost(name)
+		f.leaving[name] = false
+		f.startHost(name, f.incarnations[name]+1)
+	},
+	"kill": func(f *relayFleet, name id.Host, route id.Route, perSecond float64) {
+		f.endHost(name)
+		f.sendCalls(500*time.Millisecond, route, perSecond)
+		f.startHost(name, f.incarnations[name]+1)
+	},
+	"long kill": func(f *relayFleet, name id.Host, route id.Route, perSecond float64) {
+		f.endHost(name)
+		f.sendCalls(4*time.Second, route, perSecond)
+		f.startHost(name, f.incarnations[name]+1)
+	},
+	"cut": func(f *relayFleet, name id.Host, route id.Route, perSecond float64) {
+		f.cut(name)
+		f.sendCalls(1500*time.Millisecond, route, perSecond)
+		f.cutOff[name] = false
+	},
+	"long cut": func(f *relayFleet, name id.Host, route id.Route, perSecond float64) {
+		f.cut(name)
+		f.sendCalls(4*time.Second, route, perSecond)
+		f.cutOff[name] = false
+	},
+}
+
+// TestEngineLimitNewScheduler guards against a scheduler that takes over limited engines
+// without knowing their limits, or with requests saved up for them. The hosts refresh what they
+// know of limits 1.5 to 3.5 s after the first change.
+func TestEngineLimitNewScheduler(t *testing.T) {
+	const perSecond = 60
+	for name, change := range limitedHostChanges {
+		for _, wait := range []time.Duration{1500 * time.Millisecond, 3 * time.Second} {
+			t.Run(fmt.Sprintf("%s after %s", name, wait), func(t *testing.T) {
+				f := newRelayFleetOf(t, 9)
+				f.sendCalls(2*time.Second, "resumable", perSecond)
+				for ep := range f.engines {
+					f.limits[ep] = 1
+				}
+				named := f.now
+				f.sendCalls(contactTime+wait, "resumable", perSecond)
+				scheduler := member.Owner(f.names, "cell/"+relayDomain+"/m/0")
+				for range 2 {
+					change(f, scheduler, "resumable", perSecond)
+					f.sendCalls(time.Second, "resumable", perSecond)
+				}
+				limited := f.sendCalls(8*time.Second, "resumable", perSecond)
+				f.checkLimits(named)
+				want := 0.7 * relayEngines / perSecond
+				assert.Assert(t, f.servedShare(limited) > want, "served %.3f, refused %v", f.servedShare(limited), f.refused)
+			})
+		}
+	}
+}
--- a/fleet/core/peers.go
+++ b/fleet/core/peers.go
@@ -47,6 +47,7 @@
 		s.handleHeartbeatState(ev.From, hb)
 	}
 	s.memberChanges(changes)
+	s.sendLimits(ev.From, ev.Incarnation)
 	if p, known := member.PeerOf(s.member, ev.From); known && p.Address == "" {
 		s.addressUnknown = true
 	}
@@ -143,6 +144,7 @@
 		s.emit(Log{Level: LogWarn, Component: partPeer, Text: text, Host: h})
 	}
 	s.suspectUntil[h] = s.now.Add(s.cfg.SuspectDuration)
+	delete(s.limitsSentTo, h)
 	s.invalidateViews()
 	for _, r := range s.sortedRequests() {
 		if r.stage == StageQueue && r.schedulerHost == h {
@@ -167,6 +169,7 @@
 	for _, c := range changes {
 		if c.To == message.HostDead || c.Restarted {
 			s.releaseHostWork(c.Host)
+			delete(s.limitsSentTo, c.Host)
 		}
 		if c.Restarted || c.From == message.HostDead {
 			s.addressUnknown = true // its address may have changed
--- a/fleet/core/relayfleet_test.go
+++ b/fleet/core/relayfleet_test.go
@@ -49,6 +49,8 @@
 	hosts        map[id.Host]*core.State
 	incarnations map[id.Host]id.Incarnation
 	names        []id.Host
+	cutOff       map[id.Host]bool // exchange no messages with other hosts and get no calls
+	leaving      map[id.Host]bool // get no calls
 	list         []object.Host
 	version      uint64
 	engines      map[id.Endpoint]string // live engines with their addresses
@@ -72,7 +74,7 @@
 // arrival is a request that has reached an endpoint.
 type arrival struct {
 	at   time.Time
-	host id.Host
+	told bool // the host had received an answer with a limit limitKnown before
 }
 
 type toldLimit struct {
@@ -101,6 +103,7 @@
 		begun:   make(map[id.Request]time.Time), refused: make(map[string]int), sentAt: make(map[id.Request]time.Time),
 		served: make(map[id.Request]bool), limits: make(map[id.Endpoint]float64), arrivals: make(map[id.Endpoint][]arrival),
 		told: make(map[toldLimit]time.Time), limited: make(map[toldLimit]bool),
+		cutOff: make(map[id.Host]bool), leaving: make(map[id.Host]bool),
 	}
 	for i := range hosts {
 		name := id.Host(fmt.Sprintf("h%d", i))
@@ -127,6 +130,30 @@
 	f.reduce(name, core.TableOpened{Snapshot: f.table()})
 }
 
+// endHost ends a host. Its calls go on, and their answers are lost.
+func (f *relayFleet) endHost(name id.Host) {
+	delete(f.hosts, name)
+	f.forgetTold(name)
+}
+
+// cut separates a host from the other hosts and from callers, but not from endpoints.
+func (f *relayFleet) cut(name id.Host) {
+	f.cutOff[name] = true
+	f.forgetTold(name)
+}
+
+// forgetTold excuses a host from limits until it is told of them again.
+func (f *relayFleet) forgetTold(name id.Host) {
+	maps.DeleteFunc(f.told, func(key toldLimit, _ time.Time) bool { return key.host == name })
+}
+
+// usable returns the hosts that callers reach.
+func (f *relayFleet) usable() []id.Host {
+	return slices.DeleteFunc(slices.Clone(f.names), func(name id.Host) bool {
+		return f.hosts[name] == nil || f.cutOff[name] || f.leaving[name]
+	})
+}
+
 func (f *relayFleet) table() *table.Snapshot {
 	s := relayTable(f.version)
 	delete(s.Endpoints, "d1")
@@ -150,11 +177,18 @@
 	f.pending = append(f.pending, pendingCall{f.now.Add(d), do})
 }
 
-// reduce handles an event on a host, delivers its messages and starts its calls.
+// reduce handles an event on a host, delivers its messages and starts its calls. A host that
+// has ended ignores it.
 func (f *relayFleet) reduce(name id.Host, ev core.Event) {
+	if f.hosts[name] == nil {
+		return
+	}
 	for _, e := range core.Reduce(f.hosts[name], core.Input{Now: f.now, Wall: f.now, Event: ev}) {
 		switch e := e.(type) {
 		case core.SendPeer:
+			if f.cutOff[name] || f.cutOff[e.To] {
+				continue
+			}
 			f.reduce(e.To, core.PeerMessage{From: name, Incarnation: f.incarnations[name], Message: e.Message})
 		case core.StartPrefill:
 			f.prefill(name, e)
@@ -168,9 +202,13 @@
 			f.publishQuarantine(name, e)
 		case core.Refuse:
 			f.refused[e.Code]++
+		case core.Stopped:
+			f.endHost(name)
 		}
 	}
-	assert.NilError(f.t, core.Check(f.hosts[name]))
+	if f.hosts[name] != nil {
+		assert.NilError(f.t, core.Check(f.hosts[name]))
+	}
 }
 
 // publishQuarantine enters what a host has published in the host list.
@@ -194,14 +232,16 @@
 // arrive records a request that reaches an endpoint. The head of the answer names the limit
 // that the endpoint has by then.
 func (f *relayFleet) arrive(host id.Host, ep id.Endpoint) {
-	f.arrivals[ep] = append(f.arrivals[ep], arrival{at: f.now, host: host})
 	key := toldLimit{host: host, endpoint: ep}
+	at, told := f.told[key]
+	f.arrivals[ep] = append(f.arrivals[ep], arrival{at: f.now, told: told && f.now.Sub(at) >= limitKnown})
+	inc := f.incarnations[host]
 	f.after(callTime, func() {
 		limit, ok := f.limits[ep]
-		if !ok && !f.limited[key] {
+		if f.hosts[host] == nil || f.incarnations[host] != inc || !ok && !f.limited[key] {
 			return
 		}
-		if _, told := f.told[key]; ok && !told {
+		if _, told := f.told[key]; ok && !told && !f.cutOff[host] {
 			f.told[key] = f.now
 		}
 		f.limited[key] = ok
--- a/fleet/core/throttle.go
+++ b/fleet/core/throttle.go
@@ -36,6 +36,19 @@
 	s.limitChanged(m.Endpoint)
 }
 
+// sendLimits tells a host what this host knows of limits if the host has started or returned
+// since. A scheduler that has started would otherwise grant limited engines any number of
+// requests until the next refresh.
+func (s *step) sendLimits(to id.Host, inc id.Incarnation) {
+	if s.limitsSentTo[to] == inc {
+		return
+	}
+	s.limitsSentTo[to] = inc
+	for _, m := range throttle.News(s.throttle, s.now) {
+		s.send(to, m)
+	}
+}
+
 func (s *step) tickThrottle() {
 	for _, ep := range throttle.Expire(s.throttle, s.now) {
 		s.limitChanged(ep)
--- a/fleet/message/message.go
+++ b/fleet/message/message.go
@@ -291,6 +291,8 @@
 	Endpoint  id.Endpoint `cbor:"1,keyasint"`
 	PerSecond float64     `cbor:"2,keyasint,omitempty"`
 	Ended     bool        `cbor:"3,keyasint,omitempty"`
+
+	Age time.Duration `cbor:"4,keyasint,omitempty"` // time since the sender's last news of the limit
 }
 
 // AnsweredSegment says that the sender has received an answer to a prompt with the segment.
--- a/fleet/throttle/throttle.go
+++ b/fleet/throttle/throttle.go
@@ -3,7 +3,7 @@
 //
 // The load that it answers: an overloaded endpoint announces a limit in its responses, below
 // what the hosts together would send it. A host sees only the responses to its own requests,
-// so it tells the others (Observe, Merge). An engine has one scheduler, which grants it no
+// so it tells the others (Observe, Merge), also those that start later (News). An engine has one scheduler, which grants it no
 // more than PerSecond. Calls to a plain service have no scheduler: a few hosts use the
 // endpoint and divide its limit evenly (Hosts, Allows, Take). The others do not use it, so
 // that the sum stays within the limit however many hosts there are.
@@ -12,6 +12,8 @@
 package throttle
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"ragwortshunt.example/fleet/id"
@@ -77,14 +79,23 @@
 	return m, true
 }
 
-// Merge records what another host says.
+// Merge records what another host says. Other hosts may have used the whole rate of a limit
+// that is older than this host's knowledge of it, so that the part of this host starts empty.
 func Merge(s *State, now time.Time, m message.EndpointLimit) {
 	if m.Ended {
 		delete(s.limits, m.Endpoint)
 		return
 	}
-	if m.PerSecond >= 0 {
-		s.set(now, m.Endpoint, m.PerSecond)
+	newsAt := now.Add(-max(m.Age, 0))
+	known, ok := s.limits[m.Endpoint]
+	if m.PerSecond < 0 || ok && known.newsAt.After(newsAt) {
+		return
+	}
+	s.set(now, m.Endpoint, m.PerSecond)
+	l := s.limits[m.Endpoint]
+	l.newsAt = newsAt
+	if !ok && m.Age > 0 {
+		l.tokens = 0
 	}
 }
 
@@ -98,6 +109,17 @@
 	l.newsAt, l.toldAt = now, now
 }
 
+// News returns what this host knows, as messages for a host that may know none of it, sorted
+// by endpoint.
+func News(s *State, now time.Time) []message.EndpointLimit {
+	out := make([]message.EndpointLimit, 0, len(s.limits))
+	for ep, l := range s.limits {
+		out = append(out, message.EndpointLimit{Endpoint: ep, PerSecond: l.perSecond, Age: now.Sub(l.newsAt)})
+	}
+	slices.SortFunc(out, func(a, b message.EndpointLimit) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	return out
+}
+
 func differs(a, b float64) bool {
 	return max(a, b)-min(a, b) > minChange*max(a, b)
 }
--- a/fleet/throttle/throttle_test.go
+++ b/fleet/throttle/throttle_test.go
@@ -70,6 +70,25 @@
 	}
 }
 
+// TestLimitOfOthers guards against a host that has started and uses a limit as if it were new,
+// keeps it for longer than the others, or replaces what it has learned since.
+func TestLimitOfOthers(t *testing.T) {
+	known, started := throttle.New(throttle.DefaultConfig()), throttle.New(throttle.DefaultConfig())
+	observe(known, start, 1)
+	now := start.Add(10 * time.Second)
+	news := throttle.News(known, now)
+	assert.DeepEqual(t, news, []message.EndpointLimit{{Endpoint: ep, PerSecond: 1, Age: 10 * time.Second}})
+	throttle.Merge(started, now, news[0])
+	assert.Assert(t, !throttle.Allows(started, now, ep, 1))
+	assert.Assert(t, throttle.Allows(started, now.Add(time.Second), ep, 1))
+	assert.DeepEqual(t, throttle.Expire(started, start.Add(31*time.Second)), []id.Endpoint{ep})
+
+	observe(started, now, 2)
+	throttle.Merge(started, now, news[0])
+	perSecond, _ := throttle.PerSecond(started, ep)
+	assert.Equal(t, perSecond, 2.0)
+}
+
 // TestHosts guards against so many hosts that their first requests alone exceed the rate, and
 // against none.
 func TestHosts(t *testing.T) {
