--- a/fleet/core/drain_test.go
+++ b/fleet/core/drain_test.go
@@ -12,6 +12,20 @@
 	"ragwortshunt.example/fleet/message"
 )
 
+// TestLeavingHost guards against a draining host that refuses service calls on open
+// connections although the shutdown takes seconds, and against a long Retry-After
+// although other hosts are ready.
+func TestLeavingHost(t *testing.T) {
+	h := newRelayHost(t)
+	h.reduce(core.DrainRequested{})
+	c := find(t, h.sendRequest("r1", "unsafe"), core.CallService{}).(core.CallService)
+	assert.Assert(t, !has(h.advance(200*time.Millisecond), core.Stopped{}))
+	assert.Assert(t, has(h.reduce(core.ServiceDone{Request: "r1", Attempt: c.Attempt, Status: 200}), core.Reply{}))
+	refused := find(t, h.sendRequest("r2", "once"), core.Refuse{}).(core.Refuse)
+	assert.Assert(t, refused.NotRun && refused.RetryAfter > 0 && refused.RetryAfter <= 100*time.Millisecond, "%+v", refused)
+	assert.Assert(t, has(h.advance(5*time.Second), core.Stopped{}))
+}
+
 // TestLeavingHostAnswersAll guards against connections that are closed without an answer
 // when a host that is leaving must end.
 func TestLeavingHostAnswersAll(t *testing.T) {
