--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -22,8 +22,11 @@
 type scenario func(c *cluster, trouble bool) (summary []string, held bool, err error)
 
 var scenarios = map[string]scenario{
+	"batches":        batches,
 	"double-slashes": doubleSlashes,
+	"late-decodes":   lateDecodes,
 	"long-prompts":   longPrompts,
+	"lost-answers":   lostAnswers,
 }
 
 func main() {
--- a/review/harness/record.go
+++ b/review/harness/record.go
@@ -25,12 +25,14 @@
 type execution struct {
 	server string
 	at     time.Time
+	end    time.Time // zero while the runner works on it
 }
 
 type arrival struct {
 	request, server, prefix string
 	prefill                 bool
 	at                      time.Time
+	leavingFor              time.Duration // since the store accepted that the runner leaves, or 0
 }
 
 func newRecord() *record {
@@ -45,22 +47,31 @@
 	r.lines = append(r.lines, fmt.Sprintf("%9.3f %-9s %s", time.Since(r.start).Seconds(), kind, fmt.Sprintf(format, args...)))
 }
 
-func (r *record) arrived(request, server string, prefill bool, prefix string) {
+func (r *record) arrived(request, server string, prefill bool, prefix string, leavingFor time.Duration) {
 	what := "run"
 	if prefill {
 		what = "prefill"
 	}
-	r.add("reaches", "%s reaches %s (%s)", request, server, what)
+	r.add("reaches", "%s reaches %s (%s), which is leaving for %s", request, server, what, leavingFor)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.arrives = append(r.arrives, arrival{request, server, prefix, prefill, time.Now()})
+	r.arrives = append(r.arrives, arrival{request, server, prefix, prefill, time.Now(), leavingFor})
 }
 
-func (r *record) ran(request, server string) {
+// ran records that a runner has begun to work on a request. The returned function records the
+// end.
+func (r *record) ran(request, server string) (end func()) {
 	r.add("runs", "%s on %s", request, server)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.runs[request] = append(r.runs[request], execution{server, time.Now()})
+	r.runs[request] = append(r.runs[request], execution{server: server, at: time.Now()})
+	n := len(r.runs[request]) - 1
+	return func() {
+		r.add("run ends", "%s on %s", request, server)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.runs[request][n].end = time.Now()
+	}
 }
 
 // ranAs records the request target with which a runner ran a request.
