--- a/review/harness/lostanswers.go
+++ b/review/harness/lostanswers.go
@@ -9,13 +9,13 @@
 
 // The figures of lostAnswers: share and x of the disruption, its length and how often it comes.
 const (
-	lostServers = 0.5
-	lostStreams = 0.3
+	lostServers = 0.6
+	lostStreams = 0.4
 	lostFor     = 6 * time.Second
 	lostPause   = 4 * time.Second
 	lostRounds  = 5
-	resumeRate  = 6.0
-	digestRate  = 6.0
+	resumeRate  = 8.0
+	digestRate  = 5.0
 	// overlap is how long after a request has gone on at another runner the one before may still
 	// work on it.
 	overlap = 400 * time.Millisecond
