--- a/review/engine.go
+++ b/review/engine.go
@@ -83,19 +83,16 @@
 
 	reading sync.Mutex // held by the prompt that is read
 
-	mu        sync.Mutex
-	address   string
-	born      int64
-	http      *http.Server
-	running   int
-	waiting   int
-	silent    time.Time // until when the runner is silent
-	leaving   bool
-	leavingAt time.Time // when the store accepted the notice
-	fence     int64
-	sequence  int
-	crashes   int
-	free      chan struct{}
+	mu       sync.Mutex
+	address  string
+	born     int64
+	http     *http.Server
+	running  int
+	waiting  int
+	fence    int64
+	sequence int
+	crashes  int
+	free     chan struct{}
 }
 
 // start opens the runner at its address, or at a new one, and registers it.
@@ -113,7 +110,7 @@
 	s.address = l.Addr().String()
 	s.born = time.Now().UnixMilli()
 	s.http = &http.Server{Handler: s}
-	s.running, s.waiting, s.silent, s.fence, s.sequence, s.leaving = 0, 0, time.Time{}, 0, 0, false
+	s.running, s.waiting, s.fence, s.sequence = 0, 0, 0, 0
 	s.free = make(chan struct{}, 1024)
 	h := s.http
 	s.mu.Unlock()
@@ -130,9 +127,6 @@
 		"service": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": engineSlots, "state": "ready",
 		"cold_remaining_ms": 0, "sequence": 1, "born": s.born,
 	}
-	if s.leaving {
-		spec["state"] = "draining"
-	}
 	if s.role != "" {
 		spec["stage"] = s.role
 		spec["models"] = []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}
@@ -202,13 +196,7 @@
 	role := s.role
 	s.mu.Unlock()
 	prefill := r.Header.Get(headerStage) == "prefill"
-	s.mu.Lock()
-	late := time.Duration(0)
-	if s.leaving && !s.leavingAt.IsZero() {
-		late = time.Since(s.leavingAt)
-	}
-	s.mu.Unlock()
-	s.w.rec.arrived(request, s.id, prefill, r.Header.Get(headerPrefix), late)
+	s.w.rec.arrived(request, s.id, prefill, r.Header.Get(headerPrefix))
 	if instance := r.Header.Get(headerInstance); instance != "" && instance != s.id || role != "" && prefill != (role == "prefill") {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -296,71 +284,17 @@
 	fmt.Fprintf(w, `{"kv_handle":%q,"tokens":%d,"version":1}`, name, tokens)
 }
 
-// workStep is how often a runner looks whether it is silent.
-const workStep = 5 * time.Millisecond
-
 // read reads one prompt after the other, for the given time each, and reports whether it has read
-// this one. It does nothing while the runner is silent.
+// this one.
 func (s *server) read(ctx context.Context, work time.Duration) bool {
 	s.reading.Lock()
 	defer s.reading.Unlock()
-	for work > 0 || s.isSilent() {
-		if ctx.Err() != nil {
-			return false
-		}
-		step := min(workStep, max(work, time.Millisecond))
-		time.Sleep(step)
-		if !s.isSilent() {
-			work -= step
-		}
+	select {
+	case <-time.After(work):
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	return true
-}
-
-func (s *server) isSilent() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return time.Now().Before(s.silent)
-}
-
-// fallSilent makes the runner do nothing for a time. Its connections stay open.
-func (s *server) fallSilent(d time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.silent = time.Now().Add(d)
-}
-
-// drain announces that the runner leaves, serves on for the given time and ends. Another one with
-// a new ID comes at its address after that.
-func (s *server) drain(serve, pause time.Duration) {
-	s.mu.Lock()
-	s.leaving = true
-	s.mu.Unlock()
-	s.register()
-	s.mu.Lock()
-	s.leavingAt = time.Now()
-	s.mu.Unlock()
-	s.w.rec.add("draining", "%s", s.id)
-	time.AfterFunc(serve, func() {
-		s.mu.Lock()
-		h := s.http
-		s.mu.Unlock()
-		h.Close()
-		s.w.store.remove("servers", s.id)
-		s.w.rec.add("gone", "%s", s.id)
-		time.AfterFunc(pause, func() {
-			s.mu.Lock()
-			s.id = fmt.Sprintf("i-%08x", rand.Uint32())
-			s.mu.Unlock()
-			for range 50 {
-				if s.start() == nil {
-					s.w.rec.add("new", "%s", s.id)
-					return
-				}
-				time.Sleep(20 * time.Millisecond)
-			}
-		})
-	})
 }
 
 // takeHandle takes the KV cache that a header names, and reports whether it is there.
--- a/review/main.go
+++ b/review/main.go
@@ -23,7 +23,6 @@
 
 var scenarios = map[string]scenario{
 	"double-slashes": doubleSlashes,
-	"late-decodes":   lateDecodes,
 	"long-prompts":   longPrompts,
 	"lost-answers":   lostAnswers,
 }
--- a/review/record.go
+++ b/review/record.go
@@ -32,7 +32,6 @@
 	request, server, prefix string
 	prefill                 bool
 	at                      time.Time
-	leavingFor              time.Duration // since the store accepted that the runner leaves, or 0
 }
 
 func newRecord() *record {
@@ -47,15 +46,15 @@
 	r.lines = append(r.lines, fmt.Sprintf("%9.3f %-9s %s", time.Since(r.start).Seconds(), kind, fmt.Sprintf(format, args...)))
 }
 
-func (r *record) arrived(request, server string, prefill bool, prefix string, leavingFor time.Duration) {
+func (r *record) arrived(request, server string, prefill bool, prefix string) {
 	what := "run"
 	if prefill {
 		what = "prefill"
 	}
-	r.add("reaches", "%s reaches %s (%s), which is leaving for %s", request, server, what, leavingFor)
+	r.add("reaches", "%s reaches %s (%s)", request, server, what)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.arrives = append(r.arrives, arrival{request, server, prefix, prefill, time.Now(), leavingFor})
+	r.arrives = append(r.arrives, arrival{request, server, prefix, prefill, time.Now()})
 }
 
 // ran records that a runner has begun to work on a request. The returned function records the
