caller: a request of HTTP/1.0 without a length is refused with 411

A request of HTTP/1.0 with a chunked body was passed on with an empty one, also when its chunks had been cut off: the endpoint ran something else than the caller had sent. net/http ignores chunks in HTTP/1.0 and removes the Transfer-Encoding header, so that such a request looks like one without a body.

HTTP/1.0 requires a Content-Length in each request with a body. One that lacks it, and is neither a GET nor a HEAD, is now refused with 411, and its connection is closed, because a body may follow. Requests of HTTP/1.1 are not concerned.

--- a/router/internal/caller/error.go
+++ b/router/internal/caller/error.go
@@ -15,6 +15,7 @@
 	codeMethodNotAllowed = "method-not-allowed"
 	codeBodyTooLarge     = "body-too-large"
 	codeBodyUnreadable   = "body-unreadable"
+	codeLengthRequired   = "length-required"
 	codeInvalidRequest   = "invalid-request"
 	codeKeyInRequest     = "key-in-request"
 )
--- a/router/internal/caller/model.go
+++ b/router/internal/caller/model.go
@@ -97,6 +97,11 @@
 }
 
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	if lacksLength(r) {
+		w.Header().Set("Connection", "close") // a body may follow
+		rejectRequest(w, http.StatusLengthRequired, codeLengthRequired, "a request of HTTP/1.0 needs a Content-Length")
+		return nil, false
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.cfg.MaxBodyBytes))
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -114,6 +119,15 @@
 	return nil, false
 }
 
+// lacksLength reports whether a request of HTTP/1.0 may have a body but names no length.
+// net/http takes it for one without a body, also if chunks follow.
+func lacksLength(r *http.Request) bool {
+	if r.ProtoAtLeast(1, 1) || r.Method == http.MethodGet || r.Method == http.MethodHead {
+		return false
+	}
+	return r.Header.Get("Content-Length") == ""
+}
+
 func parseModelRequest(body []byte, chat bool, defaultLimit int64) (modelRequest, error) {
 	var c completionRequest
 	if err := json.Unmarshal(body, &c); err != nil {
