--- a/router/internal/caller/truncated_test.go
+++ b/router/internal/caller/truncated_test.go
@@ -8,7 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"ragwortshunt.example/fleet/core"
-	"ragwortshunt.example/platform/standin"
+	"ragwortshunt.example/fleet/rawhttp"
 )
 
 // TestTruncatedRequests guards against passing on a request whose head or body was cut off.
@@ -22,11 +22,11 @@
 			r := newHarness(t, core.Refuse{NotRun: true})
 			for n := range len(text) {
 				for _, reset := range []bool{false, true} {
-					_ = standin.SendRaw(strings.TrimPrefix(r.url, "http://"), text[:n], reset)
+					_ = rawhttp.Send(strings.TrimPrefix(r.url, "http://"), text[:n], reset)
 					assert.Equal(t, len(r.events), 0, "%q", text[:n])
 				}
 			}
-			assert.NilError(t, standin.SendRaw(strings.TrimPrefix(r.url, "http://"), text, false))
+			assert.NilError(t, rawhttp.Send(strings.TrimPrefix(r.url, "http://"), text, false))
 			arrived := r.nextEvent(t).(core.RequestArrived)
 			assert.Assert(t, strings.HasSuffix(string(arrived.Request), "-1"), "%s is not the first request", arrived.Request)
 		})
@@ -43,7 +43,7 @@
 		"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nA: b\r\n": false,
 	} {
 		r := newHarness(t, core.Refuse{NotRun: true})
-		assert.NilError(t, standin.SendRaw(strings.TrimPrefix(r.url, "http://"), "POST /services/board/x HTTP/1.0\r\nHost: a\r\n"+lines, false))
+		assert.NilError(t, rawhttp.Send(strings.TrimPrefix(r.url, "http://"), "POST /services/board/x HTTP/1.0\r\nHost: a\r\n"+lines, false))
 		assert.Equal(t, len(r.events) > 0, passed, "%q", lines)
 	}
 }
