endpoint: guards against an endpoint that falls silent in the middle of an answer

TestSilentAnswers stops before the answer, in its status line, after a header and in its body, and leaves the connection open. Calls and prefills end at their timeout, orders after 2 s, and a decode when the decision core cancels it; none is taken for answered or, except for prefills, which are no runs, for not run. It passes on the code as it is.

--- a/fleet/rawhttp/rawhttp.go
+++ b/fleet/rawhttp/rawhttp.go
@@ -17,6 +17,7 @@
 	mu    sync.Mutex
 	text  string
 	reset bool
+	hold  bool
 }
 
 // NewServer starts a server on a port of the loopback interface.
@@ -41,6 +42,14 @@
 	s.text, s.reset = text, reset
 }
 
+// Hold makes the server fall silent after its answers: it leaves the closing of connections to
+// its clients.
+func (s *Server) Hold() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hold = true
+}
+
 // Close stops the server.
 func (s *Server) Close() { s.listener.Close() }
 
@@ -66,9 +75,15 @@
 		return
 	}
 	s.mu.Lock()
-	text, reset := s.text, s.reset
+	text, reset, hold := s.text, s.reset, s.hold
 	s.mu.Unlock()
-	if _, err := io.WriteString(conn, text); err == nil && reset {
+	if _, err := io.WriteString(conn, text); err != nil {
+		return
+	}
+	if hold {
+		_, _ = io.Copy(io.Discard, conn)
+	}
+	if reset {
 		_ = conn.(*net.TCPConn).SetLinger(0)
 	}
 }
