endpoint: an unframed answer without a body counts as cut off

Callers got a 200 with an empty body and "Content-Length: 0" from an endpoint that had sent the head of its answer, without a length and chunks, and had ended before the first byte of the body. The end of the connection is the end of such a body, so that net/http reports an empty one without an error. Streams were guarded against this, other answers were not.

An answer without a body that names neither a length nor chunks now counts as cut off, as a stream without an event does: the request runs again where it may, and gets a 502 otherwise. An endpoint without a body to send names the length 0, or answers 204 or 304. Answers to HEAD are not concerned. The native protocol has the same check. A body that is cut off after its first byte by a regular end still can't be told from a whole one.

--- a/fleet/rawhttp/cut.go
+++ b/fleet/rawhttp/cut.go
@@ -26,7 +26,9 @@
 	}
 }
 
-// Cut is the part of an answer that is sent before the connection ends.
+// Cut is the part of an answer that is sent before the connection ends. An answer that has
+// neither a length nor chunks is whole with any body, but not without one: a server that ends
+// before its first byte looks like that, and one that has no body to send names the length 0.
 type Cut struct {
 	Text    string
 	Reset   bool   // the connection ends with a reset, and otherwise regularly
@@ -45,7 +47,7 @@
 			c.Whole = n == len(text)
 			if a.Unframed {
 				c.Payload = text[min(len(a.Head), n):n]
-				c.Whole = c.HasHead && !reset
+				c.Whole = c.Payload != "" && !reset
 			}
 			out = append(out, c)
 		}
--- a/router/internal/endpoint/service.go
+++ b/router/internal/endpoint/service.go
@@ -83,7 +83,7 @@
 		return
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
-	if err != nil || len(body) > maxReplyBytes {
+	if err != nil || len(body) > maxReplyBytes || len(body) == 0 && isUnframed(resp) {
 		c.postFailure(e.Request, e.Attempt, e.Endpoint, callError{code: codeStreamBroken})
 		return
 	}
@@ -94,6 +94,12 @@
 	})
 }
 
+// isUnframed reports whether the body of a reply has neither a length nor chunks, so that it
+// ends with its connection. If it is empty, the crash of the service looks the same.
+func isUnframed(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Request.Method != http.MethodHead
+}
+
 // forwardedHeader returns the headers of a service's reply that callers receive.
 func forwardedHeader(h http.Header) http.Header {
 	out := make(http.Header)
