quarantine: crashes of a batch of requests count one by one if several zones have them

What callers saw: 10 to 24 requests with a crashing segment arrive at the same moment, end all engines, and every later batch ends them all again.

Cause: Decide counts endpoints that end within 100 ms as one crash, because a failed rack ends several at once. A batch was therefore one or two of the three crashes that it waits for.

Change: reports name the availability zone of the endpoint. Crashes at the same moment count one by one for a segment that has no rival and was not answered before if they lie in more than one zone and fewer endpoints crash at these times without it. Five are needed. One rack lies in one zone, and a larger failure also ends engines that have nothing to do with the segment. In a deployment of one zone nothing changes.

TestOtherCrashes and TestSameMoment are unchanged and pass; their engines now lie in three zones.

--- a/fleet/core/crash_test.go
+++ b/fleet/core/crash_test.go
@@ -38,6 +38,38 @@
 	}
 }
 
+// reachedAfterLimit returns how many calls with crashingSegment have reached an engine later
+// than contactTime after the death of maxSpared engines.
+func (f *relayFleet) reachedAfterLimit() int {
+	if len(f.deaths) < maxSpared {
+		return 0
+	}
+	limit := f.deaths[maxSpared-1].Add(contactTime)
+	n := 0
+	for _, at := range f.reached {
+		if at.After(limit) {
+			n++
+		}
+	}
+	return n
+}
+
+// begunShare returns the share of the sound requests sent in [from, to) whose answer has
+// begun.
+func (f *relayFleet) begunShare(from, to time.Time) float64 {
+	sent, begun := 0, 0
+	for req, at := range f.sentAt {
+		if at.Before(from) || !at.Before(to) {
+			continue
+		}
+		sent++
+		if _, ok := f.begun[req]; ok {
+			begun++
+		}
+	}
+	return float64(begun) / float64(max(sent, 1))
+}
+
 // TestCrashingSegment guards against a segment of prompts that ends engine after engine, and
 // against refusing the requests that have other segments in common with it.
 func TestCrashingSegment(t *testing.T) {
--- a/fleet/core/quarantine.go
+++ b/fleet/core/quarantine.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -27,7 +28,7 @@
 		s.recordAnswer(r, "")
 		return
 	}
-	m := message.CrashReport{Endpoint: ev.Endpoint, Segments: r.Segments}
+	m := message.CrashReport{Endpoint: ev.Endpoint, Segments: r.Segments, Zone: s.zoneOf(ev.Endpoint)}
 	if !quarantine.AllowReport(s.quarantine, s.now) {
 		return
 	}
@@ -35,6 +36,13 @@
 	s.broadcast("", m)
 }
 
+// zoneOf returns the availability zone of an endpoint, or an empty name if the table does not
+// have the endpoint.
+func (s *step) zoneOf(ep id.Endpoint) id.Zone {
+	e := s.snapshot().Endpoints[ep]
+	return cmp.Or(e.AZ, e.Zone)
+}
+
 // recordAnswer records an answer to the prompt of a request. ep is the endpoint if its answer
 // is complete, and empty if it has broken off.
 func (s *step) recordAnswer(r *request, ep id.Endpoint) {
--- a/fleet/core/relayfleet_test.go
+++ b/fleet/core/relayfleet_test.go
@@ -40,6 +40,9 @@
 	maxAfter  = 3
 )
 
+// relayAZs are the availability zones of the engines, in turn.
+var relayAZs = []id.Zone{"az-a", "az-b", "az-c"}
+
 // relayFleet is a group of hosts in relay mode with simulated engines, which end when they
 // begin to answer a request with crashingSegment. Messages arrive without delay.
 type relayFleet struct {
@@ -54,9 +57,12 @@
 	list         []object.Host
 	version      uint64
 	engines      map[id.Endpoint]string // live engines with their addresses
+	azs          map[string]id.Zone     // by address
+	prefills     int                    // prefill engines
 	running      map[id.Endpoint]map[id.Request]decodeRun
 	pending      []pendingCall
 	sent         int
+	restart      time.Duration // after which an engine that has ended is back
 
 	deaths  []time.Time
 	reached []time.Time              // calls with crashingSegment that reached an engine
@@ -103,7 +109,7 @@
 		begun:   make(map[id.Request]time.Time), refused: make(map[string]int), sentAt: make(map[id.Request]time.Time),
 		served: make(map[id.Request]bool), limits: make(map[id.Endpoint]float64), arrivals: make(map[id.Endpoint][]arrival),
 		told: make(map[toldLimit]time.Time), limited: make(map[toldLimit]bool),
-		cutOff: make(map[id.Host]bool), leaving: make(map[id.Host]bool),
+		cutOff: make(map[id.Host]bool), leaving: make(map[id.Host]bool), restart: engineRestart, azs: make(map[string]id.Zone), prefills: 1,
 	}
 	for i := range hosts {
 		name := id.Host(fmt.Sprintf("h%d", i))
@@ -111,7 +117,9 @@
 		f.list = append(f.list, object.Host{Host: name, Zone: relayDomain, Address: fmt.Sprintf("127.0.0.1:%d", i+1)})
 	}
 	for i := range relayEngines {
-		f.engines[id.Endpoint(fmt.Sprintf("d%d", i))] = fmt.Sprintf("10.0.1.%d:1", i)
+		address := fmt.Sprintf("10.0.1.%d:1", i)
+		f.engines[id.Endpoint(fmt.Sprintf("d%d", i))] = address
+		f.azs[address] = relayAZs[i%len(relayAZs)]
 	}
 	for _, name := range f.names {
 		f.startHost(name, 1)
@@ -160,9 +168,14 @@
 	delete(s.Endpoints, "d2")
 	for name, address := range f.engines {
 		s.Endpoints[name] = table.Endpoint{
-			Name: name, Pool: "m/decode", Zone: relayDomain, Address: address, State: table.StateActive,
+			Name: name, Pool: "m/decode", Zone: relayDomain, Address: address, State: table.StateActive, AZ: f.azs[address],
 		}
 	}
+	for i := range f.prefills {
+		ep := s.Endpoints["p1"]
+		ep.Name, ep.Address = id.Endpoint(fmt.Sprintf("p%d", i+1)), fmt.Sprintf("10.0.0.%d:1", 100+i)
+		s.Endpoints[ep.Name] = ep
+	}
 	return s
 }
 
@@ -321,7 +334,7 @@
 	for req, r := range runs {
 		f.reduce(r.host, core.RunFailed{Request: req, Attempt: r.attempt, Endpoint: ep, Code: "connection-broken"})
 	}
-	f.after(engineRestart, func() {
+	f.after(f.restart, func() {
 		f.engines[id.Endpoint(fmt.Sprintf("d%d-%d", len(f.deaths), f.version))] = address
 		f.publishTable()
 	})
@@ -373,38 +386,6 @@
 	})
 }
 
-// reachedAfterLimit returns how many calls with crashingSegment have reached an engine later
-// than contactTime after the death of maxSpared engines.
-func (f *relayFleet) reachedAfterLimit() int {
-	if len(f.deaths) < maxSpared {
-		return 0
-	}
-	limit := f.deaths[maxSpared-1].Add(contactTime)
-	n := 0
-	for _, at := range f.reached {
-		if at.After(limit) {
-			n++
-		}
-	}
-	return n
-}
-
-// begunShare returns the share of the sound requests sent in [from, to) whose answer has
-// begun.
-func (f *relayFleet) begunShare(from, to time.Time) float64 {
-	sent, begun := 0, 0
-	for req, at := range f.sentAt {
-		if at.Before(from) || !at.Before(to) {
-			continue
-		}
-		sent++
-		if _, ok := f.begun[req]; ok {
-			begun++
-		}
-	}
-	return float64(begun) / float64(max(sent, 1))
-}
-
 // liveEngines returns the live engines in random order.
 func (f *relayFleet) liveEngines() []id.Endpoint {
 	out := slices.Sorted(maps.Keys(f.engines))
--- a/fleet/message/message.go
+++ b/fleet/message/message.go
@@ -276,7 +276,8 @@
 // endpoint may have crashed.
 type CrashReport struct {
 	Endpoint id.Endpoint  `cbor:"1,keyasint"`
-	Segments []id.Segment `cbor:"2,keyasint"` // shared segments of the prompt, in their order
+	Segments []id.Segment `cbor:"2,keyasint"`           // shared segments of the prompt, in their order
+	Zone     id.Zone      `cbor:"3,keyasint,omitempty"` // availability zone of the endpoint, if known
 }
 
 // CrashRebuttal objects to CrashReports.
--- a/fleet/quarantine/decide.go
+++ b/fleet/quarantine/decide.go
@@ -9,16 +9,18 @@
 )
 
 // sameMoment is the time within which crashes count as one: what ends several endpoints at
-// the same moment is a fault of a machine or a rack.
+// the same moment may be a fault of a machine or a rack.
 const sameMoment = 100 * time.Millisecond
 
 // suspect is a segment under which endpoints have broken off since it was last answered.
 type suspect struct {
 	segment  id.Segment
 	crashed  map[id.Endpoint]bool
+	crashes  []time.Time // one for each endpoint
 	moments  []time.Time // of the crashes, without those at the same moment as another
-	position int         // largest index in a prompt
-	answered bool        // before the crashes
+	zones    map[id.Zone]bool
+	position int  // largest index in a prompt
+	answered bool // before the crashes
 }
 
 // IsDue reports whether it is time to decide about new reports.
@@ -29,6 +31,10 @@
 // prompts explain them as well, more crashes are awaited first, because prompts rarely have
 // all their segments in common. Then the segment closest to the end of the prompt is chosen:
 // the beginning of a prompt is common to more requests, most of which are sound.
+//
+// Requests with a crashing segment may arrive together and end many endpoints at the same
+// moment, as a failed rack does. Such crashes are counted one by one if they are too far apart
+// for one rack and have nothing else in common (isWidespread).
 func Decide(s *State, now time.Time) []id.Segment {
 	var out []id.Segment
 	s.dropOldReports(now)
@@ -59,24 +65,42 @@
 func (s *State) mostSuspect(now time.Time) (id.Segment, bool) {
 	suspects := s.suspects(now)
 	for _, x := range suspects {
-		n := s.requiredCrashes(x, suspects)
-		if len(x.moments) >= n && now.Sub(x.moments[n-1]) >= s.cfg.Wait {
+		if s.isProven(now, x, suspects) {
 			return x.segment, true
 		}
 	}
 	return 0, false
 }
 
-// requiredCrashes returns the number of crashes after which x, one of the suspects, is
-// quarantined.
-func (s *State) requiredCrashes(x suspect, suspects []suspect) int {
+// isProven reports whether x, one of the suspects, should be quarantined.
+func (s *State) isProven(now time.Time, x suspect, suspects []suspect) bool {
 	rival := func(y suspect) bool {
 		return y.segment != x.segment && !y.answered && containsAll(y.crashed, x.crashed)
 	}
+	isPast := func(crashes []time.Time, n int) bool {
+		return len(crashes) >= n && now.Sub(crashes[n-1]) >= s.cfg.Wait
+	}
 	if x.answered || slices.ContainsFunc(suspects, rival) {
-		return s.cfg.CertainCrashes
+		return isPast(x.moments, s.cfg.CertainCrashes)
+	}
+	return isPast(x.moments, s.cfg.Crashes) || isPast(x.crashes, s.cfg.CertainCrashes) && s.isWidespread(x)
+}
+
+// isWidespread reports whether the endpoints that crashed under x lie in several zones, and
+// are more than those that crashed at these times without it. A failed rack ends the
+// endpoints of one zone, and a larger failure also ends endpoints that have not got x.
+func (s *State) isWidespread(x suspect) bool {
+	if len(x.zones) < 2 {
+		return false
 	}
-	return s.cfg.Crashes
+	from, to := x.crashes[0].Add(-sameMoment), x.crashes[len(x.crashes)-1].Add(sameMoment)
+	others := make(map[id.Endpoint]bool)
+	for _, r := range s.reports {
+		if !r.receivedAt.Before(from) && !r.receivedAt.After(to) && !x.crashed[r.endpoint] {
+			others[r.endpoint] = true
+		}
+	}
+	return len(x.crashed) > len(others)
 }
 
 // suspects returns all suspects in the order in which they are considered: those that have
@@ -117,7 +141,7 @@
 	}
 	x, ok := found[segment]
 	if !ok {
-		x = &suspect{segment: segment, crashed: make(map[id.Endpoint]bool), answered: answered}
+		x = &suspect{segment: segment, crashed: make(map[id.Endpoint]bool), zones: make(map[id.Zone]bool), answered: answered}
 		found[segment] = x
 	}
 	x.position = max(x.position, i)
@@ -125,6 +149,10 @@
 		return
 	}
 	x.crashed[r.endpoint] = true
+	x.crashes = append(x.crashes, r.receivedAt)
+	if r.zone != "" {
+		x.zones[r.zone] = true
+	}
 	if n := len(x.moments); n == 0 || r.receivedAt.Sub(x.moments[n-1]) >= sameMoment {
 		x.moments = append(x.moments, r.receivedAt)
 	}
--- a/fleet/quarantine/quarantine.go
+++ b/fleet/quarantine/quarantine.go
@@ -28,8 +28,9 @@
 	// Crashes is the number of endpoints that must break off under a segment before it is
 	// quarantined. A single segment must explain them all.
 	Crashes int
-	// CertainCrashes is the same number if several segments explain the crashes, or if the
-	// segment has been answered before.
+	// CertainCrashes is the same number if several segments explain the crashes, if the
+	// segment has been answered before, or if endpoints of several zones break off at the
+	// same moment.
 	CertainCrashes int
 	// Wait is the time that the arbiter waits for objections to a report.
 	Wait time.Duration
@@ -86,6 +87,7 @@
 // report says that a run on an endpoint has broken off before it had produced much output.
 type report struct {
 	endpoint   id.Endpoint
+	zone       id.Zone      // of the endpoint; empty if unknown
 	segments   []id.Segment // in the order of the prompt
 	receivedAt time.Time
 }
--- a/fleet/quarantine/quarantine_test.go
+++ b/fleet/quarantine/quarantine_test.go
@@ -114,6 +114,51 @@
 	assert.Equal(t, len(quarantine.Decide(a.st, a.now)), 0)
 }
 
+// TestCrashesTogether guards against counting the crashes of a batch of requests as one, and
+// against blaming a segment for a failure that one rack or something else explains.
+func TestCrashesTogether(t *testing.T) {
+	batch := []id.Segment{bad}
+	for name, c := range map[string]struct {
+		zones    []id.Zone
+		segments []id.Segment
+		answered bool
+		others   int // endpoints that crash at the same moment without the segment
+		want     bool
+	}{
+		"several zones":              {zones: []id.Zone{"a", "b"}, segments: batch, want: true},
+		"a few others":               {zones: []id.Zone{"a", "b"}, segments: batch, others: 4, want: true},
+		"as many others":             {zones: []id.Zone{"a", "b"}, segments: batch, others: 5},
+		"one zone":                   {zones: []id.Zone{"a"}, segments: batch},
+		"unknown zones":              {zones: []id.Zone{"a", ""}, segments: batch},
+		"answered before":            {zones: []id.Zone{"a", "b"}, segments: batch, answered: true},
+		"another segment in common":  {zones: []id.Zone{"a", "b"}, segments: []id.Segment{first, bad}},
+		"answered segment in common": {zones: []id.Zone{"a", "b"}, segments: []id.Segment{last, bad}, want: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := newArbiter()
+			quarantine.Answered(a.st, a.now, "e", []id.Segment{last})
+			if c.answered {
+				quarantine.Answered(a.st, a.now, "e", []id.Segment{bad})
+			}
+			a.advance(time.Second)
+			for n := range 5 + c.others {
+				m := message.CrashReport{
+					Endpoint: id.Endpoint(fmt.Sprintf("e%d", n)), Segments: c.segments, Zone: c.zones[n%len(c.zones)],
+				}
+				if n >= 5 {
+					m.Segments = []id.Segment{id.Segment(1000 + n)}
+				}
+				quarantine.Report(a.st, a.now, m)
+			}
+			a.advance(100 * time.Millisecond)
+			assert.Equal(t, len(quarantine.Decide(a.st, a.now)), 0, "decided before the hosts could object")
+			a.advance(time.Second)
+			quarantine.Decide(a.st, a.now)
+			assert.Equal(t, a.isBlocked(bad), c.want)
+		})
+	}
+}
+
 // TestObjection guards against quarantining a segment before the other hosts could object,
 // and against an objection that clears a segment for good.
 func TestObjection(t *testing.T) {
--- a/fleet/quarantine/report.go
+++ b/fleet/quarantine/report.go
@@ -25,7 +25,7 @@
 	if len(s.reports) >= maxReports {
 		s.reports = slices.Delete(s.reports, 0, 1)
 	}
-	s.reports = append(s.reports, report{endpoint: m.Endpoint, segments: m.Segments, receivedAt: now})
+	s.reports = append(s.reports, report{endpoint: m.Endpoint, zone: m.Zone, segments: m.Segments, receivedAt: now})
 	if s.decideAt.IsZero() {
 		s.decideAt = now.Add(s.cfg.Wait)
 	}
