quarantine: a quarantined segment explains the whole crash

What callers may see: all engines are down because of a crashing segment, and a sound segment that the other runs on these engines have in common is quarantined after it, for an hour.

Cause: a crash breaks off all runs on the endpoint, and each is reported. The quarantine of a segment dropped only the reports that contain it. The reports of the other runs went on counting, and no engine was left whose answers could clear the segments in them.

Evidence: TestRunsBesideCrash reports two runs for each crash, one of them with the crashing segment, in both orders. It failed before: the sound segment, answered before the crashes, was blocked after five of them.

Change: all reports of an endpoint within 2 s of one that a quarantined segment explains are dropped or ignored. The endpoints are bounded as reports are.

--- a/fleet/quarantine/entry.go
+++ b/fleet/quarantine/entry.go
@@ -42,9 +42,17 @@
 	s.dropReports(segment)
 }
 
-// dropReports drops the reports that a quarantined segment explains.
+// dropReports drops the reports of the crashes that a quarantined segment explains, also
+// those of other runs that were on the same endpoints.
 func (s *State) dropReports(segment id.Segment) {
-	s.reports = slices.DeleteFunc(s.reports, func(r report) bool { return slices.Contains(r.segments, segment) })
+	for _, r := range s.reports {
+		if slices.Contains(r.segments, segment) {
+			s.explain(r.endpoint, r.receivedAt)
+		}
+	}
+	s.reports = slices.DeleteFunc(s.reports, func(r report) bool {
+		return slices.Contains(r.segments, segment) || s.isExplained(r.endpoint, r.receivedAt)
+	})
 }
 
 // release ends the quarantine of a segment that has been answered since its beginning, and
--- a/fleet/quarantine/quarantine.go
+++ b/fleet/quarantine/quarantine.go
@@ -77,6 +77,8 @@
 	reportsSince time.Time
 
 	entries map[id.Segment]*entry
+	// explained holds the endpoints that a quarantined segment has crashed, and when.
+	explained map[id.Endpoint]time.Time
 
 	// The segments that were answered in the current and in the previous half of
 	// Config.AnswerTTL.
@@ -97,6 +99,7 @@
 	return &State{
 		cfg:            cfg,
 		entries:        make(map[id.Segment]*entry),
+		explained:      make(map[id.Endpoint]time.Time),
 		answered:       make(map[id.Segment]time.Time),
 		answeredBefore: make(map[id.Segment]time.Time),
 	}
--- a/fleet/quarantine/quarantine_test.go
+++ b/fleet/quarantine/quarantine_test.go
@@ -159,6 +159,26 @@
 	}
 }
 
+// TestRunsBesideCrash guards against blaming a sound segment, while no engine is left to answer
+// it, for crashes that a quarantined segment explains: runs on the same endpoints break off
+// with them, and may be reported before or after.
+func TestRunsBesideCrash(t *testing.T) {
+	a := newArbiter()
+	quarantine.Answered(a.st, a.now, "e", []id.Segment{first})
+	for n := range 12 {
+		a.advance(time.Second)
+		ep := id.Endpoint(fmt.Sprintf("e%d", n))
+		reports := [][]id.Segment{{first, bad}, {first, id.Segment(1000 + n)}}
+		a.crashOf(ep, reports[n%2]...)
+		a.advance(5 * time.Millisecond)
+		a.crashOf(ep, reports[1-n%2]...)
+		a.advance(time.Second)
+		quarantine.Decide(a.st, a.now)
+	}
+	assert.Assert(t, a.isBlocked(bad))
+	assert.Assert(t, !a.isBlocked(first))
+}
+
 // TestObjection guards against quarantining a segment before the other hosts could object,
 // and against an objection that clears a segment for good.
 func TestObjection(t *testing.T) {
--- a/fleet/quarantine/report.go
+++ b/fleet/quarantine/report.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -12,13 +13,22 @@
 // it has not crashed. Earlier answers may have been on their way when it did.
 const aliveAfter = 500 * time.Millisecond
 
+// crashSpread is the time within which the reports of one crash arrive.
+const crashSpread = 2 * time.Second
+
 // Report records that a run on an endpoint has broken off before it had produced much
-// output. A prompt that has a quarantined segment says nothing about its other segments.
+// output. A prompt that has a quarantined segment explains the crash, and says nothing about
+// its other segments or other runs on the endpoint.
 func Report(s *State, now time.Time, m message.CrashReport) {
 	if len(m.Segments) == 0 {
 		return
 	}
 	if _, _, ok := Find(s, now, m.Segments); ok {
+		s.explain(m.Endpoint, now)
+		s.reports = slices.DeleteFunc(s.reports, func(r report) bool { return s.isExplained(r.endpoint, r.receivedAt) })
+		return
+	}
+	if s.isExplained(m.Endpoint, now) {
 		return
 	}
 	s.dropOldReports(now)
@@ -88,6 +98,20 @@
 	return s.reportsSent <= maxReportsPerSecond
 }
 
+// explain records that a quarantined segment has crashed an endpoint.
+func (s *State) explain(ep id.Endpoint, at time.Time) {
+	maps.DeleteFunc(s.explained, func(_ id.Endpoint, other time.Time) bool { return at.Sub(other) > s.cfg.ReportTTL })
+	if _, ok := s.explained[ep]; ok || len(s.explained) < maxReports {
+		s.explained[ep] = at
+	}
+}
+
+// isExplained reports whether a quarantined segment explains that an endpoint broke off.
+func (s *State) isExplained(ep id.Endpoint, at time.Time) bool {
+	explainedAt, ok := s.explained[ep]
+	return ok && at.Sub(explainedAt).Abs() <= crashSpread
+}
+
 func (s *State) dropOldReports(now time.Time) {
 	s.reports = slices.DeleteFunc(s.reports, func(r report) bool {
 		return now.Sub(r.receivedAt) > s.cfg.ReportTTL
