--- a/fleet/core/crash_test.go
+++ b/fleet/core/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -90,6 +91,51 @@
 	}
 }
 
+// TestCrashingSegmentLongPrompts guards against overlooking a crashing segment that follows very
+// many sound ones, and against blaming one of these for it: all engines are down most of the
+// time, so that they are rarely answered.
+func TestCrashingSegmentLongPrompts(t *testing.T) {
+	for _, n := range []int{66, 1300} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			t.Parallel()
+			f := newRelayFleet(t)
+			f.restart = 6 * time.Second
+			var common []id.Segment
+			for i := range n {
+				common = append(common, 0x5c000000+id.Segment(i))
+			}
+			segments := func(crashing bool) []id.Segment {
+				topic := 0x71000000 + id.Segment(f.rng.IntN(20))
+				if crashing {
+					topic = crashingSegment
+				}
+				return append(slices.Clone(common), topic)
+			}
+			f.advance(5*time.Second, 0, segments)
+			start := f.now
+			f.advance(20*time.Second, crashingRate, segments)
+			end := f.now
+			f.advance(2*time.Second, 0, nil)
+			assert.Assert(t, f.reachedAfterLimit() <= maxAfter, "%d requests, %d engines ended", f.reachedAfterLimit(), len(f.deaths))
+			share := f.begunShare(start.Add(2*contactTime+5*time.Second), end)
+			assert.Assert(t, share >= 0.95, "%.3f of the sound requests were served, refused %v", share, f.refused)
+		})
+	}
+}
+
+// TestTruncatedSegments guards against blaming known segments for a crash under a prompt that has
+// more segments than its host knows, or the segments of other runs on the same engines.
+func TestTruncatedSegments(t *testing.T) {
+	f := newRelayFleet(t)
+	f.restart = 6 * time.Second
+	segments := func(bool) []id.Segment { return []id.Segment{sharedSegment} }
+	f.advance(5*time.Second, 0, segments)
+	f.truncated = true
+	f.advance(20*time.Second, 10*crashingRate, segments)
+	assert.Assert(t, len(f.deaths) > 2*maxSpared, "%d engines ended", len(f.deaths))
+	assert.Equal(t, f.refused[core.CodeQuarantined], 0, "refused %v", f.refused)
+}
+
 // TestCrashingSegmentAnsweredBefore guards against trusting a segment for good because it
 // was answered before.
 func TestCrashingSegmentAnsweredBefore(t *testing.T) {
--- a/fleet/core/crashbatch_test.go
+++ b/fleet/core/crashbatch_test.go
@@ -64,6 +64,32 @@
 	}
 }
 
+// TestCrashingBatchesRestarts guards against needing more batches than a host lives: the hosts
+// start again one after the other, and each forgets the reports that it had.
+func TestCrashingBatchesRestarts(t *testing.T) {
+	f := newBatchFleet(t, 1)
+	f.restart = 6 * time.Second
+	segments := func(crashing bool) []id.Segment {
+		if crashing {
+			return []id.Segment{sharedSegment, crashingSegment}
+		}
+		return []id.Segment{sharedSegment}
+	}
+	f.advance(10*time.Second, 0, segments)
+	for n := range 32 {
+		if n%8 == 0 {
+			for range 10 {
+				f.sendRequest("crash", segments(true))
+			}
+		}
+		f.advance(500*time.Millisecond, 0, segments)
+		f.startHost(f.names[n%len(f.names)], id.Incarnation(n+2))
+		f.advance(500*time.Millisecond, 0, segments)
+	}
+	assert.Assert(t, f.reachedAfterLimit() <= maxAfter, "%d requests reached an engine, %d engines ended, refused %v",
+		f.reachedAfterLimit(), len(f.deaths), f.refused)
+}
+
 // TestZonePowerLoss guards against refusing requests because most engines, all of one zone, lose
 // power at the same moment while many requests with the same new segment begin.
 func TestZonePowerLoss(t *testing.T) {
--- a/fleet/core/event.go
+++ b/fleet/core/event.go
@@ -29,6 +29,10 @@
 	Digest         string        // digest of method, path and body; services only
 	Expected       int64         // output tokens that the caller expects; 0 means unknown
 	Timeout        time.Duration // how long the caller waits for the response; 0 means no limit
+
+	// SegmentsTruncated means that Segments lacks some, so that a failed run says nothing about
+	// the others.
+	SegmentsTruncated bool
 }
 
 // CallerGone reports that the caller of a request has disconnected.
--- a/fleet/core/quarantine.go
+++ b/fleet/core/quarantine.go
@@ -18,6 +18,9 @@
 // beginning to answer the prompt.
 const provenEvents = 8
 
+// maxTracedSegments bounds the segments, from the end of the prompt, that a trace names.
+const maxTracedSegments = 16
+
 // recordBrokenRun reports a stream that has broken off, unless it had produced enough output
 // to prove the prompt sound.
 func (s *step) recordBrokenRun(r *request, ev RunFailed) {
@@ -29,7 +32,10 @@
 		return
 	}
 	m := message.CrashReport{Endpoint: ev.Endpoint, Segments: r.Segments, Zone: s.zoneOf(ev.Endpoint)}
-	if !quarantine.AllowReport(s.quarantine, s.now) {
+	if r.SegmentsTruncated {
+		m.Segments, m.Truncated = nil, true
+	}
+	if !quarantine.AllowReport(s.quarantine, s.now, len(m.Segments)) {
 		return
 	}
 	s.handleCrashReport(m)
--- a/fleet/core/relay.go
+++ b/fleet/core/relay.go
@@ -206,7 +206,7 @@
 // relayFailed handles a failed prefill or a stream that broke before its end marker.
 func (s *step) relayFailed(r *request, ev RunFailed) {
 	r.addTrace(s.now, "attempt %d failed on %s: %s (not-run %t, %d events), segments %v",
-		r.attempt, ev.Endpoint, ev.Code, ev.NotRun, r.delivered-r.decodeFrom, r.Segments)
+		r.attempt, ev.Endpoint, ev.Code, ev.NotRun, r.delivered-r.decodeFrom, r.Segments[max(len(r.Segments)-maxTracedSegments, 0):])
 	// An attempt that has delivered events has run, whatever its endpoint states.
 	ran := r.stage == StageDecode && (!ev.NotRun || r.delivered > r.decodeFrom)
 	if r.stage == StageDecode && !ran {
--- a/fleet/core/relayfleet_test.go
+++ b/fleet/core/relayfleet_test.go
@@ -59,6 +59,7 @@
 	engines      map[id.Endpoint]string // live engines with their addresses
 	azs          map[string]id.Zone     // by address
 	prefills     int                    // prefill engines
+	truncated    bool                   // the hosts don't know all segments of crashing prompts
 	running      map[id.Endpoint]map[id.Request]decodeRun
 	pending      []pendingCall
 	sent         int
@@ -382,7 +383,7 @@
 	}
 	f.reduce(f.names[f.rng.IntN(len(f.names))], core.RequestArrived{
 		Request: req, Route: "once", Account: "a", Key: "k", PromptTokens: 1000, MaxTokens: 500,
-		Segments: segments, Timeout: relayTimeout,
+		Segments: segments, SegmentsTruncated: f.truncated && kind == "crash", Timeout: relayTimeout,
 	})
 }
 
--- a/fleet/message/message.go
+++ b/fleet/message/message.go
@@ -278,6 +278,10 @@
 	Endpoint id.Endpoint  `cbor:"1,keyasint"`
 	Segments []id.Segment `cbor:"2,keyasint"`           // shared segments of the prompt, in their order
 	Zone     id.Zone      `cbor:"3,keyasint,omitempty"` // availability zone of the endpoint, if known
+
+	// Truncated means that the prompt has more segments than its host knows. Then Segments is
+	// empty, and the crash says nothing about any segment.
+	Truncated bool `cbor:"4,keyasint,omitempty"`
 }
 
 // CrashRebuttal objects to CrashReports.
--- a/fleet/quarantine/decide.go
+++ b/fleet/quarantine/decide.go
@@ -77,6 +77,9 @@
 	rival := func(y suspect) bool {
 		return y.segment != x.segment && !y.answered && containsAll(y.crashed, x.crashed)
 	}
+	if len(x.crashes) < s.cfg.Crashes {
+		return false
+	}
 	isPast := func(crashes []time.Time, n int) bool {
 		return len(crashes) >= n && now.Sub(crashes[n-1]) >= s.cfg.Wait
 	}
@@ -103,13 +106,21 @@
 	return len(x.crashed) > len(others)
 }
 
-// suspects returns all suspects in the order in which they are considered: those that have
+// suspects returns all suspects with enough reports in the order in which they are considered: those that have
 // not been answered first, then by the number of crashes and the position in the prompt.
 func (s *State) suspects(now time.Time) []suspect {
+	count := make(map[id.Segment]int)
+	for _, r := range s.reports {
+		for _, segment := range r.segments {
+			count[segment]++
+		}
+	}
 	found := make(map[id.Segment]*suspect)
 	for _, r := range s.reports {
 		for i, segment := range r.segments {
-			s.addCrash(now, found, r, i, segment)
+			if count[segment] >= s.cfg.Crashes {
+				s.addCrash(now, found, r, i, segment)
+			}
 		}
 	}
 	out := make([]suspect, 0, len(found))
--- a/fleet/quarantine/quarantine.go
+++ b/fleet/quarantine/quarantine.go
@@ -57,10 +57,16 @@
 const (
 	// maxReports bounds the reports that a host keeps. The oldest are dropped first.
 	maxReports = 256
+	// maxReportSegments bounds the segments of all reports that a host keeps.
+	maxReportSegments = 64 << 10
 	// maxReportsPerSecond bounds the reports that a host sends.
 	maxReportsPerSecond = 10
-	// maxAnswers bounds the answered segments of one half of Config.AnswerTTL.
-	maxAnswers = 4096
+	// maxSegmentsPerSecond bounds the segments of the reports that a host sends. Each other
+	// host may send as many objections.
+	maxSegmentsPerSecond = 16 << 10
+	// maxAnswers bounds the answered segments of one half of Config.AnswerTTL. It is several
+	// times the number of segments that a prompt may have.
+	maxAnswers = 16 << 10
 	// maxEntries bounds the entries that a host keeps and passes on.
 	maxEntries = 64
 )
@@ -74,6 +80,7 @@
 	decideAt time.Time
 
 	reportsSent  int // since reportsSince
+	segmentsSent int // in these reports
 	reportsSince time.Time
 
 	entries map[id.Segment]*entry
--- a/fleet/quarantine/quarantine_test.go
+++ b/fleet/quarantine/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -244,11 +245,35 @@
 	assert.Equal(t, len(quarantine.Entries(a.st, a.now)), 64)
 	allowed := 0
 	for range 100 {
-		if quarantine.AllowReport(a.st, a.now) {
+		if quarantine.AllowReport(a.st, a.now, 1) {
 			allowed++
 		}
 	}
 	assert.Equal(t, allowed, 10)
+	a.advance(time.Second)
+	assert.Assert(t, quarantine.AllowReport(a.st, a.now, 10_000))
+	assert.Assert(t, !quarantine.AllowReport(a.st, a.now, 10_000), "20,000 segments in a second")
+}
+
+// TestLongPrompts guards against memory bounds that drop the reports about long prompts before
+// they suffice for a decision, and against forgetting the answers to a long prompt at once.
+func TestLongPrompts(t *testing.T) {
+	const segments = 4096
+	a := newArbiter()
+	var prompt []id.Segment
+	for n := range segments {
+		prompt = append(prompt, 0x10000+id.Segment(n))
+	}
+	quarantine.Answered(a.st, a.now, "e", prompt)
+	for n := range 2 {
+		assert.Equal(t, len(a.crash(append(slices.Clone(prompt), bad)...)), 0, "crash %d", n)
+	}
+	assert.DeepEqual(t, a.crash(append(slices.Clone(prompt), bad)...), []id.Segment{bad})
+	for range 20 {
+		a.crash(append(slices.Clone(prompt), id.Segment(1000+a.n))...)
+		quarantine.Answered(a.st, a.now, "e", prompt)
+	}
+	assert.Equal(t, len(quarantine.Entries(a.st, a.now)), 1, "a sound segment is quarantined")
 }
 
 // TestRepeatedObjection guards against an objection with each answer for as long as a report
--- a/fleet/quarantine/report.go
+++ b/fleet/quarantine/report.go
@@ -18,12 +18,13 @@
 
 // Report records that a run on an endpoint has broken off before it had produced much
 // output. A prompt that has a quarantined segment explains the crash, and says nothing about
-// its other segments or other runs on the endpoint.
+// its other segments or other runs on the endpoint. The same holds for a prompt with unknown
+// segments.
 func Report(s *State, now time.Time, m message.CrashReport) {
-	if len(m.Segments) == 0 {
+	if len(m.Segments) == 0 && !m.Truncated {
 		return
 	}
-	if _, _, ok := Find(s, now, m.Segments); ok {
+	if _, _, ok := Find(s, now, m.Segments); ok || m.Truncated {
 		s.explain(m.Endpoint, now)
 		s.reports = slices.DeleteFunc(s.reports, func(r report) bool { return s.isExplained(r.endpoint, r.receivedAt) })
 		return
@@ -32,9 +33,7 @@
 		return
 	}
 	s.dropOldReports(now)
-	if len(s.reports) >= maxReports {
-		s.reports = slices.Delete(s.reports, 0, 1)
-	}
+	s.dropExcessReports(len(m.Segments))
 	s.reports = append(s.reports, report{endpoint: m.Endpoint, zone: m.Zone, segments: m.Segments, receivedAt: now})
 	if s.decideAt.IsZero() {
 		s.decideAt = now.Add(s.cfg.Wait)
@@ -46,8 +45,9 @@
 // the arbiter should receive, and false if there is none. A host objects to a report once.
 func Answered(s *State, now time.Time, ep id.Endpoint, segments []id.Segment) (message.CrashRebuttal, bool) {
 	var out message.CrashRebuttal
+	suspects := s.suspectsAmong(now, segments)
 	for _, segment := range segments {
-		if s.isSuspect(now, segment) || s.isBlocked(now, segment) {
+		if suspects[segment] || s.isBlocked(now, segment) {
 			out.Answered = append(out.Answered, message.AnsweredSegment{Segment: segment})
 		}
 		s.recordAnswer(now, segment, now)
@@ -88,14 +88,30 @@
 	return released
 }
 
-// AllowReport reports whether this host may send a report to all hosts. A cut link breaks off
-// many runs at once, and says nothing about their prompts.
-func AllowReport(s *State, now time.Time) bool {
+// AllowReport reports whether this host may send a report with the given number of segments
+// to all hosts. A cut link breaks off many runs at once, and says nothing about their prompts.
+func AllowReport(s *State, now time.Time, segments int) bool {
 	if now.Sub(s.reportsSince) >= time.Second {
-		s.reportsSince, s.reportsSent = now, 0
+		s.reportsSince, s.reportsSent, s.segmentsSent = now, 0, 0
 	}
 	s.reportsSent++
-	return s.reportsSent <= maxReportsPerSecond
+	s.segmentsSent += segments
+	return s.reportsSent <= maxReportsPerSecond && s.segmentsSent <= maxSegmentsPerSecond
+}
+
+// dropExcessReports drops the oldest reports until there is room for one with the given
+// number of segments. A report is never kept in part: its crash could be blamed on a sound
+// segment.
+func (s *State) dropExcessReports(segments int) {
+	for _, r := range s.reports {
+		segments += len(r.segments)
+	}
+	n := 0
+	for n < len(s.reports) && (len(s.reports)-n >= maxReports || segments > maxReportSegments) {
+		segments -= len(s.reports[n].segments)
+		n++
+	}
+	s.reports = slices.Delete(s.reports, 0, n)
 }
 
 // explain records that a quarantined segment has crashed an endpoint.
@@ -123,12 +139,24 @@
 	s.reports = slices.DeleteFunc(s.reports, func(r report) bool { return slices.Contains(eps, r.endpoint) })
 }
 
-// isSuspect reports whether there is a report about a segment since its last answer.
-func (s *State) isSuspect(now time.Time, segment id.Segment) bool {
-	answeredAt, _ := s.answeredAt(now, segment)
-	return slices.ContainsFunc(s.reports, func(r report) bool {
-		return !r.receivedAt.Before(answeredAt) && slices.Contains(r.segments, segment)
-	})
+// suspectsAmong returns those segments about which there is a report since their last answer.
+func (s *State) suspectsAmong(now time.Time, segments []id.Segment) map[id.Segment]bool {
+	if len(s.reports) == 0 {
+		return nil
+	}
+	answered := make(map[id.Segment]time.Time, len(segments))
+	for _, segment := range segments {
+		answered[segment], _ = s.answeredAt(now, segment)
+	}
+	out := make(map[id.Segment]bool)
+	for _, r := range s.reports {
+		for _, segment := range r.segments {
+			if at, ok := answered[segment]; ok && !r.receivedAt.Before(at) {
+				out[segment] = true
+			}
+		}
+	}
+	return out
 }
 
 // isAlive reports whether an answer at now contradicts a report about an endpoint.
