--- a/fleet/core/quarantine.go
+++ b/fleet/core/quarantine.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -17,6 +18,9 @@
 // beginning to answer the prompt.
 const provenEvents = 8
 
+// maxTracedSegments bounds the segments, from the end of the prompt, that a trace names.
+const maxTracedSegments = 16
+
 // recordBrokenRun reports a stream that has broken off, unless it had produced enough output
 // to prove the prompt sound.
 func (s *step) recordBrokenRun(r *request, ev RunFailed) {
@@ -27,14 +31,24 @@
 		s.recordAnswer(r, "")
 		return
 	}
-	m := message.CrashReport{Endpoint: ev.Endpoint, Segments: r.Segments}
-	if !quarantine.AllowReport(s.quarantine, s.now) {
+	m := message.CrashReport{Endpoint: ev.Endpoint, Segments: r.Segments, Zone: s.zoneOf(ev.Endpoint)}
+	if r.SegmentsTruncated {
+		m.Segments, m.Truncated = nil, true
+	}
+	if !quarantine.AllowReport(s.quarantine, s.now, len(m.Segments)) {
 		return
 	}
 	s.handleCrashReport(m)
 	s.broadcast("", m)
 }
 
+// zoneOf returns the availability zone of an endpoint, or an empty name if the table does not
+// have the endpoint.
+func (s *step) zoneOf(ep id.Endpoint) id.Zone {
+	e := s.snapshot().Endpoints[ep]
+	return cmp.Or(e.AZ, e.Zone)
+}
+
 // recordAnswer records an answer to the prompt of a request. ep is the endpoint if its answer
 // is complete, and empty if it has broken off.
 func (s *step) recordAnswer(r *request, ep id.Endpoint) {
--- a/fleet/quarantine/quarantine.go
+++ b/fleet/quarantine/quarantine.go
@@ -28,8 +28,9 @@
 	// Crashes is the number of endpoints that must break off under a segment before it is
 	// quarantined. A single segment must explain them all.
 	Crashes int
-	// CertainCrashes is the same number if several segments explain the crashes, or if the
-	// segment has been answered before.
+	// CertainCrashes is the same number if several segments explain the crashes, if the
+	// segment has been answered before, or if endpoints of several zones break off at the
+	// same moment.
 	CertainCrashes int
 	// Wait is the time that the arbiter waits for objections to a report.
 	Wait time.Duration
@@ -56,10 +57,16 @@
 const (
 	// maxReports bounds the reports that a host keeps. The oldest are dropped first.
 	maxReports = 256
+	// maxReportSegments bounds the segments of all reports that a host keeps.
+	maxReportSegments = 64 << 10
 	// maxReportsPerSecond bounds the reports that a host sends.
 	maxReportsPerSecond = 10
-	// maxAnswers bounds the answered segments of one half of Config.AnswerTTL.
-	maxAnswers = 4096
+	// maxSegmentsPerSecond bounds the segments of the reports that a host sends. Each other
+	// host may send as many objections.
+	maxSegmentsPerSecond = 16 << 10
+	// maxAnswers bounds the answered segments of one half of Config.AnswerTTL. It is several
+	// times the number of segments that a prompt may have.
+	maxAnswers = 16 << 10
 	// maxEntries bounds the entries that a host keeps and passes on.
 	maxEntries = 64
 )
@@ -73,9 +80,12 @@
 	decideAt time.Time
 
 	reportsSent  int // since reportsSince
+	segmentsSent int // in these reports
 	reportsSince time.Time
 
 	entries map[id.Segment]*entry
+	// explained holds the endpoints that a quarantined segment has crashed, and when.
+	explained map[id.Endpoint]time.Time
 
 	// The segments that were answered in the current and in the previous half of
 	// Config.AnswerTTL.
@@ -86,6 +96,7 @@
 // report says that a run on an endpoint has broken off before it had produced much output.
 type report struct {
 	endpoint   id.Endpoint
+	zone       id.Zone      // of the endpoint; empty if unknown
 	segments   []id.Segment // in the order of the prompt
 	receivedAt time.Time
 }
@@ -95,6 +106,7 @@
 	return &State{
 		cfg:            cfg,
 		entries:        make(map[id.Segment]*entry),
+		explained:      make(map[id.Endpoint]time.Time),
 		answered:       make(map[id.Segment]time.Time),
 		answeredBefore: make(map[id.Segment]time.Time),
 	}
--- a/fleet/quarantine/quarantine_test.go
+++ b/fleet/quarantine/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -114,6 +115,71 @@
 	assert.Equal(t, len(quarantine.Decide(a.st, a.now)), 0)
 }
 
+// TestCrashesTogether guards against counting the crashes of a batch of requests as one, and
+// against blaming a segment for a failure that one rack or something else explains.
+func TestCrashesTogether(t *testing.T) {
+	batch := []id.Segment{bad}
+	for name, c := range map[string]struct {
+		zones    []id.Zone
+		segments []id.Segment
+		answered bool
+		others   int // endpoints that crash at the same moment without the segment
+		want     bool
+	}{
+		"several zones":              {zones: []id.Zone{"a", "b"}, segments: batch, want: true},
+		"a few others":               {zones: []id.Zone{"a", "b"}, segments: batch, others: 4, want: true},
+		"as many others":             {zones: []id.Zone{"a", "b"}, segments: batch, others: 5},
+		"one zone":                   {zones: []id.Zone{"a"}, segments: batch},
+		"unknown zones":              {zones: []id.Zone{"a", ""}, segments: batch},
+		"answered before":            {zones: []id.Zone{"a", "b"}, segments: batch, answered: true},
+		"another segment in common":  {zones: []id.Zone{"a", "b"}, segments: []id.Segment{first, bad}},
+		"answered segment in common": {zones: []id.Zone{"a", "b"}, segments: []id.Segment{last, bad}, want: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := newArbiter()
+			quarantine.Answered(a.st, a.now, "e", []id.Segment{last})
+			if c.answered {
+				quarantine.Answered(a.st, a.now, "e", []id.Segment{bad})
+			}
+			a.advance(time.Second)
+			for n := range 5 + c.others {
+				m := message.CrashReport{
+					Endpoint: id.Endpoint(fmt.Sprintf("e%d", n)), Segments: c.segments, Zone: c.zones[n%len(c.zones)],
+				}
+				if n >= 5 {
+					m.Segments = []id.Segment{id.Segment(1000 + n)}
+				}
+				quarantine.Report(a.st, a.now, m)
+			}
+			a.advance(100 * time.Millisecond)
+			assert.Equal(t, len(quarantine.Decide(a.st, a.now)), 0, "decided before the hosts could object")
+			a.advance(time.Second)
+			quarantine.Decide(a.st, a.now)
+			assert.Equal(t, a.isBlocked(bad), c.want)
+		})
+	}
+}
+
+// TestRunsBesideCrash guards against blaming a sound segment, while no engine is left to answer
+// it, for crashes that a quarantined segment explains: runs on the same endpoints break off
+// with them, and may be reported before or after.
+func TestRunsBesideCrash(t *testing.T) {
+	a := newArbiter()
+	quarantine.Answered(a.st, a.now, "e", []id.Segment{first})
+	for n := range 12 {
+		a.advance(time.Second)
+		ep := id.Endpoint(fmt.Sprintf("e%d", n))
+		reports := [][]id.Segment{{first, bad}, {first, id.Segment(1000 + n)}}
+		a.crashOf(ep, reports[n%2]...)
+		a.advance(5 * time.Millisecond)
+		a.crashOf(ep, reports[1-n%2]...)
+		a.advance(time.Second)
+		quarantine.Decide(a.st, a.now)
+	}
+	assert.Assert(t, a.isBlocked(bad))
+	assert.Assert(t, !a.isBlocked(first))
+}
+
 // TestObjection guards against quarantining a segment before the other hosts could object,
 // and against an objection that clears a segment for good.
 func TestObjection(t *testing.T) {
@@ -179,11 +245,35 @@
 	assert.Equal(t, len(quarantine.Entries(a.st, a.now)), 64)
 	allowed := 0
 	for range 100 {
-		if quarantine.AllowReport(a.st, a.now) {
+		if quarantine.AllowReport(a.st, a.now, 1) {
 			allowed++
 		}
 	}
 	assert.Equal(t, allowed, 10)
+	a.advance(time.Second)
+	assert.Assert(t, quarantine.AllowReport(a.st, a.now, 10_000))
+	assert.Assert(t, !quarantine.AllowReport(a.st, a.now, 10_000), "20,000 segments in a second")
+}
+
+// TestLongPrompts guards against memory bounds that drop the reports about long prompts before
+// they suffice for a decision, and against forgetting the answers to a long prompt at once.
+func TestLongPrompts(t *testing.T) {
+	const segments = 4096
+	a := newArbiter()
+	var prompt []id.Segment
+	for n := range segments {
+		prompt = append(prompt, 0x10000+id.Segment(n))
+	}
+	quarantine.Answered(a.st, a.now, "e", prompt)
+	for n := range 2 {
+		assert.Equal(t, len(a.crash(append(slices.Clone(prompt), bad)...)), 0, "crash %d", n)
+	}
+	assert.DeepEqual(t, a.crash(append(slices.Clone(prompt), bad)...), []id.Segment{bad})
+	for range 20 {
+		a.crash(append(slices.Clone(prompt), id.Segment(1000+a.n))...)
+		quarantine.Answered(a.st, a.now, "e", prompt)
+	}
+	assert.Equal(t, len(quarantine.Entries(a.st, a.now)), 1, "a sound segment is quarantined")
 }
 
 // TestRepeatedObjection guards against an objection with each answer for as long as a report
