core: Answer requests that are open at the end of a shutdown

At the end of the grace period of a stopped host, callers saw their connections close without an answer while an endpoint still worked on their requests, among them calls that may not be repeated. expireDrain refused only requests that no endpoint worked on; calls and streams without an event stayed open until the process was killed.

TestLeavingHostEndsRuns failed for calls and for streams without an event: no effect had ended them 300 ms after the end of the drain.

Such requests now have 250 ms more than the others. Then they are cancelled and refused as outcome-unknown (502 on the platform's protocol), which makes no promise. A stream that has begun goes on until the process ends, since its caller can get no other answer.

--- a/fleet/core/drain.go
+++ b/fleet/core/drain.go
@@ -7,6 +7,10 @@
 	"ragwortshunt.example/fleet/member"
 )
 
+// drainRunTime is how much longer than other requests those are kept that an endpoint works on
+// when a draining host must end. Their answers then still reach their callers.
+const drainRunTime = 250 * time.Millisecond
+
 // drainCallReserve is the time that a draining host keeps for the answer to a call. It is
 // much longer than most calls take, because a sound endpoint may be silent for a while.
 const drainCallReserve = 2500 * time.Millisecond
@@ -58,19 +62,37 @@
 	return false
 }
 
-// expireDrain refuses the requests that no endpoint works on when a draining host must end.
-// Otherwise their connections would be closed without an answer.
+// expireDrain ends the requests that are open when a draining host must end. Otherwise their
+// connections would be closed without an answer. Requests that an endpoint works on end
+// drainRunTime later. A stream that has begun goes on until the process ends, because no other
+// answer to it is possible.
 func (s *step) expireDrain() {
 	if !s.draining || s.drainExpired || s.drainEnd.IsZero() || s.now.Before(s.drainEnd) {
 		return
 	}
-	s.drainExpired = true
+	s.drainExpired = !s.now.Before(s.drainEnd.Add(drainRunTime))
 	for _, r := range s.sortedRequests() {
-		r.addTrace(s.now, "open in stage %s at the end of the shutdown", r.stage)
-		if r.stage == StageCall || r.stage == StageDecode {
+		begun := r.delivered > 0
+		switch running := r.stage == StageCall || r.stage == StageDecode; {
+		case (running || begun) && !s.drainExpired:
+		case begun:
 			s.logTrace(r, "Request is open at the end of the shutdown.", CodeLeaving)
-			continue
+		default:
+			s.endWithDrain(r)
 		}
-		s.refuse(r, CodeLeaving, "this host is leaving", drainRetryAfter)
 	}
 }
+
+// endWithDrain ends a request at the end of the shutdown. Its caller learns whether it may have
+// run.
+func (s *step) endWithDrain(r *request) {
+	r.addTrace(s.now, "open in stage %s at the end of the shutdown", r.stage)
+	if r.stage == StageCall {
+		s.abandonCall(r)
+	}
+	if r.mayHaveRun() {
+		s.refuse(r, CodeOutcomeUnknown, "this host ends before the endpoint has answered; the request may have run", 0)
+		return
+	}
+	s.refuse(r, CodeLeaving, "this host is leaving", drainRetryAfter)
+}
--- a/fleet/core/drain_test.go
+++ b/fleet/core/drain_test.go
@@ -50,3 +50,51 @@
 	}
 	assert.DeepEqual(t, refused, []id.Request{"late30", "late48", "queued"})
 }
+
+// TestLeavingHostEndsRuns guards against connections that are closed without an answer because
+// an endpoint still works on their requests when a host that is leaving must end. An answer
+// that has begun is not ended early, and an answer that arrives in the last moments is passed
+// on.
+func TestLeavingHostEndsRuns(t *testing.T) {
+	const within = 3 * time.Second
+	for _, tt := range []struct {
+		name  string
+		route id.Route
+		begun bool // the stream has begun
+		reply bool // the endpoint answers after the time of the drain
+		want  core.Effect
+	}{
+		{name: "unsafe call", route: "unsafe", want: core.Refuse{}},
+		{name: "safe call", route: "safe", want: core.Refuse{}},
+		{name: "call with a late answer", route: "unsafe", reply: true, want: core.Reply{}},
+		{name: "stream without an event", route: "once", want: core.Refuse{}},
+		{name: "resumable stream without an event", route: "resumable", want: core.Refuse{}},
+		{name: "stream that has begun", route: "once", begun: true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newRelayHost(t)
+			out := h.sendRequest("r", tt.route)
+			if tt.route == "once" || tt.route == "resumable" {
+				d := h.completePrefill(out)
+				if tt.begun {
+					h.reduce(core.TokensArrived{Request: "r", Attempt: d.Attempt, Tokens: []string{"event"}})
+				}
+			}
+			h.reduce(core.DrainRequested{Within: within})
+			out = h.advance(within + 100*time.Millisecond)
+			assert.Assert(t, !has(out, core.Refuse{}) && !has(out, core.Stopped{}), "%+v", out)
+			if tt.reply {
+				out = h.reduce(core.ServiceDone{Request: "r", Attempt: 1, Status: 200})
+			}
+			out = append(out, h.advance(200*time.Millisecond)...)
+			assert.Equal(t, has(out, core.Refuse{}) || has(out, core.Reply{}), tt.want != nil, "%+v", out)
+			if tt.want == nil {
+				return
+			}
+			if refused, ok := find(t, out, tt.want).(core.Refuse); ok {
+				assert.Assert(t, !refused.NotRun && refused.Code == core.CodeOutcomeUnknown, "%+v", refused)
+				assert.Assert(t, has(out, core.CancelRun{}), "%+v", out)
+			}
+		})
+	}
+}
--- a/fleet/core/relay.go
+++ b/fleet/core/relay.go
@@ -185,6 +185,15 @@
 	return true
 }
 
+// abandonCall cancels the running call of a request that ends without its answer. The call may
+// have run.
+func (s *step) abandonCall(r *request) {
+	s.endCall(r)
+	s.cancelRun(r.Request, r.attempt, r.decode)
+	r.ranEarlier = true
+	r.dispatched = false
+}
+
 // relayCallFailed retries a call that did not run or whose route is idempotent.
 // Otherwise it forwards the endpoint's reply, if there is one.
 func (s *step) relayCallFailed(r *request, ev RunFailed) {
@@ -323,10 +332,7 @@
 		return false
 	}
 	if r.stage == StageCall {
-		s.endCall(r)
-		s.cancelRun(r.Request, r.attempt, r.decode)
-		r.ranEarlier = true
-		r.dispatched = false
+		s.abandonCall(r)
 	}
 	s.refuse(r, CodeDeadline, "the time of the request has passed", 0)
 	return true
