core: Decide on measured times whether a stopping host starts a call

Callers of a service whose answers take seconds had their calls accepted late in the grace period of a stopped host, and cut at its end. The decision assumed that any call ends within 2.5 s; it was taken once, on arrival, and a failed call was repeated at any time.

TestLeavingHostMeasuresCalls, TestLeavingHostStartsNoLateAttempt and TestStopAnnounced failed: the calls were started.

A draining host now starts a call only if the longest of the last answers of its service, or the age of a call that has no answer yet, fits into the time left, with 2.5 s for a silence of the endpoint; a shorter timeout of the call counts instead. The same holds for each later attempt. What has not run is refused with 503 and a short Retry-After. While the balancer still sends new connections (StopAnnounced), requests are refused only if their answers usually take longer than the whole time left.

--- a/fleet/core/core.go
+++ b/fleet/core/core.go
@@ -193,6 +193,7 @@
 	views            views
 	avoid            map[id.Endpoint]time.Time // end of the exclusion of a service endpoint
 	serviceStats     map[id.Endpoint]callStats // by service endpoint; relay mode only
+	durations        map[id.Pool]runDurations  // by retryBudgetKey; relay mode only
 	outstandingCalls map[id.Endpoint]int       // outstanding service calls of this host
 	unreachable      map[id.Endpoint]bool      // the last call could not reach the endpoint
 	engineProgress   map[id.Endpoint]time.Time // time of the last event of each decode engine
@@ -207,7 +208,7 @@
 	restoredEra      uint64 // era that began with the last restore of the store that this host has seen; 0 if none
 	peerVersionKnown bool   // a peer has reported its table version
 	draining         bool
-	drainEnd         time.Time // when a draining host must end; zero means none
+	drainEnd         time.Time // when this host must end; zero means none
 	drainExpired     bool      // drainEnd has passed
 	lastRequestEnd   time.Time // end of the last request of a draining host
 	stopped          bool
@@ -235,6 +236,7 @@
 		roleChanges:      make(map[id.Endpoint]roleChange),
 		avoid:            make(map[id.Endpoint]time.Time),
 		serviceStats:     make(map[id.Endpoint]callStats),
+		durations:        make(map[id.Pool]runDurations),
 		outstandingCalls: make(map[id.Endpoint]int),
 		unreachable:      make(map[id.Endpoint]bool),
 		engineProgress:   make(map[id.Endpoint]time.Time),
@@ -291,6 +293,8 @@
 		s.peerFailed(ev.Host)
 	case Tick:
 		s.tick()
+	case StopAnnounced:
+		s.drainEnd = s.now.Add(ev.Within)
 	case DrainRequested:
 		s.drain(ev)
 	default:
--- a/fleet/core/drain.go
+++ b/fleet/core/drain.go
@@ -3,17 +3,23 @@
 import (
 	"time"
 
+	"ragwortshunt.example/fleet/id"
 	"ragwortshunt.example/fleet/limit"
 	"ragwortshunt.example/fleet/member"
+	"ragwortshunt.example/fleet/table"
 )
 
-// drainRunTime is how much longer than other requests those are kept that an endpoint works on
-// when a draining host must end. Their answers then still reach their callers.
-const drainRunTime = 250 * time.Millisecond
-
-// drainCallReserve is the time that a draining host keeps for the answer to a call. It is
-// much longer than most calls take, because a sound endpoint may be silent for a while.
-const drainCallReserve = 2500 * time.Millisecond
+const (
+	// drainCallReserve is added to the time that the answer to a call is expected to take on a
+	// draining host, because a sound endpoint may be silent for a while.
+	drainCallReserve = 2500 * time.Millisecond
+	// drainRetryAfter is the Retry-After value that a draining host sends. It is short,
+	// because other hosts are ready.
+	drainRetryAfter = 20 * time.Millisecond
+	// drainRunTime is how much longer than other requests those are kept that an endpoint
+	// works on when a draining host must end. Their answers then still reach their callers.
+	drainRunTime = 250 * time.Millisecond
+)
 
 // drain starts a graceful shutdown. The host accepts no new requests (except those of
 // acceptsWhileDraining), finishes the running ones and hands over its rate shares.
@@ -94,5 +100,67 @@
 		s.refuse(r, CodeOutcomeUnknown, "this host ends before the endpoint has answered; the request may have run", 0)
 		return
 	}
+	s.refuseLeaving(r)
+}
+
+// refuseLeaving refuses a request that has not run, so that its caller turns to another host.
+func (s *step) refuseLeaving(r *request) {
 	s.refuse(r, CodeLeaving, "this host is leaving", drainRetryAfter)
 }
+
+// acceptsWhileDraining reports whether a draining host still accepts the request.
+// Callers continue to use their open connections, and a call to a plain service ends
+// before the shutdown does, if that is not too close. A request to a model may take longer
+// and is refused.
+func (s *step) acceptsWhileDraining(r *request) bool {
+	if !r.relayed || s.snapshot() == nil {
+		return false
+	}
+	route, ok := s.snapshot().Routes[r.Route]
+	return ok && route.Model == "" && s.answersInTime(route, shortestTimeout(r.Timeout, route.Timeout))
+}
+
+// answersInTime reports whether a call that starts now is answered before this host must end,
+// even if it takes as long as the longest of the last calls and its endpoint is silent
+// meanwhile. A call ends at its timeout; 0 means none.
+func (s *step) answersInTime(route table.Route, timeout time.Duration) bool {
+	needed := min(s.longestRun(route.Pool)+drainCallReserve, s.cfg.ServiceTimeout)
+	if timeout > 0 {
+		needed = min(needed, timeout)
+	}
+	return s.drainEnd.IsZero() || s.now.Add(needed).Before(s.drainEnd)
+}
+
+// endsBeforeStop reports whether a draining host may start another attempt of a call. The
+// request may have waited, or an earlier attempt may have failed, since it was accepted.
+func (s *step) endsBeforeStop(r *request) bool {
+	if !r.relayed || !s.draining {
+		return true
+	}
+	var timeout time.Duration
+	if !r.deadline.IsZero() {
+		timeout = max(r.deadline.Sub(s.now), 1)
+	}
+	return s.answersInTime(r.route, timeout)
+}
+
+// outlastsStop reports whether an answer to the request usually takes longer than this host has
+// left before it must end. Other hosts are ready, so the request is refused at once.
+func (s *step) outlastsStop(r *request) bool {
+	if !r.relayed || s.drainEnd.IsZero() || s.snapshot() == nil {
+		return false
+	}
+	route, ok := s.snapshot().Routes[r.Route]
+	if !ok {
+		return false
+	}
+	key := route.Pool
+	if route.Model != "" {
+		key = id.Pool(route.Model)
+	}
+	needed := s.durations[key].mean
+	if timeout := shortestTimeout(r.Timeout, route.Timeout); timeout > 0 {
+		needed = min(needed, timeout)
+	}
+	return s.now.Add(needed).After(s.drainEnd)
+}
--- a/fleet/core/drain_test.go
+++ b/fleet/core/drain_test.go
@@ -98,3 +98,101 @@
 		})
 	}
 }
+
+// callTook sends a call to the route that takes the given time.
+func (h *relayHost) callTook(req id.Request, route id.Route, took time.Duration) {
+	h.t.Helper()
+	c := find(h.t, h.sendRequest(req, route), core.CallService{}).(core.CallService)
+	h.advance(took)
+	assert.Assert(h.t, has(h.reduce(core.ServiceDone{Request: req, Attempt: c.Attempt, Status: 200}), core.Reply{}))
+}
+
+// TestLeavingHostMeasuresCalls guards against a draining host that starts calls which can't end
+// before it must, because their service is slow, and against one that refuses calls to a fast
+// service or with a short timeout.
+func TestLeavingHostMeasuresCalls(t *testing.T) {
+	const within = 6 * time.Second
+	for _, tt := range []struct {
+		name     string
+		took     time.Duration // by the last call; 0 means none
+		running  time.Duration // age of a call that has no answer yet; 0 means none
+		timeout  time.Duration // of the caller
+		after    time.Duration // since the start of the drain
+		accepted bool
+	}{
+		{name: "fast service", took: 20 * time.Millisecond, after: 3 * time.Second, accepted: true},
+		{name: "fast service, late", took: 20 * time.Millisecond, after: 3600 * time.Millisecond},
+		{name: "slow service, early", took: 3 * time.Second, after: 300 * time.Millisecond, accepted: true},
+		{name: "slow service", took: 3 * time.Second, after: 600 * time.Millisecond},
+		{name: "slow service, short timeout", took: 3 * time.Second, timeout: time.Second, after: 4800 * time.Millisecond, accepted: true},
+		{name: "call without an answer", running: 3 * time.Second, after: 700 * time.Millisecond},
+		{name: "slow and fast service", took: 7 * time.Second, after: 0},
+		{name: "timeout at the end", took: 7 * time.Second, timeout: 1200 * time.Millisecond, after: 5 * time.Second},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newRelayHost(t)
+			if tt.took > 0 {
+				h.callTook("first", "unsafe", tt.took)
+			}
+			if tt.running > 0 {
+				h.sendRequest("running", "unsafe")
+				h.advance(tt.running)
+			}
+			h.reduce(core.DrainRequested{Within: within})
+			h.advance(tt.after)
+			out := h.reduce(core.RequestArrived{Request: "r", Route: "unsafe", Account: "a", Key: "k", Timeout: tt.timeout})
+			assert.Equal(t, has(out, core.CallService{}), tt.accepted, "%+v", out)
+			if !tt.accepted {
+				refused := find(t, out, core.Refuse{}).(core.Refuse)
+				assert.Assert(t, refused.NotRun && refused.RetryAfter > 0 && refused.RetryAfter <= 100*time.Millisecond, "%+v", refused)
+			}
+		})
+	}
+}
+
+// TestLeavingHostStartsNoLateAttempt guards against another attempt of a call that can't end
+// before the host must, and against a 503 for a call that may have run.
+func TestLeavingHostStartsNoLateAttempt(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		failed core.RunFailed
+		notRun bool
+	}{
+		{name: "rejected", failed: core.RunFailed{NotRun: true}, notRun: true},
+		{name: "broken", failed: core.RunFailed{Code: "broken"}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newRelayHost(t)
+			h.reduce(core.DrainRequested{Within: 5 * time.Second})
+			c := find(t, h.sendRequest("r", "safe"), core.CallService{}).(core.CallService)
+			h.advance(4 * time.Second)
+			tt.failed.Request, tt.failed.Attempt, tt.failed.Endpoint = "r", c.Attempt, c.Endpoint
+			out := h.reduce(tt.failed)
+			assert.Assert(t, !has(out, core.CallService{}), "%+v", out)
+			assert.Equal(t, find(t, out, core.Refuse{}).(core.Refuse).NotRun, tt.notRun)
+		})
+	}
+}
+
+// TestStopAnnounced guards against requests that a host still accepts, while the balancer sends
+// it new connections, although their answers usually take longer than the host has left.
+func TestStopAnnounced(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		took     time.Duration
+		within   time.Duration
+		accepted bool
+	}{
+		{"fast service", 20 * time.Millisecond, 7 * time.Second, true},
+		{"slow service", 3 * time.Second, 7 * time.Second, true},
+		{"service that outlasts the stop", 8 * time.Second, 7 * time.Second, false},
+		{"service that outlasts a short stop", 3 * time.Second, 2 * time.Second, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newRelayHost(t)
+			h.callTook("first", "unsafe", tt.took)
+			h.reduce(core.StopAnnounced{Within: tt.within})
+			assert.Equal(t, has(h.sendRequest("r", "unsafe"), core.CallService{}), tt.accepted)
+		})
+	}
+}
--- a/fleet/core/event.go
+++ b/fleet/core/event.go
@@ -189,6 +189,10 @@
 // Tick drives all timers. It arrives at the interval that TickInterval returns.
 type Tick struct{}
 
+// StopAnnounced reports that the host will drain and must end within a time. Until
+// DrainRequested arrives, it accepts requests that it can probably answer by then.
+type StopAnnounced struct{ Within time.Duration }
+
 // DrainRequested starts a graceful shutdown.
 type DrainRequested struct {
 	Within time.Duration // until the process must end; 0 means that there is no limit
@@ -215,4 +219,5 @@
 func (PlatformContact) isEvent() {}
 func (PlatformChanged) isEvent() {}
 func (Tick) isEvent()            {}
+func (StopAnnounced) isEvent()   {}
 func (DrainRequested) isEvent()  {}
--- a/fleet/core/relay.go
+++ b/fleet/core/relay.go
@@ -32,9 +32,6 @@
 	// SlotRequest or acknowledges it. Hosts with a CPU quota can be paused for up to
 	// 100 ms.
 	schedulerAckTimeout = 300 * time.Millisecond
-	// drainRetryAfter is the Retry-After value that a draining host sends. It is short,
-	// because other hosts are ready.
-	drainRetryAfter = 20 * time.Millisecond
 	// maxRelayFailures is the number of failed attempts and rejected grants after which a
 	// request is refused.
 	maxRelayFailures = 4
@@ -97,25 +94,6 @@
 	return max(r.route.Timeout-r.Timeout, 0)
 }
 
-// acceptsWhileDraining reports whether a draining host still accepts the request.
-// Callers continue to use their open connections, and a call to a plain service ends
-// before the shutdown does, if that is not too close. A request to a model may take longer
-// and is refused.
-func (s *step) acceptsWhileDraining(r *request) bool {
-	if !r.relayed || s.snapshot() == nil {
-		return false
-	}
-	route, ok := s.snapshot().Routes[r.Route]
-	if !ok || route.Model != "" {
-		return false
-	}
-	needed := drainCallReserve
-	if timeout := shortestTimeout(r.Timeout, route.Timeout); timeout > 0 {
-		needed = min(needed, timeout)
-	}
-	return s.drainEnd.IsZero() || s.now.Add(needed).Before(s.drainEnd)
-}
-
 // shortestTimeout returns the shorter of two timeouts, of which 0 means none.
 func shortestTimeout(a, b time.Duration) time.Duration {
 	if a <= 0 || b > 0 && b < a {
@@ -204,6 +182,13 @@
 	if retryable {
 		_, retryable = s.chooseService(r)
 	}
+	if retryable && !s.endsBeforeStop(r) {
+		if !r.mayHaveRun() {
+			s.refuseLeaving(r)
+			return
+		}
+		retryable = false
+	}
 	if retryable && s.takeRetry(r, !ev.NotRun) {
 		s.emit(Count{Name: MetricRetried, Account: r.account, Code: ev.Code, N: 1})
 		s.callService(r)
--- a/fleet/core/request.go
+++ b/fleet/core/request.go
@@ -185,7 +185,7 @@
 // violates, or an empty code. It sets the route and the client account of the request.
 func (s *step) admissionError(r *request) (code, text string) {
 	snap := s.snapshot()
-	if s.draining && !s.acceptsWhileDraining(r) {
+	if s.draining && !s.acceptsWhileDraining(r) || s.outlastsStop(r) {
 		return CodeLeaving, "this host is leaving"
 	}
 	if snap == nil {
--- a/fleet/core/run.go
+++ b/fleet/core/run.go
@@ -187,6 +187,7 @@
 	if r.delivered > r.decodeFrom {
 		s.recordAnswer(r, r.decode)
 	}
+	s.recordDuration(r.retryBudgetKey(), s.now.Sub(r.arrived))
 	s.close(r, "finished")
 }
 
--- a/fleet/core/service.go
+++ b/fleet/core/service.go
@@ -78,6 +78,11 @@
 // callService dispatches a call to the preferred endpoint; see serviceBefore. If there
 // is none, it refuses the request.
 func (s *step) callService(r *request) {
+	if !s.endsBeforeStop(r) {
+		r.stage = StageCall
+		s.refuseLeaving(r)
+		return
+	}
 	ep, ok := s.chooseService(r)
 	if !ok {
 		s.settleClaim(r, message.ClaimNotRun, nil)
@@ -178,6 +183,7 @@
 	}
 	s.endCall(r)
 	s.recordCall(r.decode, s.now.Sub(r.callStarted), false, false)
+	s.recordDuration(r.retryBudgetKey(), s.now.Sub(r.callStarted))
 	r.addTrace(s.now, "reply %d", ev.Status)
 	s.settleClaim(r, message.ClaimDone, ev.Outcome)
 	if !r.callerLeft {
