app: Close no connection of which a request is being read

A caller whose request reached a stopping router in the moment in which it closed its connections got no answer, although the router had read the request. http.Server.Shutdown closes connections in the state idle, which they keep until a head has been read and parsed as a whole; new connections without a head kept the shutdown waiting for its full 2 s and were then closed in the same way.

The router now keeps a list of its callers' connections. Before the shutdown, idle ones get a read deadline of 50 ms instead of being closed. A read either fails, and net/http closes the connection of which nothing has been read, or it returns bytes; the deadline is lifted then, until the response is complete. HTTP/2 connections are left to http.Server, which announces their end to the callers.

--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -129,7 +129,7 @@
 	case <-r.reactor.Failed():
 		err = fmt.Errorf("%w: the decision core is invalid", ErrApp)
 	case <-ctx.Done():
-		r.drain(servers[callerIndex].listener)
+		r.drain(servers[callerIndex].connections)
 	}
 	r.close(servers, stopLoop)
 	return err
@@ -137,9 +137,9 @@
 
 // server pairs an HTTP server with the listener that it serves.
 type server struct {
-	http     *http.Server
-	listener net.Listener
-	streams  bool // its calls end only when one of the two sides closes them
+	http        *http.Server
+	connections *connections
+	streams     bool // its calls end only when one of the two sides closes them
 }
 
 // listenSpec is an address (ip:port) and the handler that is served on it.
@@ -177,13 +177,14 @@
 			closeListeners(out)
 			return nil, fmt.Errorf("%w: %w", ErrApp, err)
 		}
+		conns := newConnections(l)
 		out = append(out, server{
 			http: &http.Server{
 				Handler: sp.handler, Protocols: h2c, ReadHeaderTimeout: readHeaderTimeout,
-				ErrorLog: errorLog,
+				ErrorLog: errorLog, ConnState: conns.stateChanged,
 			},
-			listener: l,
-			streams:  sp.streams,
+			connections: conns,
+			streams:     sp.streams,
 		})
 	}
 	return out, nil
@@ -202,7 +203,7 @@
 
 func closeListeners(servers []server) {
 	for _, s := range servers {
-		_ = s.listener.Close()
+		_ = s.connections.Close()
 	}
 }
 
@@ -212,7 +213,7 @@
 	serveErrs := make(chan error, len(servers))
 	for _, s := range servers {
 		go func() {
-			if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+			if err := s.http.Serve(s.connections); !errors.Is(err, http.ErrServerClosed) {
 				serveErrs <- fmt.Errorf("%w: serve: %w", ErrApp, err)
 			}
 		}()
@@ -224,7 +225,7 @@
 // its rate shares. Then it closes the listener for callers and gives callers with an
 // open connection time to close it. It takes less than the drain timeout, after which the
 // process may be killed.
-func (r *Router) drain(callerListener net.Listener) {
+func (r *Router) drain(callers *connections) {
 	r.log.Info("router: Shutdown has begun.")
 	within := r.settings.DrainTimeout - endTime
 	r.adapters.Caller.Drain()
@@ -239,7 +240,7 @@
 	defer deadline.Stop()
 	select {
 	case <-r.dispatcher.Stopped():
-		if err := callerListener.Close(); err != nil {
+		if err := callers.Close(); err != nil {
 			r.log.Warn("router: Listener for callers was not closed.", zap.Error(err))
 		}
 		r.clock.Sleep(min(keepAliveGrace, end.Sub(r.clock.Now())))
@@ -266,6 +267,7 @@
 func (r *Router) close(servers []server, stopLoop func()) {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
+	servers[callerIndex].connections.closeIdle(ctx)
 	for i, s := range servers {
 		s.close(ctx)
 		if i == callerIndex {
--- a/router/internal/app/app_test.go
+++ b/router/internal/app/app_test.go
@@ -49,38 +49,61 @@
 	}
 }
 
-// TestLifecycle guards against a router that does not start while the store has no
-// table, that reports itself ready without one, or that does not stop when its context
-// ends.
-func TestLifecycle(t *testing.T) {
+// testRouter is a router that runs without a table.
+type testRouter struct {
+	callerAddress, operatorAddress string
+
+	logs *observer.ObservedLogs
+	stop func()     // begins the shutdown
+	done chan error // receives the result of Run
+}
+
+// startRouter starts a router whose store has no objects, and waits until it serves.
+func startRouter(t *testing.T) *testRouter {
+	t.Helper()
 	store := httptest.NewServer(http.NotFoundHandler())
-	defer store.Close()
-	callerAddress, operatorAddress := freeAddress(t), freeAddress(t)
+	t.Cleanup(store.Close)
+	r := &testRouter{callerAddress: freeAddress(t), operatorAddress: freeAddress(t), done: make(chan error, 1)}
 	s, err := settings.Parse("s.ini", []byte(fmt.Sprintf(
 		"[host]\nname = h\nzone = a\nzones = a\n[caller]\naddress = %s\n[peer]\naddress = %s\n[operator]\naddress = %s\n[platform]\nurl = %s\n",
-		callerAddress, freeAddress(t), operatorAddress, store.URL)))
+		r.callerAddress, freeAddress(t), r.operatorAddress, store.URL)))
 	assert.NilError(t, err)
 	lifetime, endLifetime := context.WithCancel(context.Background())
-	defer endLifetime()
+	t.Cleanup(endLifetime)
 	zapCore, logs := observer.New(zap.InfoLevel)
+	r.logs = logs
 	router := app.New(app.Lifetime{Context: lifetime}, s, zap.New(zapCore), clockwork.NewRealClock())
 	ctx, stop := context.WithCancel(t.Context())
-	done := make(chan error, 1)
-	go func() { done <- router.Run(ctx) }()
-	waitFor(t, "http://"+operatorAddress+"/healthz", http.StatusOK)
-	waitFor(t, "http://"+operatorAddress+"/readyz", http.StatusServiceUnavailable)
-	waitFor(t, "http://"+callerAddress+"/services/x/", http.StatusServiceUnavailable)
-	waitFor(t, "http://"+operatorAddress+"/metrics", http.StatusOK)
-	stop()
+	r.stop = stop
+	go func() { r.done <- router.Run(ctx) }()
+	waitFor(t, "http://"+r.operatorAddress+"/healthz", http.StatusOK)
+	return r
+}
+
+// awaitStopped waits until the router has stopped without an error.
+func (r *testRouter) awaitStopped(t *testing.T) {
+	t.Helper()
 	select {
-	case err := <-done:
+	case err := <-r.done:
 		assert.NilError(t, err)
 	case <-time.After(startTimeout):
 		t.Fatal("the router did not stop")
 	}
-	assert.Equal(t, statusOf("http://"+callerAddress+"/v1/models"), 0)
+}
+
+// TestLifecycle guards against a router that does not start while the store has no
+// table, that reports itself ready without one, or that does not stop when its context
+// ends.
+func TestLifecycle(t *testing.T) {
+	r := startRouter(t)
+	waitFor(t, "http://"+r.operatorAddress+"/readyz", http.StatusServiceUnavailable)
+	waitFor(t, "http://"+r.callerAddress+"/services/x/", http.StatusServiceUnavailable)
+	waitFor(t, "http://"+r.operatorAddress+"/metrics", http.StatusOK)
+	r.stop()
+	r.awaitStopped(t)
+	assert.Equal(t, statusOf("http://"+r.callerAddress+"/v1/models"), 0)
 	var messages []string
-	for _, line := range logs.All() {
+	for _, line := range r.logs.All() {
 		messages = append(messages, line.Message)
 	}
 	assert.DeepEqual(t, messages, []string{"router: Started.", "request: Request ended.", "router: Shutdown has begun.", "peer: Host is leaving.", "router: Stopped."})
