app: Give requests the whole drain timeout of a stopping host

Two fixed times of a shutdown cut callers off without an answer. A router that had no request when its drain ended stopped about 5 s later (1 s, and two waits of 2 s each), although it still took requests on open connections and more of the grace period was left. And with a grace period of 2 s the router was killed while it waited 2.2 s for the balancer, before it refused anything.

All times of a shutdown now derive from the drain timeout.

--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -28,18 +28,7 @@
 const (
 	readHeaderTimeout = 10 * time.Second
 	bodyTimeout       = 30 * time.Second // maximum time to read the body of a request
-	closeTimeout      = 2 * time.Second
-	// keepAliveGrace is how long the server for callers keeps running after its listener
-	// has been closed, because callers may reuse a keep-alive connection.
-	keepAliveGrace = time.Second
-	gaugeInterval  = time.Second
-	// balancerDelay is the time that the platform's load balancer needs to take this
-	// host out of rotation: it checks readiness once a second and acts on the second
-	// failed check.
-	balancerDelay = 2200 * time.Millisecond
-	// endTime is kept of the drain timeout for the last refusals and for the end of the
-	// process.
-	endTime = 500 * time.Millisecond
+	gaugeInterval     = time.Second
 )
 
 // Router is one router process. New creates it; Run must be called once.
@@ -124,14 +113,18 @@
 	go r.updateGauges(loopCtx)
 	r.log.Info("router: Started.", zap.String("host", string(r.settings.Host)))
 	serveErrs := serve(servers)
+	var until time.Time
 	select {
 	case err = <-serveErrs:
 	case <-r.reactor.Failed():
 		err = fmt.Errorf("%w: the decision core is invalid", ErrApp)
 	case <-ctx.Done():
-		r.drain(servers[callerIndex].connections)
+		until = r.drain(servers[callerIndex].connections)
 	}
-	r.close(servers, stopLoop)
+	if until.IsZero() {
+		until = r.clock.Now().Add(closeTimeout)
+	}
+	r.close(servers, stopLoop, until)
 	return err
 }
 
@@ -221,73 +214,6 @@
 	return serveErrs
 }
 
-// drain waits until the decision core has finished its requests and has handed over
-// its rate shares. Then it closes the listener for callers and gives callers with an
-// open connection time to close it. It takes less than the drain timeout, after which the
-// process may be killed.
-func (r *Router) drain(callers *connections) {
-	r.log.Info("router: Shutdown has begun.")
-	within := r.settings.DrainTimeout - endTime
-	r.adapters.Caller.Drain()
-	if r.adapters.Ready != nil {
-		r.clock.Sleep(balancerDelay)
-		within -= balancerDelay
-	}
-	within = max(within, endTime)
-	r.reactor.Post(core.DrainRequested{Within: within})
-	end := r.clock.Now().Add(within + endTime/2)
-	deadline := r.clock.NewTimer(within + endTime/2)
-	defer deadline.Stop()
-	select {
-	case <-r.dispatcher.Stopped():
-		if err := callers.Close(); err != nil {
-			r.log.Warn("router: Listener for callers was not closed.", zap.Error(err))
-		}
-		r.clock.Sleep(min(keepAliveGrace, end.Sub(r.clock.Now())))
-		r.waitForResponses(end)
-	case <-deadline.Chan():
-		r.log.Warn("router: Drain timeout has passed.", zap.Int("requests", r.adapters.Caller.ActiveRequests()))
-	}
-}
-
-// waitForResponses waits until the last responses have been written, for closeTimeout
-// and until end at most.
-func (r *Router) waitForResponses(end time.Time) {
-	for range 100 {
-		if r.adapters.Caller.ActiveRequests() == 0 || !r.clock.Now().Before(end) {
-			return
-		}
-		r.clock.Sleep(closeTimeout / 100)
-	}
-}
-
-// close shuts the servers down. The server for callers is shut down first, while the
-// decision core can still refuse their requests. Then the decision core stops, so that
-// this host sends no heartbeat while its peer address refuses connections.
-func (r *Router) close(servers []server, stopLoop func()) {
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancel()
-	servers[callerIndex].connections.closeIdle(ctx)
-	for i, s := range servers {
-		s.close(ctx)
-		if i == callerIndex {
-			stopLoop()
-		}
-	}
-	if err := r.metrics.Close(); err != nil {
-		r.log.Warn("router: Metrics were not closed.", zap.Error(err))
-	}
-	r.log.Info("router: Stopped.")
-}
-
-// close stops a server. Its calls may finish until ctx ends, unless they are streams.
-func (s server) close(ctx context.Context) {
-	if !s.streams && s.http.Shutdown(ctx) == nil {
-		return
-	}
-	_ = s.http.Close()
-}
-
 func (r *Router) updateGauges(ctx context.Context) {
 	ticker := r.clock.NewTicker(gaugeInterval)
 	defer ticker.Stop()
