core: Forward an answer that is ready when a request ends early

A caller whose idempotent request had been answered with a failure by one endpoint got 504 or 502 of the host instead, if its time or the host's shutdown ended while a second attempt was under way. The host had the endpoint's answer, but only relayGiveUp looked for it.

TestReplyAtEnd failed for a deadline and for a shutdown: the effect was Refuse. Now every refusal in relay mode first looks for the reply of an earlier attempt; nothing is forwarded after events of a stream.

--- a/fleet/core/relay.go
+++ b/fleet/core/relay.go
@@ -293,17 +293,22 @@
 	s.relayFailed(r, RunFailed{Request: r.Request, Attempt: r.attempt, Endpoint: ep, Code: codeStalled})
 }
 
-// relayGiveUp ends a request that is not retried. It forwards the endpoint's reply if
-// there is one and nothing has been delivered.
-func (s *step) relayGiveUp(r *request, code string) {
-	if r.replyAttempt > 0 && r.delivered == 0 {
-		if !r.callerLeft {
-			s.emit(Reply{Request: r.Request, Attempt: r.replyAttempt})
-		}
-		s.emit(Count{Name: MetricFinished, Account: r.account, N: 1})
-		s.close(r, "failed by the endpoint")
-		return
+// forwardReply ends a request with the reply of the endpoint that failed it, and reports whether
+// there is one. None can follow the events of a stream.
+func (s *step) forwardReply(r *request) bool {
+	if !r.relayed || r.replyAttempt == 0 || r.delivered > 0 {
+		return false
+	}
+	if !r.callerLeft {
+		s.emit(Reply{Request: r.Request, Attempt: r.replyAttempt})
 	}
+	s.emit(Count{Name: MetricFinished, Account: r.account, N: 1})
+	s.close(r, "failed by the endpoint")
+	return true
+}
+
+// relayGiveUp ends a request that is not retried.
+func (s *step) relayGiveUp(r *request, code string) {
 	if r.mayHaveRun() {
 		s.refuse(r, CodeOutcomeUnknown, "the endpoint did not answer ("+code+"); the request may have run", 0)
 		return
--- a/fleet/core/relay_test.go
+++ b/fleet/core/relay_test.go
@@ -341,3 +341,30 @@
 	out := h.reduce(core.RunFailed{Request: "r", Attempt: d.Attempt, Endpoint: d.Endpoint, Code: "broken"})
 	assert.Equal(t, h.completePrefill(out).From, int64(60))
 }
+
+// TestReplyAtEnd guards against replacing the answer that an endpoint has given by a failure of
+// this host, because the request ends while another attempt is under way: at its deadline, or
+// when a host that is leaving must end.
+func TestReplyAtEnd(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		end  func(h *relayHost) []core.Effect
+	}{
+		{"deadline", func(h *relayHost) []core.Effect { return h.advance(relayTimeout + 100*time.Millisecond) }},
+		{"shutdown", func(h *relayHost) []core.Effect {
+			h.reduce(core.DrainRequested{Within: 3 * time.Second})
+			return h.advance(3500 * time.Millisecond)
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newRelayHost(t)
+			first := find(t, h.sendRequest("r", "safe"), core.CallService{}).(core.CallService)
+			failed := core.RunFailed{Request: "r", Attempt: first.Attempt, Endpoint: first.Endpoint, Code: "500", HasReply: true}
+			second := find(t, h.reduce(failed), core.CallService{}).(core.CallService)
+			out := tt.end(h)
+			assert.Equal(t, find(t, out, core.Reply{}).(core.Reply).Attempt, first.Attempt)
+			assert.Equal(t, find(t, out, core.CancelRun{}).(core.CancelRun).Attempt, second.Attempt)
+			assert.Assert(t, !has(out, core.Refuse{}), "%+v", out)
+		})
+	}
+}
--- a/fleet/core/request.go
+++ b/fleet/core/request.go
@@ -271,11 +271,15 @@
 	}
 }
 
-// refuse ends a request without a complete response.
+// refuse ends a request without a complete response of its last attempt. The reply of an earlier
+// attempt is forwarded if there is one.
 func (s *step) refuse(r *request, code, text string, retry time.Duration) {
 	notRun := !r.mayHaveRun()
 	r.addTrace(s.now, "refused: %s (not-run %t)", code, notRun)
 	s.releaseAttempt(r, "")
+	if s.forwardReply(r) {
+		return
+	}
 	if !r.callerLeft {
 		s.emit(Refuse{Request: r.Request, Code: code, Text: text, NotRun: notRun, RetryAfter: retry})
 	}
