app: Let begun streams go on after the drain timeout

A stream was cut 3.95 s after SIGTERM although its endpoint was only silent and the process was not killed before second 8: since the router ended by itself 50 ms before its drain timeout. Before that, http.Server.Shutdown gave open requests up to 2 s more.

--- a/router/internal/app/stop.go
+++ b/router/internal/app/stop.go
@@ -10,7 +10,9 @@
 )
 
 const (
-	closeTimeout = 2 * time.Second // for calls that are not of callers, and after an error
+	// closeTimeout is how long open calls may go on when a server is closed. Those of callers have
+	// it after the drain timeout, if the process is not killed then.
+	closeTimeout = 2 * time.Second
 	// keepAliveGrace is how long callers may use their open connections after the listener has
 	// been closed.
 	keepAliveGrace = time.Second
@@ -22,16 +24,15 @@
 	maxBalancerPercent = 60
 	// The last parts of the drain timeout, each up to its end. From endTime on the decision
 	// core ends the requests that are open, the last ones 250 ms later. From connectionsTime on
-	// callers can send no more requests. exitTime is kept for the end of the process.
+	// callers can send no more requests.
 	endTime         = 500 * time.Millisecond
 	connectionsTime = 200 * time.Millisecond
-	exitTime        = 50 * time.Millisecond
 )
 
 // drain waits until the decision core has finished its requests and has handed over
 // its rate shares. Then it closes the listener for callers and gives callers with an
-// open connection time to close it. It returns the time by which the process must have ended
-// the remaining requests; the process may be killed shortly after it.
+// open connection time to close it. It returns the time until which the last requests may go on;
+// the process may be killed before.
 func (r *Router) drain(callers *connections) time.Time {
 	r.log.Info("router: Shutdown has begun.")
 	limit := r.clock.Now().Add(r.settings.DrainTimeout)
@@ -54,7 +55,7 @@
 		r.log.Warn("router: Listener for callers was not closed.", zap.Error(err))
 	}
 	r.clock.Sleep(min(keepAliveGrace, connectionsEnd.Sub(r.clock.Now())))
-	return limit.Add(-exitTime)
+	return limit.Add(closeTimeout)
 }
 
 // close shuts the servers down until the given time. The server for callers is shut down
