--- a/fleet/core/relay.go
+++ b/fleet/core/relay.go
@@ -32,9 +32,6 @@
 	// SlotRequest or acknowledges it. Hosts with a CPU quota can be paused for up to
 	// 100 ms.
 	schedulerAckTimeout = 300 * time.Millisecond
-	// drainRetryAfter is the Retry-After value that a draining host sends. It is short,
-	// because other hosts are ready.
-	drainRetryAfter = 20 * time.Millisecond
 	// maxRelayFailures is the number of failed attempts and rejected grants after which a
 	// request is refused.
 	maxRelayFailures = 4
@@ -97,25 +94,6 @@
 	return max(r.route.Timeout-r.Timeout, 0)
 }
 
-// acceptsWhileDraining reports whether a draining host still accepts the request.
-// Callers continue to use their open connections, and a call to a plain service ends
-// before the shutdown does, if that is not too close. A request to a model may take longer
-// and is refused.
-func (s *step) acceptsWhileDraining(r *request) bool {
-	if !r.relayed || s.snapshot() == nil {
-		return false
-	}
-	route, ok := s.snapshot().Routes[r.Route]
-	if !ok || route.Model != "" {
-		return false
-	}
-	needed := drainCallReserve
-	if timeout := shortestTimeout(r.Timeout, route.Timeout); timeout > 0 {
-		needed = min(needed, timeout)
-	}
-	return s.drainEnd.IsZero() || s.now.Add(needed).Before(s.drainEnd)
-}
-
 // shortestTimeout returns the shorter of two timeouts, of which 0 means none.
 func shortestTimeout(a, b time.Duration) time.Duration {
 	if a <= 0 || b > 0 && b < a {
@@ -185,6 +163,15 @@
 	return true
 }
 
+// abandonCall cancels the running call of a request that ends without its answer. The call may
+// have run.
+func (s *step) abandonCall(r *request) {
+	s.endCall(r)
+	s.cancelRun(r.Request, r.attempt, r.decode)
+	r.ranEarlier = true
+	r.dispatched = false
+}
+
 // relayCallFailed retries a call that did not run or whose route is idempotent.
 // Otherwise it forwards the endpoint's reply, if there is one.
 func (s *step) relayCallFailed(r *request, ev RunFailed) {
@@ -195,6 +182,13 @@
 	if retryable {
 		_, retryable = s.chooseService(r)
 	}
+	if retryable && !s.endsBeforeStop(r) {
+		if !r.mayHaveRun() {
+			s.refuseLeaving(r)
+			return
+		}
+		retryable = false
+	}
 	if retryable && s.takeRetry(r, !ev.NotRun) {
 		s.emit(Count{Name: MetricRetried, Account: r.account, Code: ev.Code, N: 1})
 		s.callService(r)
@@ -299,17 +293,22 @@
 	s.relayFailed(r, RunFailed{Request: r.Request, Attempt: r.attempt, Endpoint: ep, Code: codeStalled})
 }
 
-// relayGiveUp ends a request that is not retried. It forwards the endpoint's reply if
-// there is one and nothing has been delivered.
-func (s *step) relayGiveUp(r *request, code string) {
-	if r.replyAttempt > 0 && r.delivered == 0 {
-		if !r.callerLeft {
-			s.emit(Reply{Request: r.Request, Attempt: r.replyAttempt})
-		}
-		s.emit(Count{Name: MetricFinished, Account: r.account, N: 1})
-		s.close(r, "failed by the endpoint")
-		return
+// forwardReply ends a request with the reply of the endpoint that failed it, and reports whether
+// there is one. None can follow the events of a stream.
+func (s *step) forwardReply(r *request) bool {
+	if !r.relayed || r.replyAttempt == 0 || r.delivered > 0 {
+		return false
 	}
+	if !r.callerLeft {
+		s.emit(Reply{Request: r.Request, Attempt: r.replyAttempt})
+	}
+	s.emit(Count{Name: MetricFinished, Account: r.account, N: 1})
+	s.close(r, "failed by the endpoint")
+	return true
+}
+
+// relayGiveUp ends a request that is not retried.
+func (s *step) relayGiveUp(r *request, code string) {
 	if r.mayHaveRun() {
 		s.refuse(r, CodeOutcomeUnknown, "the endpoint did not answer ("+code+"); the request may have run", 0)
 		return
@@ -323,10 +322,7 @@
 		return false
 	}
 	if r.stage == StageCall {
-		s.endCall(r)
-		s.cancelRun(r.Request, r.attempt, r.decode)
-		r.ranEarlier = true
-		r.dispatched = false
+		s.abandonCall(r)
 	}
 	s.refuse(r, CodeDeadline, "the time of the request has passed", 0)
 	return true
--- a/fleet/core/request.go
+++ b/fleet/core/request.go
@@ -185,7 +185,7 @@
 // violates, or an empty code. It sets the route and the client account of the request.
 func (s *step) admissionError(r *request) (code, text string) {
 	snap := s.snapshot()
-	if s.draining && !s.acceptsWhileDraining(r) {
+	if s.draining && !s.acceptsWhileDraining(r) || s.outlastsStop(r) {
 		return CodeLeaving, "this host is leaving"
 	}
 	if snap == nil {
@@ -271,11 +271,15 @@
 	}
 }
 
-// refuse ends a request without a complete response.
+// refuse ends a request without a complete response of its last attempt. The reply of an earlier
+// attempt is forwarded if there is one.
 func (s *step) refuse(r *request, code, text string, retry time.Duration) {
 	notRun := !r.mayHaveRun()
 	r.addTrace(s.now, "refused: %s (not-run %t)", code, notRun)
 	s.releaseAttempt(r, "")
+	if s.forwardReply(r) {
+		return
+	}
 	if !r.callerLeft {
 		s.emit(Refuse{Request: r.Request, Code: code, Text: text, NotRun: notRun, RetryAfter: retry})
 	}
