peer: the whole message of TestTruncatedBatches arrives on an open connection

The test failed in one of four runs (no event within 10 s): it closed its direction of the connection right after the whole message, which cancels the call in net/http, so that the message was at times not delivered.

--- a/router/internal/peer/truncated_test.go
+++ b/router/internal/peer/truncated_test.go
@@ -80,7 +80,12 @@
 					}
 				}
 			}
-			_ = rawhttp.Send(address, text, false)
+			// The connection stays open in both directions, because the end of one cancels the call.
+			conn, err := net.Dial("tcp", address)
+			assert.NilError(t, err)
+			defer conn.Close()
+			_, err = io.WriteString(conn, text)
+			assert.NilError(t, err)
 			want := core.Event(core.PeerMessage{From: "h-1", Incarnation: 9, Message: m})
 			assert.DeepEqual(t, received.Next(t), want)
 			for len(received) > 0 {
