caller: An aborted stream to an HTTP/1.0 caller is reset on tracked connections

A caller that speaks HTTP/1.0 took a stream that its engine had cut for complete: the connection ended in the regular way. The caller server resets it, but only if the hijacked connection is a *net.TCPConn. Since connections are tracked for the shutdown, the router's are not.

TestFraming could not see it, because its server has a plain listener. The server asks for the method that it needs, and tracked connections have it.

--- a/router/internal/app/connections.go
+++ b/router/internal/app/connections.go
@@ -193,6 +193,15 @@
 	return nil
 }
 
+// SetLinger sets what Close does with data that has not been sent. A handler that has hijacked the
+// connection resets it with 0.
+func (c *connection) SetLinger(sec int) error {
+	if l, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		return l.SetLinger(sec)
+	}
+	return nil
+}
+
 // Close closes the connection.
 func (c *connection) Close() error {
 	c.list.remove(c)
