quarantine: a decision about long prompts no longer compares all segments

A host answered nothing while it decided about the crashes of prompts with thousands of segments: the decision core has one goroutine.

Cause: each segment with enough crashes was compared with all others to find one that explains the same crashes, even if too few crashes were known for a decision.

Now the other conditions come first, only segments that crashed one of the same endpoints are compared, and sets of endpoints are bits.

--- a/fleet/quarantine/decide.go
+++ b/fleet/quarantine/decide.go
@@ -15,7 +15,7 @@
 // suspect is a segment under which endpoints have broken off since it was last answered.
 type suspect struct {
 	segment  id.Segment
-	crashed  map[id.Endpoint]bool
+	crashed  endpointSet
 	crashes  []time.Time // one for each endpoint
 	moments  []time.Time // of the crashes, without those at the same moment as another
 	zones    map[id.Zone]bool
@@ -64,51 +64,57 @@
 // mostSuspect returns the segment that should be quarantined next, if there is one.
 func (s *State) mostSuspect(now time.Time) (id.Segment, bool) {
 	suspects := s.suspects(now)
-	for _, x := range suspects {
-		if s.isProven(now, x, suspects) {
-			return x.segment, true
+	for i := range suspects.list {
+		if s.isProven(now, i, suspects) {
+			return suspects.list[i].segment, true
 		}
 	}
 	return 0, false
 }
 
-// isProven reports whether x, one of the suspects, should be quarantined.
-func (s *State) isProven(now time.Time, x suspect, suspects []suspect) bool {
-	rival := func(y suspect) bool {
-		return y.segment != x.segment && !y.answered && containsAll(y.crashed, x.crashed)
-	}
-	if len(x.crashes) < s.cfg.Crashes {
-		return false
-	}
+// isProven reports whether the i-th suspect should be quarantined. The suspects that explain the
+// same crashes are looked for last, because prompts may have thousands of segments.
+func (s *State) isProven(now time.Time, i int, suspects *suspectList) bool {
+	x := &suspects.list[i]
 	isPast := func(crashes []time.Time, n int) bool {
 		return len(crashes) >= n && now.Sub(crashes[n-1]) >= s.cfg.Wait
 	}
-	if x.answered || slices.ContainsFunc(suspects, rival) {
-		return isPast(x.moments, s.cfg.CertainCrashes)
+	if isPast(x.moments, s.cfg.CertainCrashes) {
+		return true
 	}
-	return isPast(x.moments, s.cfg.Crashes) || isPast(x.crashes, s.cfg.CertainCrashes) && s.isWidespread(x)
+	if x.answered {
+		return false
+	}
+	suffices := isPast(x.moments, s.cfg.Crashes) || isPast(x.crashes, s.cfg.CertainCrashes) && s.isWidespread(x, suspects)
+	return suffices && !suspects.hasRival(i)
 }
 
 // isWidespread reports whether the endpoints that crashed under x lie in several zones, and
 // are more than those that crashed at these times without it. A failed rack ends the
 // endpoints of one zone, and a larger failure also ends endpoints that have not got x.
-func (s *State) isWidespread(x suspect) bool {
+func (s *State) isWidespread(x *suspect, suspects *suspectList) bool {
 	if len(x.zones) < 2 {
 		return false
 	}
 	from, to := x.crashes[0].Add(-sameMoment), x.crashes[len(x.crashes)-1].Add(sameMoment)
 	others := make(map[id.Endpoint]bool)
 	for _, r := range s.reports {
-		if !r.receivedAt.Before(from) && !r.receivedAt.After(to) && !x.crashed[r.endpoint] {
+		if !r.receivedAt.Before(from) && !r.receivedAt.After(to) && !x.crashed.has(suspects.indexes[r.endpoint]) {
 			others[r.endpoint] = true
 		}
 	}
-	return len(x.crashed) > len(others)
+	return len(x.crashes) > len(others)
 }
 
 // suspects returns all suspects with enough reports in the order in which they are considered: those that have
 // not been answered first, then by the number of crashes and the position in the prompt.
-func (s *State) suspects(now time.Time) []suspect {
+func (s *State) suspects(now time.Time) *suspectList {
+	indexes := make(map[id.Endpoint]int)
+	for _, r := range s.reports {
+		if _, ok := indexes[r.endpoint]; !ok {
+			indexes[r.endpoint] = len(indexes)
+		}
+	}
 	count := make(map[id.Segment]int)
 	for _, r := range s.reports {
 		for _, segment := range r.segments {
@@ -119,7 +125,7 @@
 	for _, r := range s.reports {
 		for i, segment := range r.segments {
 			if count[segment] >= s.cfg.Crashes {
-				s.addCrash(now, found, r, i, segment)
+				s.addCrash(now, found, r, indexes[r.endpoint], i, segment)
 			}
 		}
 	}
@@ -140,26 +146,28 @@
 			cmp.Compare(a.segment, b.segment),
 		)
 	})
-	return out
+	return newSuspectList(out, indexes)
 }
 
-// addCrash adds a report to the suspect of its i-th segment, unless the segment has been
-// answered since.
-func (s *State) addCrash(now time.Time, found map[id.Segment]*suspect, r report, i int, segment id.Segment) {
+// addCrash adds a report about the endpoint with the given index to the suspect of its i-th
+// segment, unless the segment has been answered since.
+func (s *State) addCrash(
+	now time.Time, found map[id.Segment]*suspect, r report, endpoint, i int, segment id.Segment,
+) {
 	answeredAt, answered := s.answeredAt(now, segment)
 	if answered && !answeredAt.Before(r.receivedAt) {
 		return
 	}
 	x, ok := found[segment]
 	if !ok {
-		x = &suspect{segment: segment, crashed: make(map[id.Endpoint]bool), zones: make(map[id.Zone]bool), answered: answered}
+		x = &suspect{segment: segment, zones: make(map[id.Zone]bool), answered: answered}
 		found[segment] = x
 	}
 	x.position = max(x.position, i)
-	if x.crashed[r.endpoint] {
+	if x.crashed.has(endpoint) {
 		return
 	}
-	x.crashed[r.endpoint] = true
+	x.crashed.add(endpoint)
 	x.crashes = append(x.crashes, r.receivedAt)
 	if r.zone != "" {
 		x.zones[r.zone] = true
@@ -168,12 +176,3 @@
 		x.moments = append(x.moments, r.receivedAt)
 	}
 }
-
-func containsAll(set, subset map[id.Endpoint]bool) bool {
-	for ep := range subset {
-		if !set[ep] {
-			return false
-		}
-	}
-	return true
-}
--- a/fleet/quarantine/quarantine_test.go
+++ b/fleet/quarantine/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -311,3 +312,33 @@
 	a.advance(time.Hour)
 	assert.Assert(t, !quarantine.IsDue(a.st, a.now))
 }
+
+// TestDecisionTime guards against decisions that stop a host for seconds, because prompts with
+// thousands of segments have many of them in common.
+func TestDecisionTime(t *testing.T) {
+	const (
+		maxTime = 2 * time.Second // a decision that compared all segments took a minute
+		prompts = 30
+		shared  = 4 // prompts with the same segment
+	)
+	for _, interval := range []time.Duration{5 * time.Millisecond, time.Second} {
+		a := newArbiter()
+		rng := rand.New(rand.NewPCG(1, 0))
+		var segments [prompts][]id.Segment
+		for n := range 60_000 / shared {
+			for _, p := range rng.Perm(prompts)[:shared] {
+				segments[p] = append(segments[p], id.Segment(1000+n))
+			}
+		}
+		for n := range segments {
+			quarantine.Report(a.st, a.now, message.CrashReport{Endpoint: id.Endpoint(fmt.Sprint("e", n)), Segments: segments[n]})
+			a.advance(interval)
+		}
+		a.advance(time.Second)
+		begun := time.Now()
+		quarantine.Decide(a.st, a.now)
+		took := time.Since(begun)
+		t.Logf("decision after crashes %s apart: %s", interval, took)
+		assert.Assert(t, took < maxTime)
+	}
+}
