app: The listener for callers is closed before its idle connections also after an error

Found by reading; no test. After an error of another server or of the decision core, idle connections were awaited for up to 2 s while the listener still took new ones, whose requests the decision core may not answer any more.

--- a/router/internal/app/stop.go
+++ b/router/internal/app/stop.go
@@ -65,6 +65,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), max(until.Sub(r.clock.Now()), 0))
 	defer cancel()
 	callers := servers[callerIndex]
+	_ = callers.connections.Close() // after an error it is still open
 	callers.connections.closeIdle(ctx)
 	callers.close(ctx)
 	stopLoop()
