schedule: ask hosts for runs whose end is overdue

Cause: the end of an attempt is sent once. A print of the reservations 3 s after the cut showed 28 runs that no host knew any more, two of them prefills on the only prefill engine. A late prefill counts as backlog that grows with time, so no request could start within its target. Two of the 28 were attempts that hosts had registered with another scheduler later on; the earlier one never hears of their ends. Load reports end decode runs only, and relay mode has none.

A scheduler now sends a SlotQuery for a run 1.5 s after its expected end, and repeats it every 1.5 s until the host answers with a SlotHold, whose phase says whether the attempt has ended. Only that answer ends a run: a lost query, a lost answer and a paused host leave it as it was, with RunTimeout as the bound. A run that is confirmed is asked for again after as long as its phase has lasted. Decode runs on engines that send load reports are not asked for.

TestEveryMissedEnd, TestMissedEndOfPrefill, TestMissedEndOfDecode and TestConfirmedRunsAreAskedRarely fail with the queries disabled; TestSilentHostKeepsRuns fails if an unanswered query ends a run.

--- a/fleet/core/cell.go
+++ b/fleet/core/cell.go
@@ -156,16 +156,21 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case schedule.Send:
-			s.send(a.To, s.withExpectedWait(k, a.Message))
+			s.send(a.To, s.withCellFields(k, a.Message))
 		case schedule.Cancel:
 			s.cancelRun(a.Request, a.Attempt, a.Endpoint)
 		}
 	}
 }
 
-// withExpectedWait adds the expected wait of the cell to a reply of its scheduler, so
-// that entry hosts can compare cells without additional messages.
-func (s *step) withExpectedWait(k cellKey, m message.Message) message.Message {
+// withCellFields sets the fields of a scheduler's message that describe its cell. Replies
+// carry the expected wait, so that entry hosts can compare cells without additional
+// messages.
+func (s *step) withCellFields(k cellKey, m message.Message) message.Message {
+	if q, ok := m.(message.SlotQuery); ok {
+		q.Model, q.CellIndex = k.Model, k.CellIndex
+		return q
+	}
 	c, ok := s.scheduler.cells[k]
 	if !ok {
 		return m
@@ -222,17 +227,6 @@
 	s.send(from, s.heartbeat())
 }
 
-func (s *step) slotHold(from id.Host, m message.SlotHold) {
-	if s.snapshot() == nil {
-		return
-	}
-	k := cellKey{Zone: s.cfg.Zone, Model: m.Model, CellIndex: m.CellIndex}
-	c := s.getOrCreateCell(k)
-	c.lastMessage = s.now
-	s.scheduler.track(m.Request, cellAttempt{cell: k, attempt: m.Attempt})
-	s.cellActions(k, schedule.HandleHold(c.cell, s.now, from, m))
-}
-
 func (s *step) slotUpdate(from id.Host, m message.SlotUpdate) {
 	known, ok := s.scheduler.requests[m.Request]
 	if !ok {
--- a/fleet/core/slot.go
+++ b/fleet/core/slot.go
@@ -306,26 +306,3 @@
 	r.prefill, r.decode = "", ""
 	clear(r.outOfOrder)
 }
-
-// registerHold registers a running attempt with the cell's scheduler: every
-// HoldRefreshInterval, and immediately if another host schedules the cell now.
-func (s *step) registerHold(r *request) {
-	owner := s.schedulerOf(r.cell)
-	if owner == "" {
-		return
-	}
-	if owner == r.schedulerHost && s.now.Sub(r.lastRegistered) < s.cfg.HoldRefreshInterval {
-		return
-	}
-	r.schedulerHost = owner
-	r.lastRegistered = s.now
-	phase := message.PhasePrefill
-	if r.stage == StageDecode {
-		phase = message.PhaseDecode
-	}
-	s.send(owner, message.SlotHold{
-		Request: r.Request, Attempt: r.attempt, Account: r.account, Model: r.route.Model,
-		Prefill: r.prefill, Decode: r.decode, Phase: phase,
-		PromptTokens: r.PromptTokens, OutputTokens: r.MaxTokens, CellIndex: r.cell.CellIndex, Expected: r.Expected,
-	})
-}
--- a/fleet/message/envelope.go
+++ b/fleet/message/envelope.go
@@ -28,6 +28,8 @@
 	CrashReports   []CrashReport   `cbor:"19,keyasint,omitempty"`
 	CrashRebuttals []CrashRebuttal `cbor:"20,keyasint,omitempty"`
 	EndpointLimits []EndpointLimit `cbor:"21,keyasint,omitempty"`
+
+	SlotQueries []SlotQuery `cbor:"22,keyasint,omitempty"`
 }
 
 // Add appends m to the list of its type.
@@ -71,6 +73,8 @@
 		e.CrashRebuttals = append(e.CrashRebuttals, m)
 	case EndpointLimit:
 		e.EndpointLimits = append(e.EndpointLimits, m)
+	case SlotQuery:
+		e.SlotQueries = append(e.SlotQueries, m)
 	}
 }
 
@@ -119,6 +123,9 @@
 	for _, m := range e.SlotRefusals {
 		out = append(out, m)
 	}
+	for _, m := range e.SlotQueries {
+		out = append(out, m)
+	}
 	for _, m := range e.TokenReturns {
 		out = append(out, m)
 	}
--- a/fleet/message/message.go
+++ b/fleet/message/message.go
@@ -169,6 +169,15 @@
 	Expected  int64 `cbor:"12,keyasint,omitempty"` // expected output tokens; 0 is unknown
 }
 
+// SlotQuery asks the host of a running attempt whether it still holds the attempt. The host
+// answers with a SlotHold, whose phase is PhaseCancelled if the attempt has ended.
+type SlotQuery struct {
+	Request   id.Request `cbor:"1,keyasint"`
+	Attempt   id.Attempt `cbor:"2,keyasint"`
+	Model     id.Model   `cbor:"3,keyasint"`
+	CellIndex int        `cbor:"4,keyasint,omitempty"` // index of the model's cell in the scheduler's zone
+}
+
 // TokenRequest requests rate tokens from another host that holds a share of the account's
 // rate.
 type TokenRequest struct {
@@ -321,6 +330,7 @@
 func (SlotRefusal) isMessage()    {}
 func (SlotUpdate) isMessage()     {}
 func (SlotHold) isMessage()       {}
+func (SlotQuery) isMessage()      {}
 func (TokenRequest) isMessage()   {}
 func (TokenTransfer) isMessage()  {}
 func (TokenReturn) isMessage()    {}
--- a/fleet/schedule/config.go
+++ b/fleet/schedule/config.go
@@ -39,6 +39,7 @@
 	GrantValid           time.Duration // time within which a host must start a granted prefill
 	GrantTimeout         time.Duration // a grant expires after this time without an update or a hold
 	RunTimeout           time.Duration // a running attempt is cancelled after this time without an update or a hold
+	QueryInterval        time.Duration // a host is asked for a run this long after its expected end, and again until it answers
 	OrphanTime           time.Duration // a run that an engine reports is cancelled if no host registers it in this time
 	ReportGrace          time.Duration // load reports lag: a decode run younger than this may be missing from them
 	SweepInterval        time.Duration // interval of the search for expired reservations
@@ -83,6 +84,7 @@
 		GrantValid:           250 * time.Millisecond,
 		GrantTimeout:         1500 * time.Millisecond,
 		RunTimeout:           3500 * time.Millisecond,
+		QueryInterval:        1500 * time.Millisecond,
 		OrphanTime:           5 * time.Second,
 		ReportGrace:          3 * time.Second,
 		SweepInterval:        100 * time.Millisecond,
--- a/fleet/schedule/entry.go
+++ b/fleet/schedule/entry.go
@@ -57,6 +57,7 @@
 	decodeSince                 time.Duration
 	missedReports               int           // consecutive load reports without the decode run
 	reservedUntil               time.Duration // expiry of the reservation, extended by updates and holds
+	queryAt                     time.Duration // when the host is asked whether the attempt still runs
 	prefillTime                 time.Duration
 	prefillStart, prefillEnd    time.Duration // planned
 	transferStart, transferEnd  time.Duration // planned transfer
--- a/fleet/schedule/random_test.go
+++ b/fleet/schedule/random_test.go
@@ -108,6 +108,8 @@
 
 func (w *simulation) handleSend(s *cellModel, a schedule.Send) {
 	switch m := a.Message.(type) {
+	case message.SlotQuery:
+		w.checkQuery(s, a.To, m)
 	case message.SlotRefusal:
 		s.refused[attemptKey{m.Request, m.Attempt}] = true
 		if s.active[attemptKey{m.Request, m.Attempt}] != nil {
--- a/fleet/schedule/run.go
+++ b/fleet/schedule/run.go
@@ -97,15 +97,15 @@
 		return false // the next hold of its host names the endpoints
 	}
 	e.state = stateRunning
-	e.reservedUntil = c.now + c.cfg.RunTimeout
 	if e.tokens > 0 {
 		markHealthy(e.decode, e)
 	}
-	if phase != message.PhaseDecode || e.phase == message.PhaseDecode {
-		return false
+	startsDecode := phase == message.PhaseDecode && e.phase != message.PhaseDecode
+	if startsDecode {
+		c.startDecode(e)
 	}
-	c.startDecode(e)
-	return true
+	c.extend(e)
+	return startsDecode
 }
 
 // startDecode moves e to the decode phase and releases its prefill endpoint. The
@@ -183,7 +183,7 @@
 		prompt:             clampTokens(m.PromptTokens),
 		output:             clampTokens(m.OutputTokens),
 		expected:           expectedOutput(m.OutputTokens, m.Expected),
-		reservedUntil:      c.now + c.cfg.RunTimeout,
+		prefillStart:       c.now,
 		decodeSince:        c.now,
 		laneIndex:          -1,
 		queueDeadlineIndex: -1,
@@ -201,13 +201,13 @@
 	}
 	c.entries[e.request] = e
 	c.reserve(e, p, d)
-	if p == nil {
-		return
+	if p != nil {
+		e.prefillTime = durationAtRate(e.prompt, p.rate())
+		e.prefillStart = c.now + c.backlog(p)
+		e.prefillEnd = e.prefillStart + e.prefillTime
+		p.prefills = append(p.prefills, e)
 	}
-	e.prefillTime = durationAtRate(e.prompt, p.rate())
-	e.prefillStart = c.now + c.backlog(p)
-	e.prefillEnd = e.prefillStart + e.prefillTime
-	p.prefills = append(p.prefills, e)
+	c.extend(e)
 }
 
 func (c *Cell) reserve(e *entry, p, d *endpoint) {
@@ -333,8 +333,8 @@
 	slices.SortFunc(list, func(a, b *entry) int { return cmp.Compare(a.request, b.request) })
 }
 
-// sweep cancels expired reservations and removes old records of ended attempts and
-// idle accounts.
+// sweep cancels expired reservations, asks for overdue ones, and removes old records of
+// ended attempts and idle accounts.
 func (c *Cell) sweep(acts []Action) []Action {
 	if c.now-c.lastSweep < c.cfg.SweepInterval {
 		return acts
@@ -357,5 +357,5 @@
 		}
 		acts = c.cancel(acts, e, o)
 	}
-	return acts
+	return c.queryOverdue(acts)
 }
