router: OPTIONS * is not answered by net/http itself

Callers that sent OPTIONS * got a 200 with an empty body, though no endpoint had answered, and also while the router had no configuration. http.Server answers this request before it calls the handler, unless DisableGeneralOptionsHandler is set.

It is set on all servers now, so that the request reaches the handlers like any other. TestGeneralOptions failed before with status 200 in place of 404.

--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -174,7 +174,7 @@
 		out = append(out, server{
 			http: &http.Server{
 				Handler: sp.handler, Protocols: h2c, ReadHeaderTimeout: readHeaderTimeout,
-				ErrorLog: errorLog, ConnState: conns.stateChanged,
+				ErrorLog: errorLog, ConnState: conns.stateChanged, DisableGeneralOptionsHandler: true,
 			},
 			connections: conns,
 			streams:     sp.streams,
--- a/router/internal/app/app_test.go
+++ b/router/internal/app/app_test.go
@@ -1,6 +1,7 @@
 package app_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"net"
@@ -108,3 +109,21 @@
 	}
 	assert.DeepEqual(t, messages, []string{"router: Started.", "request: Request ended.", "router: Shutdown has begun.", "peer: Host is leaving.", "router: Stopped."})
 }
+
+// TestGeneralOptions guards against a success that net/http writes by itself, as its answer to
+// OPTIONS *. No endpoint has answered, so callers must not get one.
+func TestGeneralOptions(t *testing.T) {
+	r := startRouter(t)
+	conn, err := net.Dial("tcp", r.callerAddress)
+	assert.NilError(t, err)
+	defer conn.Close()
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(startTimeout)))
+	_, err = fmt.Fprint(conn, "OPTIONS * HTTP/1.1\r\nHost: a.example\r\n\r\n")
+	assert.NilError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	resp.Body.Close()
+	assert.Equal(t, resp.StatusCode, http.StatusNotFound)
+	r.stop()
+	r.awaitStopped(t)
+}
