registry: a host that was cut off drops removed endpoints as soon as peers tell

After any loss of contact of over a second the registry kept missing entries for 2 s after the first answer, and until the first answer after that, as they may have expired while the platform was away. That held also if only this host had lost contact, and for entries that were removed after it was back.

The platform's data don't tell an expired entry from a removed one: heartbeats don't raise an entry's revision, and a deletion names no cause. Whether the platform was available during the loss decides, and the watchers have seen that. Their announcements, at least every 750 ms, state now for how long the platform has had no outage. Hosts join these times, so that a new watcher goes on with the time of the one before it; a gap of over 2 s begins a new one, which is shorter than an entry takes to expire (3 heartbeats of 1.2 s, the last up to one before the outage). If the announced time covers the loss, the grace period ends and what is missing is dropped. The grace period after a restore is apart and is not ended by it. Without such an announcement (outage of all, peers of an older version, all hosts cut off) all is as before.

--- a/fleet/core/effect.go
+++ b/fleet/core/effect.go
@@ -193,6 +193,10 @@
 	SeenRevisions [SourceCount]uint64
 }
 
+// PeerContact reports that a watcher is in contact with the platform, and that the platform
+// has had no outage since the given time.
+type PeerContact struct{ Since time.Time }
+
 // PollLoad reads the load report of an engine. The results are LoadReported and one
 // CacheChanged for each new cache event.
 type PollLoad struct {
@@ -278,6 +282,7 @@
 func (PollLoad) isEffect()        {}
 func (FollowPlatform) isEffect()  {}
 func (RefreshPlatform) isEffect() {}
+func (PeerContact) isEffect()     {}
 func (ApplyPlatform) isEffect()   {}
 func (SendOrder) isEffect()       {}
 func (Log) isEffect()             {}
--- a/fleet/core/follow.go
+++ b/fleet/core/follow.go
@@ -25,6 +25,10 @@
 	watcherExclusion = 5 * time.Second
 	// followInterval is the interval at which the follow mode is chosen again.
 	followInterval = 100 * time.Millisecond
+	// platformOutage is the shortest time without contact that counts as an outage. It is
+	// shorter than a registration takes to expire, and longer than it takes to repeat a call
+	// that has failed.
+	platformOutage = 2 * time.Second
 	watcherHashKey = "platform" // key for choosing watchers by rendezvous hashing
 )
 
@@ -122,12 +126,19 @@
 func (s *step) announceContact(lost bool) {
 	s.table.announcedAt = s.now
 	s.table.announcedLost = lost
-	s.broadcast("", message.PlatformUpdate{Lost: lost, SeenRevisions: s.table.seenRevisions[:], StoreEra: s.storeEra})
+	update := message.PlatformUpdate{Lost: lost, SeenRevisions: s.table.seenRevisions[:], StoreEra: s.storeEra}
+	if s.table.upUntil.Equal(s.now) { // after an outage, revisions are reported before contact
+		update.Contact = s.now.Sub(s.table.upSince)
+	}
+	s.broadcast("", update)
 }
 
 // platformContact announces the contact of this watcher with the platform: changes
 // immediately, otherwise once per contactInterval.
 func (s *step) platformContact(ev PlatformContact) {
+	if !ev.Lost {
+		s.recordUp(s.now)
+	}
 	if s.table.followMode != FollowAsWatcher {
 		return
 	}
@@ -140,6 +151,15 @@
 	}
 }
 
+// recordUp records that the platform has had no outage since the given time, as this host or a
+// watcher has seen. A new watcher thus continues the time that the one before has announced.
+func (s *step) recordUp(since time.Time) {
+	if since.Before(s.table.upSince) || since.Sub(s.table.upUntil) > platformOutage {
+		s.table.upSince = since
+	}
+	s.table.upUntil = s.now
+}
+
 // recordWatcher records whether a watcher is in contact with the platform, and chooses
 // the follow mode again.
 func (s *step) recordWatcher(h id.Host, lost bool) {
@@ -174,6 +194,10 @@
 		return
 	}
 	s.recordWatcher(from, m.Lost)
+	if m.Contact > 0 && !m.Lost {
+		s.recordUp(s.now.Add(-m.Contact))
+		s.emit(PeerContact{Since: s.table.upSince})
+	}
 	s.handlePeerRevisions(m.StoreEra, m.SeenRevisions)
 	if len(m.Changes) == 0 {
 		return
--- a/fleet/core/follow_test.go
+++ b/fleet/core/follow_test.go
@@ -24,6 +24,7 @@
 	applied     map[id.Host]int // number of ApplyPlatform effects
 	copies      map[id.Host]int // messages with changes that a host has sent
 	sentBytes   map[id.Host]int // bytes of the changes in them
+	contacts    []time.Time     // starts of contact in PeerContact effects
 	refreshed   int             // number of RefreshPlatform effects
 	reads       []core.ReadObject
 	writes      []core.WriteObject
@@ -84,6 +85,8 @@
 		case core.ApplyPlatform:
 			f.lastApplied[name] = e
 			f.applied[name]++
+		case core.PeerContact:
+			f.contacts = append(f.contacts, e.Since)
 		case core.RefreshPlatform:
 			f.refreshed++
 		case core.ReadObject:
--- a/fleet/core/tablesync.go
+++ b/fleet/core/tablesync.go
@@ -31,6 +31,8 @@
 	watchers       map[id.Host]watcher // contact of each watcher with the platform, as last announced
 	announcedLost  bool                // the last announcement of this watcher was that contact is lost
 	followChosenAt time.Time
+	upSince        time.Time // the platform is known to have had no outage from then
+	upUntil        time.Time // until then
 	announcedAt    time.Time // last announcement of this watcher to the other hosts
 	confirmedAt    time.Time // time at which the platform last confirmed the version in force
 
--- a/fleet/message/message.go
+++ b/fleet/message/message.go
@@ -270,6 +270,9 @@
 	Lost          bool             `cbor:"5,keyasint,omitempty"` // the watcher has lost contact with the platform
 	SeenRevisions []uint64         `cbor:"6,keyasint,omitempty"` // as in Heartbeat
 	StoreEra      uint64           `cbor:"7,keyasint,omitempty"` // of all revisions in the message; as in Heartbeat
+
+	// Contact is how long the platform has been without an outage, as far as the watcher knows.
+	Contact time.Duration `cbor:"8,keyasint,omitempty"`
 }
 
 // CrashReport reports that a run has broken off before it had produced much output. The
--- a/fleet/registry/registry.go
+++ b/fleet/registry/registry.go
@@ -4,7 +4,8 @@
 // A leaving endpoint stays listed with the state leaving. An endpoint whose entry is
 // deleted is dropped at once, except after an outage of the platform: entries expire
 // during an outage because no endpoint can renew them. Entries that are missing after
-// an outage are kept for Config.Grace, so that live endpoints can register again.
+// an outage are kept for Config.Grace, so that live endpoints can register again. If only
+// this host had lost contact, which peers can tell, missing entries are dropped at once.
 //
 // After a restore of the platform from an older copy, entries may be listed that were
 // deleted, or that were leaving, in the time that the copy lacks; see RecordRestore.
@@ -61,14 +62,14 @@
 
 // State is the registry of one host.
 type State struct {
-	cfg        Config
-	entries    map[string]*record
-	contact    time.Time // time of the platform's last response
-	failed     bool      // a call has failed since contact
-	graceUntil time.Time // expired entries are kept until then
-	holdUntil  time.Time // entries of endpoints that had left are held back until then
-	held       map[string]Entry
-	gone       map[id.Endpoint]time.Time // when endpoints have left
+	cfg       Config
+	entries   map[string]*record
+	contact   time.Time // time of the platform's last response
+	failed    bool      // a call has failed since contact
+	grace     grace
+	holdUntil time.Time // entries of endpoints that had left are held back until then
+	held      map[string]Entry
+	gone      map[id.Endpoint]time.Time // when endpoints have left
 }
 
 type record struct {
@@ -87,7 +88,7 @@
 // does not count as an outage, because a watch is silent while nothing changes.
 func RecordResponse(s *State, now time.Time) {
 	if s.failed && now.Sub(s.contact) > s.cfg.Outage {
-		s.graceUntil = now.Add(s.cfg.Grace)
+		s.grace.regain(s.contact, now, s.cfg)
 	}
 	s.failed = false
 	s.contact = now
@@ -96,11 +97,16 @@
 // RecordFailure records a failed call to the platform.
 func RecordFailure(s *State) { s.failed = true }
 
+// RecordPeerContact records that peers have been in contact with the platform since the given
+// time, without an outage. The entries that went missing while only this host had lost contact
+// have been removed, and are dropped by the next Expire.
+func RecordPeerContact(s *State, since, now time.Time) { s.grace.recordUp(since, now, s.cfg) }
+
 // RecordRestore records that the platform has come back from an older copy. Entries that the
 // copy lacks are kept for the grace period. Entries of endpoints that had left are held back,
 // as their endpoints may write them again only by leaving once more.
 func RecordRestore(s *State, now time.Time) {
-	s.graceUntil = now.Add(s.cfg.Grace)
+	s.grace.afterRestore = now.Add(s.cfg.Grace)
 	s.holdUntil = now.Add(s.cfg.RestoreHold)
 }
 
@@ -155,7 +161,7 @@
 			delete(s.gone, ep)
 		}
 	}
-	if now.Before(s.graceUntil) || s.contact.Before(s.graceUntil) {
+	if end := s.grace.end(); now.Before(end) || s.contact.Before(end) {
 		return changed
 	}
 	for name, r := range s.entries {
@@ -232,7 +238,7 @@
 	if !ok {
 		return false
 	}
-	if now.Before(s.graceUntil) && r.State != table.StateLeaving {
+	if now.Before(s.grace.end()) && r.State != table.StateLeaving {
 		r.missing = true
 		return false
 	}
--- a/router/internal/app/adapters.go
+++ b/router/internal/app/adapters.go
@@ -62,6 +62,7 @@
 	Follow(e core.FollowPlatform)
 	Refresh(e core.RefreshPlatform)
 	Apply(e core.ApplyPlatform)
+	RecordPeerContact(e core.PeerContact)
 	Run(ctx context.Context)
 }
 
--- a/router/internal/app/dispatch.go
+++ b/router/internal/app/dispatch.go
@@ -72,6 +72,8 @@
 		d.adapters.Feed.Apply(e)
 	case core.RefreshPlatform:
 		d.adapters.Feed.Refresh(e)
+	case core.PeerContact:
+		d.adapters.Feed.RecordPeerContact(e)
 	case core.PublishQuarantine:
 		if d.adapters.PublishQuarantine != nil {
 			d.adapters.PublishQuarantine(e)
