app: tests listen on ports that outgoing connections don't use

startRouter failed twice under load (once under the race detector: healthz did not return 200; once the name of the test was not kept). Its ports were of the range of outgoing connections, of which other tests take thousands, so that one may be taken between the choice and the listen. That this was the cause is likely and not shown: 24 runs beside a load of 21 to 25 passed before the change too.

--- a/router/internal/app/app_test.go
+++ b/router/internal/app/app_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,13 +24,31 @@
 // startTimeout bounds each wait for the router. It is reached only when the test fails.
 const startTimeout = 10 * time.Second
 
+// The ports of the tests lie below the range that the kernel uses for outgoing connections.
+const (
+	firstPort = 30_100
+	portCount = 2_600
+)
+
+// nextPort counts the ports that freeAddress has tried. Test processes that run at the same time
+// begin at different ones.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(int64(os.Getpid()) * 64) }
+
 // freeAddress returns a loopback address with a port that was free a moment ago.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	assert.NilError(t, l.Close())
-	return l.Addr().String()
+	for range 100 {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portCount))
+		if err != nil {
+			continue
+		}
+		assert.NilError(t, l.Close())
+		return l.Addr().String()
+	}
+	t.Fatal("no free port")
+	return ""
 }
 
 // statusOf returns the HTTP status of a GET request, or 0 if the request fails.
