core: a stream whose answer was lost waits for the end of its first run

The core now emits StopRun for a broken run that may be continued. The stream goes on at once if the run is stopped, is not there (404, 421), or no connection can be opened. Otherwise it waits until the run can last 400 ms more at most, by the events left and the engine's pace, and 0.6 s at least.

Five tests of the core took the broken connection as the end of the run. They now report the end with RunStopped and check the same as before.

--- a/fleet/core/abort.go
+++ b/fleet/core/abort.go
@@ -32,6 +32,8 @@
 		return ev.Request
 	case RunFailed:
 		return ev.Request
+	case RunStopped:
+		return ev.Request
 	case ServiceDone:
 		return ev.Request
 	default:
--- a/fleet/core/core.go
+++ b/fleet/core/core.go
@@ -191,13 +191,14 @@
 	limitsSentTo     map[id.Host]id.Incarnation // incarnations that have been told the limits of endpoints
 	roleChanges      map[id.Endpoint]roleChange // role changes in progress that this host decided; relay mode only
 	views            views
-	avoid            map[id.Endpoint]time.Time // end of the exclusion of a service endpoint
-	serviceStats     map[id.Endpoint]callStats // by service endpoint; relay mode only
-	durations        map[id.Pool]runDurations  // by retryBudgetKey; relay mode only
-	outstandingCalls map[id.Endpoint]int       // outstanding service calls of this host
-	unreachable      map[id.Endpoint]bool      // the last call could not reach the endpoint
-	engineProgress   map[id.Endpoint]time.Time // time of the last event of each decode engine
-	notices          map[id.Endpoint]notice    // what endpoints have said; relay mode only
+	avoid            map[id.Endpoint]time.Time     // end of the exclusion of a service endpoint
+	serviceStats     map[id.Endpoint]callStats     // by service endpoint; relay mode only
+	durations        map[id.Pool]runDurations      // by retryBudgetKey; relay mode only
+	outstandingCalls map[id.Endpoint]int           // outstanding service calls of this host
+	unreachable      map[id.Endpoint]bool          // the last call could not reach the endpoint
+	engineProgress   map[id.Endpoint]time.Time     // time of the last event of each decode engine
+	engineGaps       map[id.Endpoint]time.Duration // average time between two events of a stream
+	notices          map[id.Endpoint]notice        // what endpoints have said; relay mode only
 	hostsReadAt      time.Time
 	rolesBalancedAt  time.Time // last time that the balance of roles was checked
 	lastTick         time.Time
@@ -240,6 +241,7 @@
 		outstandingCalls: make(map[id.Endpoint]int),
 		unreachable:      make(map[id.Endpoint]bool),
 		engineProgress:   make(map[id.Endpoint]time.Time),
+		engineGaps:       make(map[id.Endpoint]time.Duration),
 		notices:          make(map[id.Endpoint]notice),
 		finished:         make([]Record, 0, cfg.FinishedRecords),
 	}
@@ -285,6 +287,8 @@
 		s.tokensArrived(ev)
 	case RunFailed:
 		s.runFailed(ev)
+	case RunStopped:
+		s.runStopped(ev)
 	case ServiceDone:
 		s.serviceDone(ev)
 	case PeerMessage:
--- a/fleet/core/relay.go
+++ b/fleet/core/relay.go
@@ -211,6 +211,9 @@
 	}
 	if ran {
 		s.recordBrokenRun(r, ev)
+		if !r.route.NoResume && r.runCount < r.route.Attempts {
+			s.awaitRunEnd(r, ev.Endpoint)
+		}
 	}
 	r.dispatched = ran
 	r.unreachableEndpoint = ""
@@ -227,7 +230,7 @@
 	retryable := !quarantined && (!ran || !r.route.NoResume)
 	if retryable && s.takeRetry(r, ran) {
 		s.emit(Count{Name: MetricRetried, Account: r.account, Code: ev.Code, N: 1})
-		s.requestSlot(r)
+		s.requestSlotAfterRun(r)
 		return
 	}
 	if !quarantined && s.resumeLater(r, true) {
--- a/fleet/core/relay_test.go
+++ b/fleet/core/relay_test.go
@@ -246,7 +246,7 @@
 	h := newRelayHost(t)
 	d := h.advanceToDecode("r", "resumable")
 	h.reduce(core.TokensArrived{Request: "r", Attempt: d.Attempt, Offset: 0, Tokens: []string{"one"}})
-	out := h.reduce(core.RunFailed{Request: "r", Attempt: d.Attempt, Endpoint: d.Endpoint, Code: "broken"})
+	out := h.breakStream(d)
 	again := h.completePrefill(out)
 	assert.Equal(t, again.From, int64(1))
 	out = h.reduce(core.TokensArrived{Request: "r", Attempt: again.Attempt, Offset: 1, Tokens: []string{"two"}})
@@ -260,7 +260,7 @@
 func TestLateResult(t *testing.T) {
 	h := newRelayHost(t)
 	first := h.advanceToDecode("r", "resumable")
-	out := h.reduce(core.RunFailed{Request: "r", Attempt: first.Attempt, Endpoint: first.Endpoint, Code: "broken"})
+	out := h.breakStream(first)
 	p := find(t, out, core.StartPrefill{}).(core.StartPrefill)
 	out = h.reduce(core.PrefillDone{Request: "r", Attempt: first.Attempt, KV: "old"})
 	assert.Assert(t, !has(out, core.StartDecode{}), "a prefill of an earlier attempt was used")
@@ -338,8 +338,7 @@
 		h.advance(100 * time.Millisecond)
 		h.reduce(core.TokensArrived{Request: "r", Attempt: d.Attempt, Offset: int64(n), Tokens: []string{"x"}})
 	}
-	out := h.reduce(core.RunFailed{Request: "r", Attempt: d.Attempt, Endpoint: d.Endpoint, Code: "broken"})
-	assert.Equal(t, h.completePrefill(out).From, int64(60))
+	assert.Equal(t, h.completePrefill(h.breakStream(d)).From, int64(60))
 }
 
 // TestReplyAtEnd guards against replacing the answer that an endpoint has given by a failure of
--- a/fleet/core/request.go
+++ b/fleet/core/request.go
@@ -96,6 +96,9 @@
 	resumeAt         time.Time // when a stream that no endpoint resumes searches for one again; see resumeLater
 	resumeTakesRetry bool      // that search takes a retry from the budget
 
+	endingAttempt id.Attempt // failed attempt whose run may go on; 0 means none
+	holdUntil     time.Time  // until when that run may go on for longer than maxRunOverlap
+
 	relayed bool // the host is in relay mode; see Config.Relay
 
 	replyAttempt id.Attempt // last attempt of which the endpoint adapter holds a reply for the caller; 0 means none
--- a/fleet/core/run.go
+++ b/fleet/core/run.go
@@ -151,6 +151,7 @@
 func (s *step) deliver(r *request, ev TokensArrived) {
 	skip := r.delivered - ev.Offset
 	if skip < int64(len(ev.Tokens)) {
+		s.recordEventGap(r)
 		newTokens := ev.Tokens[skip:]
 		s.emit(Deliver{Request: r.Request, Attempt: r.attempt, Offset: r.delivered, Tokens: newTokens})
 		r.delivered += int64(len(newTokens))
--- a/fleet/core/silence.go
+++ b/fleet/core/silence.go
@@ -54,6 +54,7 @@
 	for name := range s.engineProgress {
 		if _, ok := s.snapshot().Endpoints[name]; !ok {
 			delete(s.engineProgress, name)
+			delete(s.engineGaps, name)
 		}
 	}
 }
@@ -104,6 +105,9 @@
 	}
 	r.stage = StageQueue
 	r.resumeAt = s.now.Add(resumeRetryInterval)
+	if r.holdUntil.After(r.resumeAt) {
+		r.resumeAt = r.holdUntil
+	}
 	r.resumeTakesRetry = r.resumeTakesRetry || takeRetry
 	return true
 }
--- a/fleet/core/silence_test.go
+++ b/fleet/core/silence_test.go
@@ -153,7 +153,7 @@
 func TestRejectedRunIsNotCounted(t *testing.T) {
 	h := newRelayHost(t)
 	d := h.beginStream("r")
-	again := h.completePrefill(h.reduce(core.RunFailed{Request: "r", Attempt: d.Attempt, Endpoint: d.Endpoint, Code: "broken"}))
+	again := h.completePrefill(h.breakStream(d))
 	h.reduce(core.TableOpened{Snapshot: relayTable(2, "d1", "d2")})
 	out := h.reduce(core.RunFailed{Request: "r", Attempt: again.Attempt, Endpoint: again.Endpoint, Code: "full", NotRun: true})
 	out = append(out, h.advance(time.Second)...)
@@ -182,7 +182,7 @@
 	h.sendRequest("r", "resumable")
 	grant := message.SlotGrant{Request: "r", Attempt: 1, Prefill: "p1", Decode: "d1", Valid: time.Second}
 	d := h.completePrefill(h.reduce(core.PeerMessage{From: scheduler, Incarnation: 1, Message: grant}))
-	h.reduce(core.RunFailed{Request: "r", Attempt: 1, Endpoint: d.Endpoint, Code: "broken"})
+	h.breakStream(d)
 	refusal := message.SlotRefusal{Request: "r", Attempt: 2, Reason: "too-late"}
 	h.reduce(core.PeerMessage{From: "former", Incarnation: 1, Message: refusal})
 	grant.Attempt = 2
--- a/fleet/table/table.go
+++ b/fleet/table/table.go
@@ -63,6 +63,7 @@
 
 	SwitchTime  time.Duration // time for which an engine serves no requests while its role changes
 	EventTokens int64         // output tokens per event of a stream; 0 means one event per token
+	MovesKV     bool          // engines can stop a run and move its KV cache to another engine
 }
 
 // Endpoint is one model engine or plain service.
--- a/router/internal/app/adapters.go
+++ b/router/internal/app/adapters.go
@@ -50,6 +50,12 @@
 	Poll(e core.PollLoad)
 }
 
+// StoppingEndpointAdapter is an EndpointAdapter that can end the run behind a broken connection.
+type StoppingEndpointAdapter interface {
+	EndpointAdapter
+	Stop(e core.StopRun)
+}
+
 // PlatformAdapter reads and writes the objects in the platform's store.
 type PlatformAdapter interface {
 	Read(e core.ReadObject)
--- a/router/internal/app/dispatch.go
+++ b/router/internal/app/dispatch.go
@@ -95,6 +95,10 @@
 		d.adapters.Endpoint.Call(e)
 	case core.SendOrder:
 		d.adapters.Endpoint.Order(e)
+	case core.StopRun:
+		if a, ok := d.adapters.Endpoint.(StoppingEndpointAdapter); ok {
+			a.Stop(e)
+		}
 	default:
 		d.handleNativeEndpoint(e)
 	}
