quarantine: a decision that rests on crashes at one moment is tested by probes

Callers got 503 prompt-quarantined for up to an hour for each prompt with a sound segment, if engines of two zones ended together while a burst of requests with that new segment began on them.

Cause: crashes at one moment count one by one if they lie in several zones and one unanswered segment explains most of them (isWidespread). A failure of several zones gives the same reports as a batch of crashing requests. As requests with the segment are refused, none can be answered, and only an answer ends a quarantine.

Such a decision is provisional now. The arbiter lets single requests through, one at a time, 2 s apart, and counts each before it reaches an engine: three at most. After 8 events of the answer the segment is released on all hosts; if the engine breaks off, the decision is certain. The mark and the count travel with the entry in heartbeats and in the published status, so that the next arbiter goes on from there; an entry of an earlier version has no mark and is certain. Decisions that rest on crashes at different moments are unchanged.

TestCrashesTogether also checks the mark.

--- a/fleet/core/quarantine.go
+++ b/fleet/core/quarantine.go
@@ -35,6 +35,7 @@
 	if r.SegmentsTruncated {
 		m.Segments, m.Truncated = nil, true
 	}
+	s.endProbe(r, quarantine.ProbeCrashed)
 	if !quarantine.AllowReport(s.quarantine, s.now, len(m.Segments)) {
 		return
 	}
@@ -93,7 +94,7 @@
 	for _, e := range quarantine.Entries(s.quarantine, s.now) {
 		out = append(out, object.QuarantineEntry{
 			Segment: e.Segment.String(), Version: e.Version, Released: e.Released,
-			UntilMS: s.wall.Add(e.Remaining).UnixMilli(),
+			UntilMS: s.wall.Add(e.Remaining).UnixMilli(), Provisional: e.Provisional, Probes: e.Probes,
 		})
 	}
 	s.emit(PublishQuarantine{Entries: out})
@@ -112,6 +113,7 @@
 			}
 			s.mergeQuarantine([]message.QuarantineEntry{{
 				Segment: segment, Version: e.Version, Released: e.Released, Remaining: time.UnixMilli(e.UntilMS).Sub(s.wall),
+				Provisional: e.Provisional, Probes: e.Probes,
 			}})
 		}
 	}
--- a/fleet/core/relay.go
+++ b/fleet/core/relay.go
@@ -212,6 +212,7 @@
 	if ran {
 		s.recordBrokenRun(r, ev)
 	}
+	s.probeFailed(r, ev)
 	r.dispatched = ran
 	r.unreachableEndpoint = ""
 	if ev.Unreachable {
--- a/fleet/core/request.go
+++ b/fleet/core/request.go
@@ -9,6 +9,7 @@
 	"ragwortshunt.example/fleet/claim"
 	"ragwortshunt.example/fleet/id"
 	"ragwortshunt.example/fleet/limit"
+	"ragwortshunt.example/fleet/quarantine"
 	"ragwortshunt.example/fleet/table"
 )
 
@@ -100,6 +101,9 @@
 
 	replyAttempt id.Attempt // last attempt of which the endpoint adapter holds a reply for the caller; 0 means none
 
+	probe  probeState
+	probed id.Segment // the quarantined segment, if the request is a probe
+
 	trace []TraceLine
 }
 
@@ -152,7 +156,7 @@
 		s.refuse(r, code, text, s.retryAfter(code))
 		return
 	}
-	if s.refuseQuarantined(r) {
+	if !s.admitProbe(r) && s.refuseQuarantined(r) {
 		return
 	}
 	s.setDeadline(r)
@@ -298,6 +302,7 @@
 	if r.stage == StageClaim {
 		claim.Abandon(s.claims, r.Request)
 	}
+	s.endProbe(r, quarantine.ProbeInconclusive)
 	s.keepRecord(r, result)
 	s.logEnd(r, result)
 	delete(s.requests, r.Request)
--- a/fleet/core/run.go
+++ b/fleet/core/run.go
@@ -32,6 +32,9 @@
 		s.attemptFailed(r, r.prefill, CodeNoEndpoint, true)
 		return
 	}
+	if !s.sendProbe(r) {
+		return
+	}
 	r.stage = StagePrefill
 	r.dispatched = true
 	r.lastProgress = s.now
@@ -113,6 +116,7 @@
 		return
 	}
 	s.recordProgress(r)
+	s.checkProbe(r)
 	r.resumed = false
 	if ev.Offset > r.delivered {
 		r.outOfOrder[ev.Offset] = ev
--- a/fleet/message/message.go
+++ b/fleet/message/message.go
@@ -313,6 +313,9 @@
 	Version   uint64        `cbor:"2,keyasint"`
 	Remaining time.Duration `cbor:"3,keyasint"`           // until the entry ends
 	Released  bool          `cbor:"4,keyasint,omitempty"` // the quarantine was ended early
+
+	Provisional bool `cbor:"5,keyasint,omitempty"` // probes may reach engines
+	Probes      int  `cbor:"6,keyasint,omitempty"` // that may have reached engines
 }
 
 func (Heartbeat) isMessage()      {}
--- a/fleet/object/object.go
+++ b/fleet/object/object.go
@@ -68,4 +68,7 @@
 	Version  uint64 `json:"version"`
 	UntilMS  int64  `json:"until-ms"` // end of the entry by the wall clock, in Unix milliseconds
 	Released bool   `json:"released,omitempty"`
+
+	Provisional bool `json:"provisional,omitempty"` // probes may reach engines
+	Probes      int  `json:"probes,omitempty"`      // that may have reached engines
 }
--- a/fleet/quarantine/decide.go
+++ b/fleet/quarantine/decide.go
@@ -34,17 +34,18 @@
 //
 // Requests with a crashing segment may arrive together and end many endpoints at the same
 // moment, as a failed rack does. Such crashes are counted one by one if they are too far apart
-// for one rack and have nothing else in common (isWidespread).
+// for one rack and have nothing else in common (isWidespread). Such a decision is provisional:
+// a failure of several zones looks the same (StartProbe).
 func Decide(s *State, now time.Time) []id.Segment {
 	var out []id.Segment
 	s.dropOldReports(now)
 	s.decideAt = s.nextDecision(now)
 	for len(s.reports) >= s.cfg.Crashes {
-		segment, ok := s.mostSuspect(now)
-		if !ok {
+		segment, v := s.mostSuspect(now)
+		if v == verdictNone {
 			break
 		}
-		s.block(now, segment)
+		s.block(now, segment, v == verdictProvisional)
 		out = append(out, segment)
 	}
 	return out
@@ -61,32 +62,50 @@
 	return time.Time{}
 }
 
+// verdict says whether a suspect should be quarantined.
+type verdict int
+
+const (
+	verdictNone        verdict = iota
+	verdictProvisional         // it rests on crashes at the same moment
+	verdictCertain
+)
+
 // mostSuspect returns the segment that should be quarantined next, if there is one.
-func (s *State) mostSuspect(now time.Time) (id.Segment, bool) {
+func (s *State) mostSuspect(now time.Time) (id.Segment, verdict) {
 	suspects := s.suspects(now)
 	for i := range suspects.list {
-		if s.isProven(now, i, suspects) {
-			return suspects.list[i].segment, true
+		if v := s.judge(now, i, suspects); v != verdictNone {
+			return suspects.list[i].segment, v
 		}
 	}
-	return 0, false
+	return 0, verdictNone
 }
 
-// isProven reports whether the i-th suspect should be quarantined. The suspects that explain the
+// judge returns the verdict about the i-th suspect. The suspects that explain the
 // same crashes are looked for last, because prompts may have thousands of segments.
-func (s *State) isProven(now time.Time, i int, suspects *suspectList) bool {
+func (s *State) judge(now time.Time, i int, suspects *suspectList) verdict {
 	x := &suspects.list[i]
 	isPast := func(crashes []time.Time, n int) bool {
 		return len(crashes) >= n && now.Sub(crashes[n-1]) >= s.cfg.Wait
 	}
 	if isPast(x.moments, s.cfg.CertainCrashes) {
-		return true
+		return verdictCertain
 	}
 	if x.answered {
-		return false
+		return verdictNone
+	}
+	v := verdictNone
+	switch {
+	case isPast(x.moments, s.cfg.Crashes):
+		v = verdictCertain
+	case isPast(x.crashes, s.cfg.CertainCrashes) && s.isWidespread(x, suspects):
+		v = verdictProvisional
+	}
+	if v == verdictNone || suspects.hasRival(i) {
+		return verdictNone
 	}
-	suffices := isPast(x.moments, s.cfg.Crashes) || isPast(x.crashes, s.cfg.CertainCrashes) && s.isWidespread(x, suspects)
-	return suffices && !suspects.hasRival(i)
+	return v
 }
 
 // isWidespread reports whether the endpoints that crashed under x lie in several zones, and
--- a/fleet/quarantine/entry.go
+++ b/fleet/quarantine/entry.go
@@ -15,6 +15,11 @@
 	released bool
 	since    time.Time // when this host learned of it
 	until    time.Time // end of the quarantine; a released entry is kept until then
+
+	provisional bool      // the decision may be wrong; probes may reach engines
+	probes      int       // that may have reached engines, on all hosts
+	probing     bool      // a probe of this host is under way
+	probeAt     time.Time // earliest time of the next probe
 }
 
 // Find returns the first quarantined segment of a prompt and the time that remains of its
@@ -37,8 +42,8 @@
 }
 
 // block quarantines a segment and drops the reports that it explains.
-func (s *State) block(now time.Time, segment id.Segment) {
-	s.decide(now, segment, false)
+func (s *State) block(now time.Time, segment id.Segment, provisional bool) {
+	s.decide(now, segment, entry{provisional: provisional, probeAt: now.Add(probeInterval)})
 	s.dropReports(segment)
 }
 
@@ -61,16 +66,17 @@
 	if !s.isBlocked(now, segment) || !answeredAt.After(s.entries[segment].since) {
 		return false
 	}
-	s.decide(now, segment, true)
+	s.decide(now, segment, entry{released: true})
 	return true
 }
 
-func (s *State) decide(now time.Time, segment id.Segment, released bool) {
-	version := uint64(1)
-	if e, ok := s.entries[segment]; ok {
-		version = e.version + 1
+// decide stores a new decision about a segment, and sets its version and times.
+func (s *State) decide(now time.Time, segment id.Segment, e entry) {
+	e.version, e.since, e.until = 1, now, now.Add(s.cfg.Duration)
+	if known, ok := s.entries[segment]; ok {
+		e.version = known.version + 1
 	}
-	s.put(now, segment, entry{version: version, released: released, since: now, until: now.Add(s.cfg.Duration)})
+	s.put(now, segment, e)
 }
 
 // put stores an entry. Entries that have ended are removed, and the one that ends first if
@@ -106,6 +112,7 @@
 		if now.Before(e.until) {
 			out = append(out, message.QuarantineEntry{
 				Segment: segment, Version: e.version, Released: e.released, Remaining: e.until.Sub(now),
+				Provisional: e.provisional, Probes: e.probes,
 			})
 		}
 	}
@@ -113,7 +120,7 @@
 }
 
 // Merge adopts the entries of another host that are newer than those of this host. It
-// returns the segments that are quarantined by them.
+// returns the segments that are quarantined by them and were not before.
 func Merge(s *State, now time.Time, entries []message.QuarantineEntry) []id.Segment {
 	var blocked []id.Segment
 	for _, m := range entries {
@@ -123,9 +130,12 @@
 		}
 		// The clocks of hosts may differ.
 		remaining := min(m.Remaining, s.cfg.Duration)
-		e := entry{version: m.Version, released: m.Released, since: now, until: now.Add(remaining)}
-		s.put(now, m.Segment, e)
-		if !m.Released {
+		wasBlocked := s.isBlocked(now, m.Segment)
+		s.put(now, m.Segment, entry{
+			version: m.Version, released: m.Released, since: now, until: now.Add(remaining),
+			provisional: m.Provisional, probes: m.Probes, probeAt: now.Add(probeInterval),
+		})
+		if !m.Released && !wasBlocked {
 			s.dropReports(m.Segment)
 			blocked = append(blocked, m.Segment)
 		}
--- a/fleet/quarantine/quarantine_test.go
+++ b/fleet/quarantine/quarantine_test.go
@@ -157,6 +157,9 @@
 			a.advance(time.Second)
 			quarantine.Decide(a.st, a.now)
 			assert.Equal(t, a.isBlocked(bad), c.want)
+			for _, e := range quarantine.Entries(a.st, a.now) {
+				assert.Assert(t, e.Provisional, "a failure of several zones looks the same")
+			}
 		})
 	}
 }
