--- a/fleet/core/relay.go
+++ b/fleet/core/relay.go
@@ -215,6 +215,7 @@
 			s.awaitRunEnd(r, ev.Endpoint)
 		}
 	}
+	s.probeFailed(r, ev)
 	r.dispatched = ran
 	r.unreachableEndpoint = ""
 	if ev.Unreachable {
