core: no decode on an engine that takes no requests any more

Callers would see streams cut off midway, because their decodes started on an engine shortly before its end. The endpoints saw requests later than 2 s after their announcement (DRAIN), or during a pause that they had asked for (BUDGET).

Cause: a grant is checked against the state of both engines, but prefillDone checked only that the decode engine is in the table. An announcement during a long prefill had no effect.

An engine that has taken no requests of this host for 400 ms gets no decode. The attempt ends as one that has not run, its KV cache is freed, and the next attempt takes its place from the retry budget. Prefills that end within 400 ms of the announcement still decode there: the engine takes requests for that long, and a repeated prefill would be wasted. The KV cache is not handed to another engine, because it lives less than a second and the slot of another engine must be granted first. The same holds for a decode engine that has left the table; that attempt was repeated outside the retry budget before, and its KV cache was left to expire.

TestDecodeEngineLeaves failed before in all four cases (decode started, or two cancellations without the KV cache), TestCancelFreesPrefill too.

--- a/fleet/core/effect.go
+++ b/fleet/core/effect.go
@@ -72,6 +72,7 @@
 	Attempt  id.Attempt
 	Endpoint id.Endpoint
 	Address  string
+	KV       string // in relay mode, KV cache of a finished prefill that no decode will fetch; empty if there is none
 }
 
 // CallService sends the caller's call to a plain service. The result is ServiceDone
--- a/fleet/core/request.go
+++ b/fleet/core/request.go
@@ -82,6 +82,8 @@
 	timeout      time.Duration // timeout of the prefill
 	resumed      bool          // the stream has been resumed and no token has arrived since
 
+	decodeUnusableSince time.Time // when the decode engine stopped taking requests during the prefill; zero if it takes them
+
 	ranEarlier  bool      // an earlier attempt may have run
 	dispatched  bool      // the current attempt has been sent to an endpoint
 	runCount    int       // number of attempts that may have run
--- a/fleet/core/run.go
+++ b/fleet/core/run.go
@@ -36,6 +36,7 @@
 	r.dispatched = true
 	r.lastProgress = s.now
 	r.timeout = s.prefillTimeout(r)
+	r.decodeUnusableSince = time.Time{}
 	r.lastRegistered = s.now.Add(-s.firstHoldAdvance())
 	r.addTrace(s.now, "attempt %d: prefill on %s, decode slot on %s", r.attempt, r.prefill, r.decode)
 	s.send(r.schedulerHost, message.SlotUpdate{Request: r.Request, Attempt: r.attempt, Phase: message.PhasePrefill})
@@ -87,10 +88,14 @@
 	}
 	from, okFrom := s.snapshot().Endpoints[r.prefill]
 	to, okTo := s.snapshot().Endpoints[r.decode]
-	if !okFrom || !okTo {
+	if !okFrom {
 		s.attemptFailed(r, r.decode, CodeNoEndpoint, false)
 		return
 	}
+	if !okTo || s.decodeIsLate(r) {
+		s.leaveDecode(r, from, ev.KV)
+		return
+	}
 	r.stage = StageDecode
 	r.runCount++
 	r.lastProgress = s.now
--- a/fleet/core/tick.go
+++ b/fleet/core/tick.go
@@ -104,6 +104,7 @@
 			s.refreshQueue(r)
 		case StagePrefill, StageDecode:
 			s.registerHold(r)
+			s.checkDecodeEngine(r)
 			s.checkStalled(r)
 		case StageTokens, StageClaim, StageCall:
 		}
