wire: keep the whole pause that an endpoint asks for

With it the notice of an endpoint was also forgotten a minute after its answer if the platform had not listed the endpoint; a running pause is now kept. A restarted endpoint has another name, so that the pause of its former process does not hold for it.

--- a/fleet/core/notice.go
+++ b/fleet/core/notice.go
@@ -78,10 +78,14 @@
 	return shortest, shortest > 0
 }
 
-// forgetNotices forgets the notices of endpoints that have left.
+// forgetNotices forgets the notices of endpoints that have left, but for running pauses: an
+// endpoint that was cut off from the platform is listed again.
 func (s *step) forgetNotices() {
 	for name, n := range s.notices {
-		if _, ok := s.snapshot().Endpoints[name]; !ok && s.now.Sub(n.receivedAt) > noticeRetention {
+		if _, ok := s.snapshot().Endpoints[name]; ok || s.now.Before(n.pauseUntil) {
+			continue
+		}
+		if s.now.Sub(n.receivedAt) > noticeRetention {
 			delete(s.notices, name)
 		}
 	}
--- a/fleet/core/notice_test.go
+++ b/fleet/core/notice_test.go
@@ -36,3 +36,21 @@
 		assert.Equal(t, has(h.sendRequest("later", "unsafe"), core.CallService{}), !n.Leaving)
 	}
 }
+
+// TestPauseOutlivesListing guards against requests to an endpoint within the pause that it has
+// asked for, because the platform has not listed it for a while.
+func TestPauseOutlivesListing(t *testing.T) {
+	h := newRelayHost(t)
+	for _, name := range []id.Endpoint{"s1", "s2"} {
+		h.reduce(core.EndpointNotice{Endpoint: name, Pause: 5 * time.Minute})
+	}
+	without := relayTable(2)
+	delete(without.Endpoints, "s1")
+	delete(without.Endpoints, "s2")
+	h.advance(90 * time.Second)
+	h.reduce(core.TableOpened{Snapshot: without})
+	h.reduce(core.TableOpened{Snapshot: relayTable(3)})
+	assert.Assert(t, !has(h.sendRequest("early", "unsafe"), core.CallService{}), "the pause was forgotten")
+	h.advance(4 * time.Minute)
+	assert.Assert(t, has(h.sendRequest("later", "unsafe"), core.CallService{}))
+}
