member: a restarted host whose clock was set back is heard

After a step back of the clock, all other hosts would drop the messages of a restarted host until the clock has caught up, or until it is started again. Its callers would be refused where a scheduler of another host must grant a slot.

Cause: the incarnation is the time of day at the start, and a message of a lower incarnation than the known one counts as one of a former process.

A host that drops a message as stale now tells its sender by which incarnation it knows it, at most once in half a heartbeat interval. The sender takes the next higher one and announces it.

TestSetIncarnation covers the sender.

--- a/fleet/core/broadcast.go
+++ b/fleet/core/broadcast.go
@@ -50,6 +50,7 @@
 	s.forwardBroadcast(b)
 	for _, hb := range b.Heartbeats {
 		s.memberChanges(member.HandleForwarded(s.member, s.now, b.Origin, b.Incarnation, hb))
+		s.applyIncarnation()
 		s.handleHeartbeatState(b.Origin, hb)
 	}
 	for _, u := range b.Updates {
--- a/fleet/core/effect.go
+++ b/fleet/core/effect.go
@@ -20,6 +20,12 @@
 	Message message.Message
 }
 
+// SetIncarnation changes the incarnation under which messages to other routers are sent from
+// now on.
+type SetIncarnation struct {
+	Incarnation id.Incarnation
+}
+
 // StartPrefill starts a prefill of the prompt and the output delivered so far. The
 // result is PrefillDone or RunFailed.
 type StartPrefill struct {
@@ -261,6 +267,7 @@
 type Stopped struct{}
 
 func (SendPeer) isEffect()        {}
+func (SetIncarnation) isEffect()  {}
 func (StartPrefill) isEffect()    {}
 func (StartDecode) isEffect()     {}
 func (ResumeDecode) isEffect()    {}
--- a/fleet/core/peers.go
+++ b/fleet/core/peers.go
@@ -38,12 +38,14 @@
 func (s *step) peerMessage(ev PeerMessage) {
 	if member.Stale(s.member, ev.From, ev.Incarnation) {
 		s.emit(Log{Level: LogWarn, Component: partPeer, Text: "Message of an old incarnation was ignored.", Host: ev.From})
+		s.correctStale(ev.From)
 		return
 	}
 	changes := member.RecordMessage(s.member, s.now, ev.From, ev.Incarnation)
 	s.clearSuspicion(ev.From)
 	if hb, ok := ev.Message.(message.Heartbeat); ok {
 		changes = append(changes, member.HandleHeartbeat(s.member, s.now, ev.From, ev.Incarnation, hb)...)
+		s.applyIncarnation()
 		s.handleHeartbeatState(ev.From, hb)
 	}
 	s.memberChanges(changes)
@@ -54,6 +56,28 @@
 	s.dispatch(ev.From, ev.Message)
 }
 
+// correctStale tells a host whose message was stale by which incarnation this host knows it.
+func (s *step) correctStale(from id.Host) {
+	r, ok := member.CorrectStale(s.member, s.now, from)
+	if !ok {
+		return
+	}
+	hb := s.heartbeat()
+	hb.Reports = []message.HostReport{r}
+	s.send(from, hb)
+}
+
+// applyIncarnation makes this host send its messages under the incarnation that it has taken.
+func (s *step) applyIncarnation() {
+	inc := member.Incarnation(s.member)
+	if inc == s.cfg.Incarnation {
+		return
+	}
+	s.cfg.Incarnation = inc
+	s.log(LogWarn, partPeer, "Other hosts knew a higher incarnation of this host. The clock may have been set back.")
+	s.emit(SetIncarnation{Incarnation: inc})
+}
+
 // handleHeartbeatState handles what a heartbeat says about its sender apart from
 // membership.
 func (s *step) handleHeartbeatState(from id.Host, hb message.Heartbeat) {
--- a/fleet/member/member.go
+++ b/fleet/member/member.go
@@ -113,16 +113,11 @@
 	zoneDead         bool      // dead because its whole zone is silent
 	lastHeard        time.Time // time of the last message from the host itself
 	lastSent         time.Time // time of the last heartbeat to the host
+	correctedAt      time.Time // time of the last report to the host about itself
 	awaitingSince    time.Time // a reply has been due since then
 	suspectedAt      time.Time // time of a death report that contradicts a recent message
-	probeInterval    time.Duration
 	nextProbe        time.Time
-}
-
-// report is a host report that heartbeats currently carry.
-type report struct {
-	message.HostReport
-	roundsLeft int // heartbeat rounds that still carry the report
+	probeInterval    time.Duration
 }
 
 // State is the membership view of one host.
--- a/fleet/member/receive.go
+++ b/fleet/member/receive.go
@@ -199,11 +199,10 @@
 	if (m.AwaitsReply || !s.neighbours[from]) && now.Sub(p.lastSent) >= s.cfg.HeartbeatInterval*3/4 {
 		s.pendingReplies[from] = true
 	}
-	if m.Zone != s.cfg.Zone {
-		return changes
-	}
 	for _, r := range m.Reports {
-		changes = append(changes, handleReport(s, now, r)...)
+		if m.Zone == s.cfg.Zone || r.Host == s.cfg.Host {
+			changes = append(changes, handleReport(s, now, r)...)
+		}
 	}
 	return changes
 }
@@ -269,8 +268,12 @@
 }
 
 // handleSelfReport contradicts a report of this host's own death with a heartbeat
-// to all hosts of the zone.
+// to all hosts of the zone. A report of a higher incarnation is about a former process.
 func handleSelfReport(s *State, r message.HostReport) {
+	if r.Incarnation > s.cfg.Incarnation {
+		raiseIncarnation(s, r.Incarnation)
+		return
+	}
 	if r.State == message.HostDead && r.Incarnation >= s.cfg.Incarnation {
 		s.broadcastPending = true
 	}
@@ -328,6 +331,12 @@
 	return true
 }
 
+// report is a host report that heartbeats currently carry.
+type report struct {
+	message.HostReport
+	roundsLeft int // heartbeat rounds that still carry the report
+}
+
 // addReport queues a report and requests that it be sent to the whole zone at once.
 func addReport(s *State, p *peer) {
 	r := report{roundsLeft: reportRounds + 1}
--- a/router/internal/app/dispatch.go
+++ b/router/internal/app/dispatch.go
@@ -42,6 +42,8 @@
 	switch e := e.(type) {
 	case core.SendPeer:
 		d.peer.Send(e)
+	case core.SetIncarnation:
+		d.peer.SetIncarnation(e.Incarnation)
 	case core.Deliver:
 		d.adapters.Caller.Handle(e.Request, e)
 	case core.Finish:
--- a/router/internal/peer/client.go
+++ b/router/internal/peer/client.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -34,7 +35,7 @@
 type Sender struct {
 	ctx         context.Context
 	from        id.Host
-	incarnation id.Incarnation
+	incarnation atomic.Uint64 // an id.Incarnation
 	poster      Poster
 	log         *zap.Logger
 	http        *http.Client
@@ -85,13 +86,18 @@
 
 		IdleConnTimeout: idleConnTimeout,
 	}
-	return &Sender{
-		ctx: ctx, from: from, incarnation: incarnation, poster: p, log: log,
+	s := &Sender{
+		ctx: ctx, from: from, poster: p, log: log,
 		http:   &http.Client{Transport: frameTransport{next: transport}},
 		queues: make(map[id.Host]*peerQueue),
 	}
+	s.SetIncarnation(incarnation)
+	return s
 }
 
+// SetIncarnation changes the incarnation of all messages that have not been sent yet.
+func (s *Sender) SetIncarnation(inc id.Incarnation) { s.incarnation.Store(uint64(inc)) }
+
 // Send queues a message. It does not wait for the message to be sent.
 func (s *Sender) Send(e core.SendPeer) {
 	s.mu.Lock()
--- a/router/internal/peer/link.go
+++ b/router/internal/peer/link.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"ragwortshunt.example/fleet/core"
+	"ragwortshunt.example/fleet/id"
 	"ragwortshunt.example/fleet/message"
 )
 
@@ -27,7 +28,7 @@
 	if len(messages) == 0 {
 		return
 	}
-	env := &message.Envelope{From: l.from, Incarnation: l.incarnation}
+	env := &message.Envelope{From: l.from, Incarnation: id.Incarnation(l.incarnation.Load())}
 	for _, m := range messages {
 		env.Add(m)
 	}
--- a/router/internal/peer/peer_test.go
+++ b/router/internal/peer/peer_test.go
@@ -290,3 +290,15 @@
 		assert.Equal(t, len(received), 0)
 	})
 }
+
+// TestSetIncarnation guards against messages under the former incarnation on a stream that was
+// open when the host took another one.
+func TestSetIncarnation(t *testing.T) {
+	address, received := serve(t)
+	sender, _ := newSender(t)
+	for _, inc := range []id.Incarnation{9, 12} {
+		sender.SetIncarnation(inc)
+		sender.Send(core.SendPeer{To: "h-2", Address: address, Message: message.TokenRequest{}})
+		assert.Equal(t, received.Next(t).(core.PeerMessage).Incarnation, inc)
+	}
+}
