--- a/router/internal/app/app_test.go
+++ b/router/internal/app/app_test.go
@@ -51,7 +51,7 @@
 
 // testRouter is a router that runs without a table.
 type testRouter struct {
-	callerAddress, operatorAddress string
+	callerAddress, operatorAddress, peerAddress string
 
 	logs *observer.ObservedLogs
 	stop func()     // begins the shutdown
@@ -63,10 +63,12 @@
 	t.Helper()
 	store := httptest.NewServer(http.NotFoundHandler())
 	t.Cleanup(store.Close)
-	r := &testRouter{callerAddress: freeAddress(t), operatorAddress: freeAddress(t), done: make(chan error, 1)}
+	r := &testRouter{
+		callerAddress: freeAddress(t), operatorAddress: freeAddress(t), peerAddress: freeAddress(t), done: make(chan error, 1),
+	}
 	s, err := settings.Parse("s.ini", []byte(fmt.Sprintf(
 		"[host]\nname = h\nzone = a\nzones = a\n[caller]\naddress = %s\n[peer]\naddress = %s\n[operator]\naddress = %s\n[platform]\nurl = %s\n",
-		r.callerAddress, freeAddress(t), r.operatorAddress, store.URL)))
+		r.callerAddress, r.peerAddress, r.operatorAddress, store.URL)))
 	assert.NilError(t, err)
 	lifetime, endLifetime := context.WithCancel(context.Background())
 	t.Cleanup(endLifetime)
