--- a/fleet/quarantine/decide.go
+++ b/fleet/quarantine/decide.go
@@ -125,8 +125,9 @@
 	return len(x.crashes) > len(others)
 }
 
-// suspects returns all suspects with enough reports in the order in which they are considered: those that have
-// not been answered first, then by the number of crashes and the position in the prompt.
+// suspects returns all suspects with enough reports in the order in which they are considered:
+// those that have not been answered first, then by the number of crashes and the position in the
+// prompt.
 func (s *State) suspects(now time.Time) *suspectList {
 	indexes := make(map[id.Endpoint]int)
 	for _, r := range s.reports {
