schedule, table, message: order queues by priority level

Cause: the priorities of routes and accounts were parsed and ignored, so that urgent requests waited behind all others in a burst.

A cell orders its queues by class, then by level, then by weighted fair queueing. Lower levels get a tenth of the endpoint time while they wait. Queued requests that more urgent ones have pushed back too far are refused at once, and Retry-After follows from what is ahead at the level and above.

--- a/fleet/message/message.go
+++ b/fleet/message/message.go
@@ -120,6 +120,7 @@
 	MaxWait            time.Duration `cbor:"15,keyasint,omitempty"` // maximum queueing time; 0 means the limit of the scheduler
 	ElapsedBeforeEntry time.Duration `cbor:"16,keyasint,omitempty"` // time that the caller had spent before the request reached its entry host
 	AZ                 id.Zone       `cbor:"17,keyasint,omitempty"` // availability zone of the entry host; set if the scheduler's zone is a larger scheduling domain
+	Level              Level         `cbor:"18,keyasint,omitempty"` // priority level; hosts of older versions send none
 }
 
 // SlotGrant reserves a prefill and a decode engine for one attempt.
--- a/fleet/schedule/check.go
+++ b/fleet/schedule/check.go
@@ -103,12 +103,14 @@
 
 func (c *Cell) checkQueues() error {
 	total := 0
-	for i := range c.classes {
-		n, err := c.checkClass(i)
-		if err != nil {
-			return err
+	for class := range c.queues {
+		for level := range c.queues[class] {
+			n, err := c.checkQueue(class, level)
+			if err != nil {
+				return err
+			}
+			total += n
 		}
-		total += n
 	}
 	if total != len(c.queueDeadlines) {
 		return fmt.Errorf("%d requests are queued, %d have a queue deadline", total, len(c.queueDeadlines))
@@ -122,12 +124,15 @@
 	return nil
 }
 
-// checkClass checks the queue of a class and returns its number of requests.
-func (c *Cell) checkClass(i int) (int, error) {
-	q := &c.classes[i]
+// checkQueue checks the queue of a class and level and returns its number of requests.
+func (c *Cell) checkQueue(class, level int) (int, error) {
+	q := &c.queues[class][level]
 	total, lanes := 0, 0
 	for _, a := range c.accounts {
-		f := &a.flows[i]
+		f := a.flows[class][level]
+		if f == nil {
+			continue
+		}
 		n := 0
 		for j := range f.lanes {
 			l := &f.lanes[j]
@@ -146,7 +151,7 @@
 		total += n
 	}
 	if total != q.queued || lanes != len(q.lanes) {
-		return 0, fmt.Errorf("class %d has %d requests in %d lanes, counted %d in %d", i, total, lanes, q.queued, len(q.lanes))
+		return 0, fmt.Errorf("class %d, level %d has %d requests in %d lanes, counted %d in %d", class, level, total, lanes, q.queued, len(q.lanes))
 	}
 	return total, nil
 }
--- a/fleet/schedule/config.go
+++ b/fleet/schedule/config.go
@@ -26,6 +26,7 @@
 	NoLateLast     bool // deferrable requests that have missed their target are not demoted
 	NoReportedEnds bool // free a decode reservation only when its host ends it, not by load reports
 	NoPin          bool // never drain a decode endpoint for a request that needs much memory
+	NoLevels       bool // ignore priority levels
 }
 
 // Config holds the limits and timeouts of a cell.
@@ -62,6 +63,11 @@
 	FairQuantum         time.Duration // accounts whose virtual times differ by less are ordered by latest start
 	DeferrableShare     int64         // minimum percentage of the endpoint time that deferrable requests get
 	MaxDeferrableDebt   time.Duration // bound of the endpoint time owed to deferrable requests
+	LowerLevelShare     int64         // minimum percentage of the endpoint time that less urgent levels get together while they wait
+	MaxLevelDebt        time.Duration // bound of the endpoint time owed to less urgent levels
+	MaxHold             time.Duration // a request that lacks memory holds back less urgent levels for at most this time
+	ShedInterval        time.Duration // interval of the search for queued requests that can no longer start in time
+	ShedLimit           int           // requests that one such search refuses per level at most
 	LargePrefillTime    time.Duration // a prompt whose prefill takes longer is large
 	MaxSmallPromptWait  time.Duration // a large prompt is granted only if a second prefill endpoint is free within this time
 	SmallPromptWindow   time.Duration // large prompts are limited for this long after a small interactive one
@@ -102,6 +108,11 @@
 		FairQuantum:          time.Second,
 		DeferrableShare:      20,
 		MaxDeferrableDebt:    time.Second,
+		LowerLevelShare:      10,
+		MaxLevelDebt:         time.Second,
+		MaxHold:              500 * time.Millisecond,
+		ShedInterval:         100 * time.Millisecond,
+		ShedLimit:            64,
 		LargePrefillTime:     250 * time.Millisecond,
 		MaxSmallPromptWait:   1200 * time.Millisecond,
 		SmallPromptWindow:    5 * time.Second,
--- a/fleet/schedule/entry.go
+++ b/fleet/schedule/entry.go
@@ -28,6 +28,8 @@
 	az          id.Zone  // of the host; empty unless the cell spans several zones
 	account     *account // nil for attempts that this cell has not granted
 	class       message.Class
+	stated      message.Level // as its host stated it
+	level       int           // position among the queues, 0 is the most urgent
 	state       state
 	phase       message.Phase
 	grantedHere bool // granted by this cell
--- a/fleet/schedule/grant.go
+++ b/fleet/schedule/grant.go
@@ -12,6 +12,9 @@
 	scanned       int
 	largeBlocked  bool  // large prompts cannot be granted
 	blockedTokens int64 // requests of this many prompt and output tokens or more lack memory; 0 if none is known
+	turnFailed    bool  // the less urgent level whose turn it is cannot be granted
+	held          bool  // a request of heldLevel lacks memory and holds back the levels below
+	heldLevel     int
 }
 
 // grantQueued refuses or demotes the requests whose queue deadline has passed, then
@@ -42,6 +45,7 @@
 		}
 		r.scanned++
 		c.noteObstacle(&r, e, why)
+		r.turnFailed = true
 	}
 	c.restoreSkippedLanes()
 	return acts
@@ -55,25 +59,43 @@
 	case why == obstacleMemory:
 		r.blockedTokens = e.prompt + e.output
 		c.drainFor(e)
+		c.holdLowerLevels(r, e)
 	default:
 		c.skipLane(e.lane)
 	}
 }
 
-// nextEntry returns the request to try next: interactive before deferrable, unless
-// endpoint time is owed to deferrable requests.
+// nextEntry returns the request to try next: a less urgent level whose turn it is, then
+// interactive requests before deferrable ones, unless endpoint time is owed to deferrable
+// requests.
 func (c *Cell) nextEntry(r *passState) *entry {
-	first, second := &c.classes[interactive], &c.classes[deferrable]
+	if e := c.nextLowerLevel(r); e != nil {
+		return e
+	}
+	first, second := interactive, deferrable
 	if c.deferrableDebt > 0 {
 		first, second = second, first
 	}
-	if e := c.nextInClass(r, first); e != nil {
+	if e := c.nextOfClass(r, first); e != nil {
 		return e
 	}
-	return c.nextInClass(r, second)
+	return c.nextOfClass(r, second)
+}
+
+// nextOfClass returns the first request of a class, the most urgent level first.
+func (c *Cell) nextOfClass(r *passState, class int) *entry {
+	for level := range c.levelCount() {
+		if r.holdsBack(class, level) {
+			return nil
+		}
+		if e := c.nextInClass(r, &c.queues[class][level]); e != nil {
+			return e
+		}
+	}
+	return nil
 }
 
-// nextInClass returns the first request of a class that is not subject to a known
+// nextInClass returns the first request of a class and level that is not subject to a known
 // obstacle. Once there is an obstacle, it searches only the first ScanLimit lanes.
 func (c *Cell) nextInClass(r *passState, q *classQueue) *entry {
 	if len(q.lanes) == 0 {
@@ -111,7 +133,7 @@
 
 // skipLane removes a lane from the order until the end of the pass.
 func (c *Cell) skipLane(l *lane) {
-	c.classes[l.flow.class].remove(l)
+	c.queueOf(l.flow).remove(l)
 	l.skipped = true
 	c.skipped = append(c.skipped, l)
 }
@@ -146,7 +168,7 @@
 	pl.decode.takeFromRate()
 	pl.prefill.startProbe(e)
 	pl.decode.startProbe(e)
-	return Send{To: e.host, Message: c.grantMessage(e, c.cfg.GrantValid)}
+	return Send{To: e.host, Message: c.grantMessage(e, c.cfg.GrantValid), Level: e.stated}
 }
 
 func (ep *endpoint) startProbe(e *entry) {
--- /dev/null
+++ b/fleet/schedule/level.go
@@ -0,0 +1,217 @@
+package schedule
+
+import (
+	"math"
+	"time"
+
+	"ragwortshunt.example/fleet/message"
+)
+
+// A model may have priority levels. Its queues are ordered by class, then by level, then
+// by weighted fair queueing. Less urgent levels get a minimum share of the endpoint time,
+// so that a constant load of urgent requests does not starve them. A model without levels
+// uses level 0 only.
+
+// levelTurns divides the minimum share of the less urgent levels equally among them.
+type levelTurns struct {
+	served [message.MaxLevels]time.Duration // endpoint time granted in turns
+}
+
+// SetLevels sets the number of priority levels of the model; 0 means that it has none.
+// Queued requests move to the queues of their levels.
+func SetLevels(c *Cell, now time.Time, levels int) {
+	c.advance(now)
+	if c.cfg.Policy.NoLevels || levels < 2 {
+		levels = 0
+	}
+	levels = min(levels, message.MaxLevels)
+	if levels == c.levels {
+		return
+	}
+	c.levels = levels
+	c.levelDebt = 0
+	c.levelTurns = levelTurns{}
+	c.retries = retrySchedule{}
+	queued := make([]*entry, len(c.queueDeadlines))
+	copy(queued, c.queueDeadlines)
+	sortEntries(queued)
+	for _, e := range queued {
+		c.dequeue(e)
+		e.level = c.levelIndex(e.stated)
+		c.enqueue(e)
+	}
+}
+
+// levelIndex returns the position of a level among the queues. A request without a level,
+// which a host of an older version has sent, counts as the middle.
+func (c *Cell) levelIndex(l message.Level) int {
+	if c.levels == 0 {
+		return 0
+	}
+	rank, ok := l.Rank()
+	if !ok {
+		return c.levels / 2
+	}
+	return min(rank, c.levels-1)
+}
+
+// levelCount returns the number of levels that requests can have.
+func (c *Cell) levelCount() int { return max(c.levels, 1) }
+
+// queuedAt returns the number of queued requests of a level.
+func (c *Cell) queuedAt(level int) int {
+	n := 0
+	for class := range c.queues {
+		n += c.queues[class][level].queued
+	}
+	return n
+}
+
+func (c *Cell) queuedInClass(class int) int {
+	n, _ := c.sumQueues(class, message.MaxLevels-1)
+	return n
+}
+
+// sumQueues returns the number of queued requests of a class at a level and above, and
+// their prompt tokens.
+func (c *Cell) sumQueues(class, level int) (requests int, prompt int64) {
+	for i := range c.queues[class][:level+1] {
+		requests += c.queues[class][i].queued
+		prompt += c.queues[class][i].prompt
+	}
+	return requests, prompt
+}
+
+// queuedAhead returns the number of queued requests that are ahead of one of a level; see
+// queueWait.
+func (c *Cell) queuedAhead(behindAll bool, level int) int {
+	if !behindAll {
+		n, _ := c.sumQueues(interactive, level)
+		return n
+	}
+	late, _ := c.sumQueues(deferrable, level)
+	return c.queuedInClass(interactive) + late
+}
+
+// drainRate returns the rate, in requests per second, at which queued requests can start:
+// the measured rate at which runs end. That rate lags by about a second, and is too low
+// when a burst begins. For a model with levels, the rate that follows from the current
+// runs and their expected time is used if it is higher.
+func (c *Cell) drainRate() float64 {
+	rate := max(c.slotReleases.perSecond, 1)
+	if c.levels == 0 || c.runAverages.samples < minBalanceSamples {
+		return rate
+	}
+	runTime := c.runAverages.output * c.tokenTime.Seconds()
+	runTime += c.runAverages.prompt / max(c.meanPrefillRate(), 1)
+	if runTime <= 0 {
+		return rate
+	}
+	return max(rate, float64(len(c.runs))/runTime)
+}
+
+// urgentLevel returns the level that goes first apart from turns: the most urgent one
+// with interactive requests, or with deferrable ones if no interactive request is queued.
+// It returns levelCount if the queue is empty.
+func (c *Cell) urgentLevel() int {
+	for class := range c.queues {
+		for level := range c.levelCount() {
+			if c.queues[class][level].queued > 0 {
+				return level
+			}
+		}
+	}
+	return c.levelCount()
+}
+
+// waitsBelow reports whether a request of a less urgent level is queued.
+func (c *Cell) waitsBelow(level int) bool {
+	for l := level + 1; l < c.levelCount(); l++ {
+		if c.queuedAt(l) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// updateLevelDebt adds a part of the cost of a grant to the endpoint time owed to the
+// levels below if any of them waits, and subtracts the cost of each grant to a level
+// below the most urgent one. The debt is bounded on both sides, so that no level can save
+// up a burst. The granted request is no longer queued.
+func (c *Cell) updateLevelDebt(level int, cost time.Duration) {
+	if c.levels == 0 {
+		return
+	}
+	if level > c.urgentLevel() {
+		c.levelDebt = max(-c.cfg.MaxLevelDebt, c.levelDebt-cost)
+		c.levelTurns.served[level] += cost
+		return
+	}
+	limit := c.cfg.MaxLevelDebt
+	if !c.waitsBelow(level) {
+		limit = 0
+	}
+	share := min(max(c.cfg.LowerLevelShare, 0), 99)
+	c.levelDebt = min(limit, c.levelDebt+cost*time.Duration(share)/time.Duration(100-share))
+}
+
+// activateLevel is called before a request is queued. A level that was empty gains no
+// credit for turns from having been idle.
+func (c *Cell) activateLevel(level int) {
+	if c.levels == 0 || c.queuedAt(level) > 0 {
+		return
+	}
+	least := time.Duration(math.MaxInt64)
+	for l := range c.levels {
+		if c.queuedAt(l) > 0 {
+			least = min(least, c.levelTurns.served[l])
+		}
+	}
+	if least < math.MaxInt64 {
+		c.levelTurns.served[level] = max(c.levelTurns.served[level], least)
+	}
+}
+
+// nextLowerLevel returns a request of a less urgent level if endpoint time is owed to
+// these levels, and nil otherwise. They take turns.
+func (c *Cell) nextLowerLevel(r *passState) *entry {
+	if c.levels == 0 || c.levelDebt <= 0 || r.turnFailed {
+		return nil
+	}
+	turn := -1
+	for level := c.urgentLevel() + 1; level < c.levels; level++ {
+		if c.queuedAt(level) == 0 {
+			continue
+		}
+		if turn < 0 || c.levelTurns.served[level] < c.levelTurns.served[turn] {
+			turn = level
+		}
+	}
+	if turn < 0 {
+		return nil
+	}
+	if e := c.nextInClass(r, &c.queues[interactive][turn]); e != nil {
+		return e
+	}
+	return c.nextInClass(r, &c.queues[deferrable][turn])
+}
+
+// holdLowerLevels keeps less urgent requests from taking the memory that e waits for.
+// They are often smaller, and would take each part of it that becomes free. A hold costs
+// little, because e needs only the first endpoint of the cell that has room.
+func (c *Cell) holdLowerLevels(r *passState, e *entry) {
+	if c.levels == 0 || r.held || c.classIndex(e.class) == deferrable || c.pin.entry == e {
+		return
+	}
+	if c.now-e.requestedAt < c.cfg.MaxHold {
+		r.held, r.heldLevel = true, e.level
+	}
+}
+
+// holdsBack reports whether a class and level gets no grant in this pass.
+func (r *passState) holdsBack(class, level int) bool {
+	return r.held && (class == deferrable || level > r.heldLevel)
+}
+
+// LevelCount returns the number of priority levels of the model of a cell, or 0.
+func LevelCount(c *Cell) int { return c.levels }
--- a/fleet/schedule/memory.go
+++ b/fleet/schedule/memory.go
@@ -83,17 +83,18 @@
 	return c.peakWith(ep, e)+waste <= memory*c.cfg.MemoryPercent/100
 }
 
-// queueWait estimates how long a request would wait for the queued requests ahead of
-// it, from the rate at which runs end. With behindAll set, all queued requests are
-// ahead, otherwise only the interactive ones.
-func (c *Cell) queueWait(behindAll bool) time.Duration {
-	ahead := c.classes[interactive].queued
-	if behindAll {
-		ahead = c.queued()
-	}
-	if ahead == 0 {
+// queueWait estimates how long a request of a level would wait for the queued requests
+// ahead of it, from the rate at which runs end. With behindAll set it is behind all
+// interactive requests and the deferrable ones of its level and above, otherwise only
+// behind the interactive ones of its level and above.
+func (c *Cell) queueWait(behindAll bool, level int) time.Duration {
+	return c.drainTime(c.queuedAhead(behindAll, level))
+}
+
+// drainTime estimates the time until a number of queued requests has started.
+func (c *Cell) drainTime(requests int) time.Duration {
+	if requests <= 0 {
 		return 0
 	}
-	rate := max(c.slotReleases.perSecond, 1)
-	return max(time.Duration(float64(ahead)/rate*float64(time.Second)), c.limitWait(ahead))
+	return max(time.Duration(float64(requests)/c.drainRate()*float64(time.Second)), c.limitWait(requests))
 }
--- a/fleet/schedule/queue.go
+++ b/fleet/schedule/queue.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"cmp"
 	"container/heap"
 	"time"
 
@@ -21,20 +20,21 @@
 	laneCount
 )
 
-// account is one client account. Each class has its own virtual time, because an
-// account that is queued only in the deferrable class would otherwise hold back the
+// account is one client account. Each class and level has its own virtual time, because
+// an account that is queued only in the deferrable class would otherwise hold back the
 // system virtual time of the interactive one.
 type account struct {
 	name        id.Account
 	weight      int64
-	flows       [classCount]flow
-	liveEntries int // entries of the account
+	flows       [classCount][message.MaxLevels]*flow // nil until the first request
+	liveEntries int                                  // entries of the account
 }
 
-// flow is the queue of one account in one class, as in weighted fair queueing.
+// flow is the queue of one account in one class and level, as in weighted fair queueing.
 type flow struct {
 	account     *account
 	class       int
+	level       int
 	virtualTime time.Duration // endpoint time served, divided by weight
 	activeSince time.Duration // system virtual time when the flow last became active
 	queued      int
@@ -55,7 +55,7 @@
 	headRequest id.Request
 }
 
-// classQueue orders the lanes of one class by weighted fair queueing.
+// classQueue orders the lanes of one class and level by weighted fair queueing.
 type classQueue struct {
 	lanes       laneHeap
 	virtualTime time.Duration // system virtual time
@@ -68,18 +68,43 @@
 		return a
 	}
 	a := &account{name: name, weight: max(1, c.weights[name])}
-	for i := range a.flows {
-		f := &a.flows[i]
-		f.account = a
-		f.class = i
-		for j := range f.lanes {
-			f.lanes[j] = lane{flow: f, index: -1}
-		}
-	}
 	c.accounts[name] = a
 	return a
 }
 
+// flow returns the flow of an account in one class and level, which it creates on first
+// use.
+func (a *account) flow(class, level int) *flow {
+	if f := a.flows[class][level]; f != nil {
+		return f
+	}
+	f := &flow{account: a, class: class, level: level}
+	for i := range f.lanes {
+		f.lanes[i] = lane{flow: f, index: -1}
+	}
+	a.flows[class][level] = f
+	return f
+}
+
+// queued returns the number of queued requests of an account at one level.
+func (a *account) queued(level int) int {
+	n := 0
+	for class := range a.flows {
+		if f := a.flows[class][level]; f != nil {
+			n += f.queued
+		}
+	}
+	return n
+}
+
+// flowOf returns the flow of a request.
+func (c *Cell) flowOf(e *entry) *flow {
+	return e.account.flow(c.classIndex(e.class), e.level)
+}
+
+// queueOf returns the queue that a flow belongs to.
+func (c *Cell) queueOf(f *flow) *classQueue { return &c.queues[f.class][f.level] }
+
 // SetWeights sets the weights of the accounts; the default is 1. The map must
 // not be changed afterwards.
 func SetWeights(c *Cell, weights map[id.Account]int64) {
@@ -99,8 +124,9 @@
 // enqueue adds e to the queue of its class. A flow that was empty starts at the system
 // virtual time, so that it gains no credit from having been idle.
 func (c *Cell) enqueue(e *entry) {
-	q := &c.classes[c.classIndex(e.class)]
-	f := &e.account.flows[c.classIndex(e.class)]
+	f := c.flowOf(e)
+	q := c.queueOf(f)
+	c.activateLevel(e.level)
 	if f.queued == 0 {
 		f.virtualTime = max(f.virtualTime, q.virtualTime)
 		f.activeSince = q.virtualTime
@@ -123,7 +149,7 @@
 func (c *Cell) dequeue(e *entry) {
 	l := e.lane
 	f := l.flow
-	q := &c.classes[f.class]
+	q := c.queueOf(f)
 	heap.Remove(&l.heap, e.laneIndex)
 	heap.Remove(&c.queueDeadlines, e.queueDeadlineIndex)
 	e.lane = nil
@@ -139,7 +165,7 @@
 // updateFlowOrder moves the lanes of f to the positions given by its virtual time and
 // their first requests.
 func (c *Cell) updateFlowOrder(f *flow) {
-	q := &c.classes[f.class]
+	q := c.queueOf(f)
 	for i := range f.lanes {
 		l := &f.lanes[i]
 		if len(l.heap) > 0 {
@@ -183,13 +209,13 @@
 // charge adds the cost of e to the virtual time of its account. It assumes that the
 // output reaches its limit; refund corrects this.
 func (c *Cell) charge(e *entry) {
-	i := c.classIndex(e.class)
-	f := &e.account.flows[i]
-	q := &c.classes[i]
+	f := c.flowOf(e)
+	q := c.queueOf(f)
 	q.virtualTime = max(q.virtualTime, c.minVirtualTime(q, f))
 	e.charge = c.cost(e.prompt, e.output)
 	f.virtualTime += e.charge / time.Duration(f.account.weight)
-	c.updateDeferrableDebt(i, e.charge)
+	c.updateDeferrableDebt(f.class, e.charge)
+	c.updateLevelDebt(f.level, e.charge)
 	c.updateFlowOrder(f)
 }
 
@@ -213,7 +239,7 @@
 		return
 	}
 	limit := c.cfg.MaxDeferrableDebt
-	if c.classes[deferrable].queued == 0 {
+	if c.queuedInClass(deferrable) == 0 {
 		limit = 0
 	}
 	share := min(max(c.cfg.DeferrableShare, 0), 99)
@@ -227,13 +253,15 @@
 	if e.account == nil || e.charge <= used {
 		return
 	}
-	f := &e.account.flows[c.classIndex(e.class)]
+	f := c.flowOf(e)
 	excess := (e.charge - used) / time.Duration(f.account.weight)
 	f.virtualTime = max(min(f.virtualTime, f.activeSince), f.virtualTime-excess)
 	e.charge = used
 	c.updateFlowOrder(f)
 }
 
+func (q *classQueue) remove(l *lane) { heap.Remove(&q.lanes, l.index) }
+
 // dropIdleAccounts removes the accounts without entries whose flows would start at the
 // system virtual time anyway.
 func (c *Cell) dropIdleAccounts() {
@@ -246,108 +274,12 @@
 }
 
 func (a *account) aheadOfSystem(c *Cell) bool {
-	for i := range a.flows {
-		if a.flows[i].virtualTime > c.classes[i].virtualTime {
-			return true
+	for class := range a.flows {
+		for _, f := range a.flows[class] {
+			if f != nil && f.virtualTime > c.queueOf(f).virtualTime {
+				return true
+			}
 		}
 	}
 	return false
 }
-
-// entryHeap is a heap of the requests of a lane, ordered by latest start.
-type entryHeap []*entry
-
-func (h entryHeap) Len() int { return len(h) }
-
-func (h entryHeap) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(h[i].latestStart, h[j].latestStart), cmp.Compare(h[i].request, h[j].request)) < 0
-}
-
-func (h entryHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].laneIndex = i
-	h[j].laneIndex = j
-}
-
-func (h *entryHeap) Push(x any) {
-	e := x.(*entry)
-	e.laneIndex = len(*h)
-	*h = append(*h, e)
-}
-
-func (h *entryHeap) Pop() any {
-	last := len(*h) - 1
-	e := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	e.laneIndex = -1
-	return e
-}
-
-// queueDeadlineHeap is a heap of all queued requests, ordered by queue deadline.
-type queueDeadlineHeap []*entry
-
-func (h queueDeadlineHeap) Len() int { return len(h) }
-
-func (h queueDeadlineHeap) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(h[i].queueDeadline, h[j].queueDeadline), cmp.Compare(h[i].request, h[j].request)) < 0
-}
-
-func (h queueDeadlineHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].queueDeadlineIndex = i
-	h[j].queueDeadlineIndex = j
-}
-
-func (h *queueDeadlineHeap) Push(x any) {
-	e := x.(*entry)
-	e.queueDeadlineIndex = len(*h)
-	*h = append(*h, e)
-}
-
-func (h *queueDeadlineHeap) Pop() any {
-	last := len(*h) - 1
-	e := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	e.queueDeadlineIndex = -1
-	return e
-}
-
-// laneHeap is a heap of the lanes of a class, ordered by virtual time, then by latest
-// start.
-type laneHeap []*lane
-
-func (h laneHeap) Len() int { return len(h) }
-
-func (h laneHeap) Less(i, j int) bool {
-	a, b := h[i], h[j]
-	if a.bucket != b.bucket {
-		return a.bucket < b.bucket
-	}
-	if a.latestStart != b.latestStart {
-		return a.latestStart < b.latestStart
-	}
-	return a.headRequest < b.headRequest
-}
-
-func (h laneHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index = i
-	h[j].index = j
-}
-
-func (h *laneHeap) Push(x any) {
-	l := x.(*lane)
-	l.index = len(*h)
-	*h = append(*h, l)
-}
-
-func (h *laneHeap) Pop() any {
-	last := len(*h) - 1
-	l := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	l.index = -1
-	return l
-}
--- a/fleet/schedule/report.go
+++ b/fleet/schedule/report.go
@@ -192,24 +192,26 @@
 	return n
 }
 
-// expectedWait estimates the queueing time of a new request from the queued
-// prompt tokens and from the rate at which decode slots become free.
-func (c *Cell) expectedWait() time.Duration {
+// expectedWait estimates the queueing time of a new request of a level from the prompt
+// tokens that are queued at its level and above, and from the rate at which decode slots
+// become free.
+func (c *Cell) expectedWait(level int) time.Duration {
 	if len(c.prefills) == 0 || len(c.decodes) == 0 {
 		return c.cfg.MaxRetry
 	}
-	var prompt int64
-	for i := range c.classes {
-		prompt += c.classes[i].prompt
+	queued, prompt := 0, int64(0)
+	for class := range c.queues {
+		n, tokens := c.sumQueues(class, level)
+		queued += n
+		prompt += tokens
 	}
 	wait := time.Duration(prompt) * c.capacity.promptCost / time.Duration(len(c.prefills))
-	wait = max(wait, c.limitWait(c.queued()))
-	excess := int64(c.queued()) - c.freeSlots()
+	wait = max(wait, c.limitWait(queued))
+	excess := int64(queued) - c.freeSlots()
 	if excess <= 0 {
 		return wait
 	}
-	rate := max(c.slotReleases.perSecond, 1)
-	return max(wait, time.Duration(float64(excess)/rate*float64(time.Second)))
+	return max(wait, time.Duration(float64(excess)/c.drainRate()*float64(time.Second)))
 }
 
 func sortedKeys(m map[id.Endpoint]*endpoint) []id.Endpoint {
--- a/fleet/schedule/schedule.go
+++ b/fleet/schedule/schedule.go
@@ -43,6 +43,7 @@
 type Send struct {
 	To      id.Host
 	Message message.Message
+	Level   message.Level // of the request, as its host stated it
 }
 
 // Cancel is an attempt to be cancelled on an endpoint.
@@ -73,8 +74,13 @@
 
 	accounts       map[id.Account]*account
 	weights        map[id.Account]int64
-	classes        [classCount]classQueue
+	queues         [classCount][message.MaxLevels]classQueue
+	levels         int           // levels of the model; 0 if it has none
 	deferrableDebt time.Duration // endpoint time owed to deferrable requests
+	levelDebt      time.Duration // endpoint time owed to less urgent levels; see updateLevelDebt
+	levelTurns     levelTurns
+	retries        retrySchedule
+	lastShed       time.Duration
 	queueDeadlines queueDeadlineHeap
 
 	entries map[id.Request]*entry // queued or running
@@ -123,28 +129,39 @@
 func Tick(c *Cell, now time.Time) []Action {
 	c.advance(now)
 	acts := c.sweep(nil)
-	return c.grantQueued(acts)
+	acts = c.grantQueued(acts)
+	return c.shedHopeless(acts)
 }
 
-// Load returns the load summary by which hosts choose between cells.
+// Load returns the load summary of a cell, with the wait of the least urgent level.
 func Load(c *Cell, now time.Time) message.CellLoad {
 	c.advance(now)
 	return message.CellLoad{
 		Model:     c.model,
 		Queued:    c.queued(),
 		FreeSlots: int(c.freeSlots()),
-		Wait:      c.expectedWait(),
+		Wait:      c.expectedWait(message.MaxLevels - 1),
 	}
 }
 
+// ExpectedWait returns the expected queueing time of a new request of a level, by which
+// hosts choose between cells.
+func ExpectedWait(c *Cell, now time.Time, level message.Level) time.Duration {
+	c.advance(now)
+	return c.expectedWait(c.levelIndex(level))
+}
+
+// QueuedAt returns the number of queued requests of a level.
+func QueuedAt(c *Cell, level message.Level) int { return c.queuedAt(c.levelIndex(level)) }
+
 func (c *Cell) advance(now time.Time) {
 	c.now = max(c.now, now.Sub(c.start))
 }
 
 func (c *Cell) queued() int {
 	n := 0
-	for i := range c.classes {
-		n += c.classes[i].queued
+	for class := range c.queues {
+		n += c.queuedInClass(class)
 	}
 	return n
 }
--- a/fleet/schedule/slotrequest.go
+++ b/fleet/schedule/slotrequest.go
@@ -1,11 +1,8 @@
 package schedule
 
 import (
-	"container/heap"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"ragwortshunt.example/fleet/id"
 	"ragwortshunt.example/fleet/message"
 )
@@ -51,7 +48,7 @@
 		return nil
 	}
 	refusal := message.SlotRefusal{Request: m.Request, Attempt: m.Attempt, Reason: r.reason, Retry: r.retry}
-	return []Action{Send{To: from, Message: refusal}}
+	return []Action{Send{To: from, Message: refusal, Level: m.Level}}
 }
 
 // resendGrant sends a grant that is still valid again, because the first message may
@@ -64,7 +61,7 @@
 	if valid <= 0 {
 		return nil
 	}
-	return []Action{Send{To: e.host, Message: c.grantMessage(e, valid)}}
+	return []Action{Send{To: e.host, Message: c.grantMessage(e, valid), Level: e.stated}}
 }
 
 func (c *Cell) newEntry(from id.Host, m message.SlotRequest) *entry {
@@ -75,6 +72,8 @@
 		az:                 m.AZ,
 		account:            c.account(m.Account),
 		class:              m.Class,
+		stated:             m.Level,
+		level:              c.levelIndex(m.Level),
 		prompt:             clampTokens(m.PromptTokens),
 		output:             clampTokens(m.OutputTokens),
 		expected:           expectedOutput(m.OutputTokens, m.Expected),
@@ -158,7 +157,8 @@
 	for _, ep := range c.prefills {
 		free = min(free, c.backlog(ep))
 	}
-	ahead := time.Duration(c.classes[interactive].prompt) * c.capacity.promptCost / time.Duration(len(c.prefills))
+	_, prompt := c.sumQueues(interactive, e.level)
+	ahead := time.Duration(prompt) * c.capacity.promptCost / time.Duration(len(c.prefills))
 	return c.now+free+ahead > e.latestStart
 }
 
@@ -170,10 +170,10 @@
 		return false
 	}
 	afterTarget := e.latestStart < c.now || c.classIndex(e.class) == deferrable
-	if !afterTarget && c.now+c.queueWait(false) <= e.latestStart {
+	if !afterTarget && c.now+c.queueWait(false, e.level) <= e.latestStart {
 		return false
 	}
-	return c.now+c.queueWait(true) > e.waitLimit(c)
+	return c.now+c.queueWait(true, e.level) > e.waitLimit(c)
 }
 
 // refuseUnplaceable refuses the queued requests that have become unplaceable after
@@ -194,23 +194,13 @@
 
 // refuse ends an attempt that has no reservation.
 func (c *Cell) refuse(e *entry, reason string) Action {
-	retry := c.retryAfter(reason)
-	if retry > 0 && c.cfg.RetrySpread > 0 {
-		retry += time.Duration(xxhash.Sum64String(string(e.request)) % uint64(c.cfg.RetrySpread))
-	}
+	retry := c.retryAfter(e, reason)
 	if e.lane != nil {
 		c.dequeue(e)
 	}
 	c.recordEnd(e, endedRecord{outcome: outcomeRefused, reason: reason, retry: retry})
 	refusal := message.SlotRefusal{Request: e.request, Attempt: e.attempt, Reason: reason, Retry: retry}
-	return Send{To: e.host, Message: refusal}
-}
-
-func (c *Cell) retryAfter(reason string) time.Duration {
-	if reason == ReasonTooLarge {
-		return 0 // a retry would get the same answer
-	}
-	return min(max(c.expectedWait(), c.cfg.MinRetry), c.cfg.MaxRetry)
+	return Send{To: e.host, Message: refusal, Level: e.stated}
 }
 
 // handleQueueDeadlines refuses or demotes the queued requests whose queue deadline has
@@ -248,68 +238,3 @@
 	e.queueDeadline = e.latestStart
 	c.enqueue(e)
 }
-
-// makeRoom keeps the queue within MaxQueue and reports whether e may be queued. When
-// the queue is full, the account with the most queued requests for its weight loses
-// one, so that an account that floods the queue displaces only its own requests.
-func (c *Cell) makeRoom(acts []Action, e *entry) ([]Action, bool) {
-	if c.queued() < c.cfg.MaxQueue {
-		return acts, true
-	}
-	victim := c.flowToEvict(e)
-	if victim == nil {
-		return append(acts, c.refuse(e, ReasonQueueFull)), false
-	}
-	return append(acts, c.refuse(victim.last(), ReasonQueueFull)), true
-}
-
-// flowToEvict returns the flow that loses a request to e, or nil if e itself is
-// refused. Within an account, deferrable requests are evicted first.
-func (c *Cell) flowToEvict(e *entry) *flow {
-	requester := e.account
-	longest := requester
-	for _, a := range c.accounts {
-		if a.hasLongerQueue(longest, requester) {
-			longest = a
-		}
-	}
-	deferrableFlow, interactiveFlow := &longest.flows[deferrable], &longest.flows[interactive]
-	if longest == requester && (c.classIndex(e.class) == deferrable || deferrableFlow.queued == 0) {
-		return nil
-	}
-	if deferrableFlow.queued > 0 {
-		return deferrableFlow
-	}
-	return interactiveFlow
-}
-
-// hasLongerQueue reports whether a has more queued requests for its weight than b,
-// counting the new request of the requester. Names break ties between other accounts.
-func (a *account) hasLongerQueue(b, requester *account) bool {
-	x := a.queuedWith(requester) * b.weight
-	y := b.queuedWith(requester) * a.weight
-	if x != y {
-		return x > y
-	}
-	return a != requester && b != requester && a.name < b.name
-}
-
-func (a *account) queuedWith(requester *account) int64 {
-	n := a.flows[interactive].queued + a.flows[deferrable].queued
-	if a == requester {
-		n++
-	}
-	return int64(n)
-}
-
-// last returns a request from the end of a heap of the flow, one with a large prompt if
-// there is any.
-func (f *flow) last() *entry {
-	l := &f.lanes[laneLarge]
-	if len(l.heap) == 0 {
-		l = &f.lanes[laneSmall]
-	}
-	return l.heap[len(l.heap)-1]
-}
-
-func (q *classQueue) remove(l *lane) { heap.Remove(&q.lanes, l.index) }
--- a/fleet/table/table.go
+++ b/fleet/table/table.go
@@ -45,6 +45,10 @@
 	Weight int64 // share of contended capacity, at least 1
 	Rate   int64 // tokens per second across all hosts
 	Burst  int64 // tokens
+
+	// Priority has no column in the table. It comes from the configuration of a platform.
+	// 0 is the most urgent. It takes precedence over Route.Priority.
+	Priority int
 }
 
 // Pool is a set of endpoints with one role. Its capacities apply to each endpoint.
@@ -101,6 +105,7 @@
 	FirstEventTimeout time.Duration // time after which callers give up waiting for the first event; 0 means no limit
 	Attempts          int           // maximum number of endpoints on which one request may run; 0 means the default
 	NoResume          bool          // a response that has begun is not resumed on another endpoint; only for model routes
+	Priority          int           // 0 is the most urgent
 }
 
 // Key is an API key. The secret itself is not stored.
