core, platform, router: pass the priority level of requests on

Cause: schedulers order by level, and engines accept a priority, but neither knew the level of a request.

Expected waits are kept by level. New metrics count refused requests and show queued ones by level.

--- a/fleet/core/cell.go
+++ b/fleet/core/cell.go
@@ -86,7 +86,7 @@
 	return c
 }
 
-// configureCell applies the weights and endpoints of the table to a cell.
+// configureCell applies the weights, levels and endpoints of the table to a cell.
 func (s *step) configureCell(k cellKey, c *scheduledCell) {
 	snap := s.snapshot()
 	if snap == nil {
@@ -97,6 +97,7 @@
 		weights[name] = a.Weight
 	}
 	schedule.SetWeights(c.cell, weights)
+	schedule.SetLevels(c.cell, s.now, s.levels().Count(k.Model))
 	eps := cellEndpoints(snap, k, s.cfg.CellEndpoints, s.cfg.Relay)
 	c.endpoints = make(map[id.Endpoint]bool, len(eps))
 	for i, ep := range eps {
@@ -156,7 +157,7 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case schedule.Send:
-			s.send(a.To, s.withCellFields(k, a.Message))
+			s.send(a.To, s.withCellFields(k, a))
 		case schedule.Cancel:
 			s.cancelRun(a.Request, a.Attempt, a.Endpoint)
 		}
@@ -164,9 +165,10 @@
 }
 
 // withCellFields sets the fields of a scheduler's message that describe its cell. Replies
-// carry the expected wait, so that entry hosts can compare cells without additional
-// messages.
-func (s *step) withCellFields(k cellKey, m message.Message) message.Message {
+// carry the expected wait at the level of the request, so that entry hosts can compare
+// cells without additional messages.
+func (s *step) withCellFields(k cellKey, a schedule.Send) message.Message {
+	m := a.Message
 	if q, ok := m.(message.SlotQuery); ok {
 		q.Model, q.CellIndex = k.Model, k.CellIndex
 		return q
@@ -175,7 +177,7 @@
 	if !ok {
 		return m
 	}
-	wait := schedule.Load(c.cell, s.now).Wait
+	wait := schedule.ExpectedWait(c.cell, s.now, a.Level)
 	switch m := m.(type) {
 	case message.SlotGrant:
 		m.Wait = wait
--- a/fleet/core/core.go
+++ b/fleet/core/core.go
@@ -179,7 +179,7 @@
 	quarantine *quarantine.State
 	throttle   *throttle.State
 	scheduler  schedulerState
-	cells      map[cellKey]cellWaitReport // cells as seen from the entry host
+	cells      map[cellLevel]cellWaitReport // cells as seen from the entry host
 
 	requests            map[id.Request]*request
 	finished            []Record // ring buffer of the last finished requests
@@ -228,7 +228,7 @@
 		quarantine:       quarantine.New(cfg.Quarantine),
 		throttle:         throttle.New(cfg.Throttle),
 		scheduler:        newSchedulerState(),
-		cells:            make(map[cellKey]cellWaitReport),
+		cells:            make(map[cellLevel]cellWaitReport),
 		requests:         make(map[id.Request]*request),
 		settingsDigest:   cfg.sharedDigest(),
 		differingHosts:   make(map[id.Host]bool),
--- a/fleet/core/effect.go
+++ b/fleet/core/effect.go
@@ -35,9 +35,10 @@
 	Endpoint id.Endpoint
 	Address  string
 	Priority int
-	Tokens   int64     // prompt tokens plus delivered output tokens
-	Output   int64     // delivered output tokens
-	NotAfter time.Time // latest start
+	Level    message.Level // priority level; only for models with levels
+	Tokens   int64         // prompt tokens plus delivered output tokens
+	Output   int64         // delivered output tokens
+	NotAfter time.Time     // latest start
 	Timeout  time.Duration
 
 	// The endpoint that will decode. If it is unreachable, the prefill is wasted.
@@ -59,6 +60,7 @@
 	From      int64 // offset of the first token to generate
 	MaxTokens int64
 	Priority  int
+	Level     message.Level // priority level; only for models with levels
 }
 
 // ResumeDecode reads a broken stream again from an offset. The results are the same
@@ -248,6 +250,7 @@
 	Name    string
 	Account id.Account
 	Code    string
+	Level   message.Level // set only for metrics by level
 	N       int64
 }
 
--- a/fleet/core/explain.go
+++ b/fleet/core/explain.go
@@ -21,6 +21,7 @@
 	MetricFinished      = "finished"
 	MetricRefused       = "refused"
 	MetricRefusedInRate = "refused-within-rate"
+	MetricRefusedLevel  = "refused-by-level"
 	MetricCancelled     = "cancelled"
 	MetricRetried       = "retried"
 	MetricResumed       = "resumed"
--- a/fleet/core/request.go
+++ b/fleet/core/request.go
@@ -9,6 +9,7 @@
 	"ragwortshunt.example/fleet/claim"
 	"ragwortshunt.example/fleet/id"
 	"ragwortshunt.example/fleet/limit"
+	"ragwortshunt.example/fleet/message"
 	"ragwortshunt.example/fleet/quarantine"
 	"ragwortshunt.example/fleet/table"
 )
@@ -59,6 +60,7 @@
 	RequestArrived
 	route    table.Route
 	account  id.Account
+	level    message.Level // priority level; it stays the same if the configuration changes
 	arrived  time.Time
 	deadline time.Time // end of the caller's wait; zero means none
 	stage    Stage
@@ -191,7 +193,8 @@
 }
 
 // admissionError returns the code and text of the first rule that the request
-// violates, or an empty code. It sets the route and the client account of the request.
+// violates, or an empty code. It sets the route, the client account and the level of the
+// request.
 func (s *step) admissionError(r *request) (code, text string) {
 	snap := s.snapshot()
 	if s.draining && !s.acceptsWhileDraining(r) || s.outlastsStop(r) {
@@ -208,6 +211,7 @@
 	if code, text := s.authorizationError(r); code != "" {
 		return code, text
 	}
+	r.level = s.levels().Of(snap, r.account, route)
 	if s.isStale(route) {
 		return CodeStaleTable, "the table has not been confirmed for too long"
 	}
@@ -268,7 +272,7 @@
 func (s *step) admitted(r *request, notAfter time.Time) {
 	r.admitted = true
 	r.notAfter = notAfter
-	r.addTrace(s.now, "admitted for %d tokens", r.cost())
+	r.addTrace(s.now, "admitted for %d tokens%s", r.cost(), r.levelSuffix())
 	s.emit(Charged{Request: r.Request, Account: r.account, Tokens: r.cost()})
 	switch {
 	case !r.isService():
@@ -293,6 +297,7 @@
 		s.emit(Refuse{Request: r.Request, Code: code, Text: text, NotRun: notRun, RetryAfter: retry})
 	}
 	s.emit(Count{Name: MetricRefused, Account: r.account, Code: code, N: 1})
+	s.countRefusedLevel(r, code)
 	s.close(r, code)
 }
 
--- a/fleet/core/run.go
+++ b/fleet/core/run.go
@@ -46,7 +46,7 @@
 	s.emit(Observe{Name: MetricQueueTime, Account: r.account, Value: s.now.Sub(r.arrived)})
 	s.emit(StartPrefill{
 		Request: r.Request, Attempt: r.attempt, Model: r.route.Model,
-		Endpoint: r.prefill, Address: ep.Address, Priority: r.priority(),
+		Endpoint: r.prefill, Address: ep.Address, Priority: r.priority(), Level: r.level,
 		Tokens: r.prefillTokens(), Output: r.delivered,
 		NotAfter: s.now.Add(validFor), Timeout: r.timeout,
 		Decode: r.decode, DecodeAddress: s.snapshot().Endpoints[r.decode].Address,
@@ -109,7 +109,7 @@
 		Request: r.Request, Attempt: r.attempt, Model: r.route.Model,
 		Endpoint: r.decode, Address: to.Address, Source: from.Address, KV: ev.KV,
 		Tokens: r.prefillTokens(), From: r.delivered,
-		MaxTokens: r.MaxTokens, Priority: r.priority(),
+		MaxTokens: r.MaxTokens, Priority: r.priority(), Level: r.level,
 	})
 }
 
--- a/fleet/core/slot.go
+++ b/fleet/core/slot.go
@@ -36,7 +36,13 @@
 	return fmt.Sprintf("cell/%s/%s/%d", k.Zone, k.Model, k.CellIndex)
 }
 
-// cellWaitReport is the last expected wait that a cell's scheduler reported.
+// cellLevel identifies the queue of one cell at one priority level and above.
+type cellLevel struct {
+	cell  cellKey
+	level message.Level
+}
+
+// cellWaitReport is the last expected wait that a cell's scheduler reported for a level.
 type cellWaitReport struct {
 	wait       time.Duration
 	receivedAt time.Time
@@ -74,10 +80,10 @@
 	}
 	best, bestWait := keys[0], time.Duration(-1)
 	h := xxhash.Sum64String(string(r.Request)) + uint64(r.attempt) + uint64(r.refusals)
-	localWait := s.shortestLocalWait(keys)
+	localWait := s.shortestLocalWait(keys, r.level)
 	for i := range keys {
 		k := keys[(int(h%uint64(len(keys)))+i)%len(keys)]
-		w := s.cellWait(k, localWait, h)
+		w := s.cellWait(cellLevel{k, r.level}, localWait, h)
 		if slices.Contains(r.triedCells, k) {
 			w += time.Hour
 		}
@@ -88,14 +94,14 @@
 	return best, true
 }
 
-// cellWait returns the expected wait in a cell as seen from this host.
-func (s *step) cellWait(k cellKey, localWait time.Duration, h uint64) time.Duration {
+// cellWait returns the expected wait in a cell at a level, as seen from this host.
+func (s *step) cellWait(k cellLevel, localWait time.Duration, h uint64) time.Duration {
 	if s.cfg.CellSelection == CellsRoundRobin {
 		return 0
 	}
 	v, known := s.cells[k]
 	fresh := known && s.now.Sub(v.receivedAt) < waitReportTTL
-	if k.Zone == s.cfg.Zone {
+	if k.cell.Zone == s.cfg.Zone {
 		if fresh {
 			return v.wait
 		}
@@ -124,15 +130,15 @@
 	return local
 }
 
-// shortestLocalWait returns the shortest expected wait in this host's zone.
-func (s *step) shortestLocalWait(keys []cellKey) time.Duration {
+// shortestLocalWait returns the shortest expected wait at a level in this host's zone.
+func (s *step) shortestLocalWait(keys []cellKey, level message.Level) time.Duration {
 	best := time.Duration(-1)
 	for _, k := range keys {
 		if k.Zone != s.cfg.Zone {
 			continue
 		}
 		w := time.Duration(0)
-		if v, ok := s.cells[k]; ok && s.now.Sub(v.receivedAt) < waitReportTTL {
+		if v, ok := s.cells[cellLevel{k, level}]; ok && s.now.Sub(v.receivedAt) < waitReportTTL {
 			w = v.wait
 		}
 		if best < 0 || w < best {
@@ -168,6 +174,7 @@
 		MaxWait:            s.maxQueueWait(r),
 		ElapsedBeforeEntry: r.earlierWait(),
 		AZ:                 s.cfg.AZ,
+		Level:              r.level,
 	})
 }
 
@@ -213,7 +220,9 @@
 // assumed wait is valid.
 func (s *step) switchCell(r *request) {
 	r.addTrace(s.now, "no answer from cell %s", r.cell)
-	s.cells[r.cell] = cellWaitReport{wait: assumedUnreachableWait, receivedAt: s.now}
+	for level := range message.Level(message.MaxLevels + 1) {
+		s.cells[cellLevel{r.cell, level}] = cellWaitReport{wait: assumedUnreachableWait, receivedAt: s.now}
+	}
 	r.triedCells = append(r.triedCells, r.cell)
 	s.releaseAttempt(r, "")
 	s.requestSlot(r)
@@ -252,7 +261,7 @@
 
 func (s *step) recordWait(r *request, from id.Host, wait time.Duration) {
 	if r.schedulerHost == from && r.cell.Model != "" {
-		s.cells[r.cell] = cellWaitReport{wait: wait, receivedAt: s.now}
+		s.cells[cellLevel{r.cell, r.level}] = cellWaitReport{wait: wait, receivedAt: s.now}
 	}
 }
 
--- a/fleet/core/views.go
+++ b/fleet/core/views.go
@@ -32,6 +32,8 @@
 	arbiter       id.Host                      // decides about quarantines; empty if there is no live host
 	allLive       []id.Host                    // live hosts of all zones without suspects
 	limitedShares map[id.Endpoint]limitedShare // of limited service endpoints
+
+	levels *table.Levels // priority levels of the table in force; nil until they are needed
 }
 
 // hostViews returns the views. It rebuilds them if they are invalid, if the membership
--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -217,6 +217,7 @@
 func (r *Router) updateGauges(ctx context.Context) {
 	ticker := r.clock.NewTicker(gaugeInterval)
 	defer ticker.Stop()
+	levels := levelGauges{}
 	for {
 		select {
 		case <-ctx.Done():
@@ -226,6 +227,7 @@
 			r.metrics.Gauge("decision-events", float64(processed))
 			r.metrics.Gauge("decision-seconds", busy.Seconds())
 			r.metrics.Gauge("open-requests", float64(r.adapters.Caller.ActiveRequests()))
+			levels.update(ctx, r)
 		}
 	}
 }
--- a/router/internal/operator/metrics.go
+++ b/router/internal/operator/metrics.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -50,6 +51,7 @@
 
 type counterKey struct {
 	name, account, code string
+	level               string // blank for metrics without this label
 }
 
 type histogramKey struct {
@@ -121,10 +123,16 @@
 func (m *Metrics) Count(e core.Count) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	key := counterKey{e.Name, m.accountLabel(e.Account), e.Code}
+	key := counterKey{name: e.Name, account: m.accountLabel(e.Account), code: e.Code}
+	if rank, ok := e.Level.Rank(); ok {
+		key.level = strconv.Itoa(rank)
+	}
 	c, ok := m.counters[key]
 	if !ok {
 		tags := map[string]string{"account": key.account, "code": key.code}
+		if key.level != "" {
+			tags["level"] = key.level
+		}
 		c = m.scope.Tagged(tags).Counter(e.Name)
 		m.counters[key] = c
 	}
@@ -145,7 +153,21 @@
 	h.RecordDuration(e.Value)
 }
 
-// Gauge sets a gauge, which is created on first use.
-func (m *Metrics) Gauge(name string, v float64) {
-	m.scope.Gauge(name).Update(v)
+// Label is a label of a gauge.
+type Label struct {
+	Name, Value string
+}
+
+// Gauge sets a gauge, which is created on first use. All calls for one name must have the
+// same label names.
+func (m *Metrics) Gauge(name string, v float64, labels ...Label) {
+	scope := m.scope
+	if len(labels) > 0 {
+		tags := make(map[string]string, len(labels))
+		for _, l := range labels {
+			tags[l.Name] = l.Value
+		}
+		scope = scope.Tagged(tags)
+	}
+	scope.Gauge(name).Update(v)
 }
