schedule: estimate waits by level, refuse hopeless requests at once

Cause: a request of a lower level waits for those that overtake it, too. With the queue alone as the estimate, 126 basic requests of a burst ended at the limit of their queueing time.

Waits count the rate at which more urgent requests arrive, and the turns that a lower level has.

--- a/fleet/schedule/burst_test.go
+++ b/fleet/schedule/burst_test.go
@@ -46,6 +46,13 @@
 	retried      bool
 }
 
+func (v *burstRequest) urgent() bool { return v.slotRequest.Level == message.LevelOf(0) }
+
+// callerTimeout returns the time after which the caller disconnects.
+func (v *burstRequest) callerTimeout() time.Duration {
+	return max(burstCallerTimeout, 4*v.slotRequest.FirstToken)
+}
+
 // burstSim simulates the load, the callers and the engines of a cell.
 type burstSim struct {
 	cell           *schedule.Cell
@@ -58,8 +65,38 @@
 	decoding       map[id.Endpoint][]*burstRequest
 	retries        []*burstRequest // refused requests that are sent again
 	requests       int
+	rate           func(now time.Duration) float64 // requests per second
+	classify       func(n int, m *message.SlotRequest)
+	retriesAt      map[time.Duration]int // refused requests that return, by steps of retryStep
+	retryMin       time.Duration         // shortest and longest Retry of a first refusal
+	retryMax       time.Duration
 
+	started map[message.Level]int64 // prompt tokens
+
+	burstTally
+	urgentTally burstTally // of the requests of level 0
+}
+
+// burstTally counts requests by their outcome.
+type burstTally struct {
 	requested, onTime, late, refused int
+	refusedAtLimit                   int // tries that were refused at the end of their queueing time
+	refusals                         int // refused tries
+}
+
+func (t *burstTally) minus(o burstTally) burstTally {
+	return burstTally{
+		requested: t.requested - o.requested, onTime: t.onTime - o.onTime, late: t.late - o.late, refused: t.refused - o.refused,
+		refusedAtLimit: t.refusedAtLimit - o.refusedAtLimit, refusals: t.refusals - o.refusals,
+	}
+}
+
+// count applies a change to the tallies that a request belongs to.
+func (s *burstSim) count(v *burstRequest, change func(*burstTally)) {
+	change(&s.burstTally)
+	if v.urgent() {
+		change(&s.urgentTally)
+	}
 }
 
 func newBurstSim(cfg schedule.Config, prefills int, seed uint64) *burstSim {
@@ -68,6 +105,11 @@
 		switchingUntil: make(map[id.Endpoint]time.Duration),
 		waiting:        make(map[id.Request]*burstRequest), prefilling: make(map[id.Endpoint][]*burstRequest), decoding: make(map[id.Endpoint][]*burstRequest),
 	}
+	s.rate = heavyDayRate
+	s.classify = func(int, *message.SlotRequest) {}
+	s.retriesAt = make(map[time.Duration]int)
+	s.retryMin = burstLength
+	s.started = make(map[message.Level]int64)
 	s.eps = engines(prefills, burstEngines-prefills)
 	schedule.SetEndpoints(s.cell, at(0), s.eps)
 	return s
@@ -80,7 +122,6 @@
 
 func (s *burstSim) arrive() {
 	s.requests++
-	s.requested++
 	out := s.lognormal(outputMean, 0.7, outputLimit)
 	m := memoryRequest(0, func(m *message.SlotRequest) {
 		m.Request = id.Request(fmt.Sprintf("r%05d", s.requests))
@@ -89,7 +130,10 @@
 		m.Expected = max(1, s.lognormal(float64(out), 0.5, outputLimit))
 		m.MaxWait = burstMaxWait
 	})
-	s.slotRequest(&burstRequest{slotRequest: m, output: max(out, 1), firstArrival: s.now, arrival: s.now})
+	s.classify(s.requests, &m)
+	v := &burstRequest{slotRequest: m, output: max(out, 1), firstArrival: s.now, arrival: s.now}
+	s.count(v, func(t *burstTally) { t.requested++ })
+	s.slotRequest(v)
 }
 
 func (s *burstSim) slotRequest(v *burstRequest) {
@@ -108,6 +152,7 @@
 			v := s.waiting[m.Request]
 			delete(s.waiting, m.Request)
 			v.grant = m
+			s.started[v.slotRequest.Level] += v.slotRequest.PromptTokens
 			s.prefilling[m.Prefill] = append(s.prefilling[m.Prefill], v)
 			s.update(v, message.PhasePrefill)
 		case message.SlotRefusal:
@@ -118,12 +163,18 @@
 
 func (s *burstSim) refuse(v *burstRequest, retry time.Duration) {
 	delete(s.waiting, v.slotRequest.Request)
+	s.count(v, func(t *burstTally) { t.refusals++ })
+	if s.now-v.arrival >= v.slotRequest.MaxWait {
+		s.count(v, func(t *burstTally) { t.refusedAtLimit++ })
+	}
 	if v.retried {
-		s.refused++
+		s.count(v, func(t *burstTally) { t.refused++ })
 		return
 	}
 	v.retried = true
 	v.arrival = s.now + retry
+	s.retriesAt[v.arrival.Truncate(retryStep)]++
+	s.retryMin, s.retryMax = min(s.retryMin, retry), max(s.retryMax, retry)
 	v.slotRequest.Request += "-2"
 	v.slotRequest.ElapsedBeforeEntry = v.arrival - v.firstArrival
 	s.retries = append(s.retries, v)
@@ -158,14 +209,14 @@
 }
 
 func (s *burstSim) recordFirstToken(v *burstRequest) {
-	if s.now-v.arrival > burstCallerTimeout {
+	if s.now-v.arrival > v.callerTimeout() {
 		return
 	}
-	if s.now-v.firstArrival <= burstFirstToken {
-		s.onTime++
+	if s.now-v.firstArrival <= v.slotRequest.FirstToken {
+		s.count(v, func(t *burstTally) { t.onTime++ })
 		return
 	}
-	s.late++
+	s.count(v, func(t *burstTally) { t.late++ })
 }
 
 // stepDecode simulates the decode engines for one step. The newest runs pause while
@@ -223,13 +274,22 @@
 	}
 }
 
-func (s *burstSim) run(balanced bool) {
-	for ; s.now < burstLength+10*time.Second; s.now += burstSimStep {
-		rate := burstRate
-		if inBurst(s.now) {
-			rate *= burstFactor
-		}
-		if s.now < burstLength && s.random.Float64() < rate*burstSimStep.Seconds() {
+// heavyDayRate returns the rate of requests on the heaviest day.
+func heavyDayRate(now time.Duration) float64 {
+	switch {
+	case now >= burstLength:
+		return 0
+	case inBurst(now):
+		return burstRate * burstFactor
+	}
+	return burstRate
+}
+
+func (s *burstSim) run(balanced bool) { s.runUntil(burstLength+10*time.Second, balanced) }
+
+func (s *burstSim) runUntil(end time.Duration, balanced bool) {
+	for ; s.now < end; s.now += burstSimStep {
+		if rate := s.rate(s.now); rate > 0 && s.random.Float64() < rate*burstSimStep.Seconds() {
 			s.arrive()
 		}
 		retries := s.retries
--- a/fleet/schedule/level.go
+++ b/fleet/schedule/level.go
@@ -12,6 +12,9 @@
 // so that a constant load of urgent requests does not starve them. A model without levels
 // uses level 0 only.
 
+// minLevelRate is the lowest rate of a level, in requests per second, that estimates use.
+const minLevelRate = 1
+
 // levelTurns divides the minimum share of the less urgent levels equally among them.
 type levelTurns struct {
 	served [message.MaxLevels]time.Duration // endpoint time granted in turns
@@ -110,6 +113,68 @@
 	return max(rate, float64(len(c.runs))/runTime)
 }
 
+// countArrival counts a new request among those that overtake less urgent ones.
+func (c *Cell) countArrival(e *entry) {
+	if c.levels > 0 && c.classIndex(e.class) == interactive {
+		c.arrivals[e.level].count++
+	}
+}
+
+// measureArrivals ends a period in which arrivals are counted.
+func (c *Cell) measureArrivals(period time.Duration) {
+	for level := range c.levels {
+		c.arrivals[level].addPeriod(period)
+	}
+}
+
+// levelWait estimates how long a request of a level would wait, in the order of the
+// queue or by the turns of its level; see queueWait. Of the requests ahead, skip are left
+// out.
+func (c *Cell) levelWait(behindAll bool, level, skip int) time.Duration {
+	wait := c.waitBehind(c.queuedAhead(behindAll, level)-skip, c.levelRate(behindAll, level))
+	return min(wait, c.turnWait(behindAll, level, skip))
+}
+
+// turnWait estimates how long a request of a level would wait if its level were granted
+// only in its turns. Without turns it returns the longest duration.
+func (c *Cell) turnWait(behindAll bool, level, skip int) time.Duration {
+	if c.levels == 0 || level == 0 || c.cfg.LowerLevelShare <= 0 {
+		return math.MaxInt64
+	}
+	turns := 1
+	for l := 1; l < c.levels; l++ {
+		if l != level && c.queuedAt(l) > 0 {
+			turns++
+		}
+	}
+	ahead := c.queues[interactive][level].queued
+	if behindAll {
+		ahead = c.queuedAt(level)
+	}
+	rate := c.drainRate() * float64(c.cfg.LowerLevelShare) / 100 / float64(turns)
+	return c.waitBehind(ahead-skip+1, rate)
+}
+
+// levelRate returns the rate, in requests per second, at which the requests ahead of one
+// of a level start. More urgent requests that arrive meanwhile overtake it and take their
+// part of the rate. With behindAll set, all interactive requests overtake it.
+func (c *Cell) levelRate(behindAll bool, level int) float64 {
+	rate := c.drainRate()
+	if c.levels == 0 {
+		return rate
+	}
+	share := int64(0)
+	if behindAll {
+		level = c.levels
+		share = c.cfg.DeferrableShare
+	}
+	rest := rate
+	for l := range level {
+		rest -= c.arrivals[l].perSecond
+	}
+	return max(rest, rate*float64(share)/100, minLevelRate)
+}
+
 // urgentLevel returns the level that goes first apart from turns: the most urgent one
 // with interactive requests, or with deferrable ones if no interactive request is queued.
 // It returns levelCount if the queue is empty.
--- a/fleet/schedule/memory.go
+++ b/fleet/schedule/memory.go
@@ -88,13 +88,14 @@
 // interactive requests and the deferrable ones of its level and above, otherwise only
 // behind the interactive ones of its level and above.
 func (c *Cell) queueWait(behindAll bool, level int) time.Duration {
-	return c.drainTime(c.queuedAhead(behindAll, level))
+	return c.levelWait(behindAll, level, 0)
 }
 
-// drainTime estimates the time until a number of queued requests has started.
-func (c *Cell) drainTime(requests int) time.Duration {
+// waitBehind estimates the time until a number of queued requests has started at a rate
+// in requests per second.
+func (c *Cell) waitBehind(requests int, rate float64) time.Duration {
 	if requests <= 0 {
 		return 0
 	}
-	return max(time.Duration(float64(requests)/c.drainRate()*float64(time.Second)), c.limitWait(requests))
+	return max(time.Duration(float64(requests)/rate*float64(time.Second)), c.limitWait(requests))
 }
--- a/fleet/schedule/report.go
+++ b/fleet/schedule/report.go
@@ -211,7 +211,8 @@
 	if excess <= 0 {
 		return wait
 	}
-	return max(wait, time.Duration(float64(excess)/c.drainRate()*float64(time.Second)))
+	inOrder := time.Duration(float64(excess) / c.levelRate(false, level) * float64(time.Second))
+	return max(wait, min(inOrder, c.turnWait(false, level, 0)))
 }
 
 func sortedKeys(m map[id.Endpoint]*endpoint) []id.Endpoint {
--- a/fleet/schedule/run.go
+++ b/fleet/schedule/run.go
@@ -340,6 +340,7 @@
 		return acts
 	}
 	c.slotReleases.addPeriod(c.now - c.lastSweep)
+	c.measureArrivals(c.now - c.lastSweep)
 	c.lastSweep = c.now
 	c.ended.expire(c.now)
 	if c.now-c.lastAccountSweep >= c.cfg.AccountSweepInterval {
--- a/fleet/schedule/schedule.go
+++ b/fleet/schedule/schedule.go
@@ -79,6 +79,7 @@
 	deferrableDebt time.Duration // endpoint time owed to deferrable requests
 	levelDebt      time.Duration // endpoint time owed to less urgent levels; see updateLevelDebt
 	levelTurns     levelTurns
+	arrivals       [message.MaxLevels]releaseRate // interactive requests that were queued
 	retries        retrySchedule
 	lastShed       time.Duration
 	queueDeadlines queueDeadlineHeap
--- a/fleet/schedule/shed.go
+++ b/fleet/schedule/shed.go
@@ -1,9 +1,6 @@
 package schedule
 
-import (
-	"cmp"
-	"time"
-)
+import "cmp"
 
 // makeRoom keeps the queue within MaxQueue and reports whether e may be queued. When the
 // queue is full, the least urgent level loses a request: that of the account which has
@@ -159,16 +156,11 @@
 // target nor start before its queueing time ends.
 func (c *Cell) isHopeless(e *entry) bool {
 	inTime := e.latestStart >= c.now && c.classIndex(e.class) == interactive
-	if inTime && c.now+c.waitOfLast(false, e.level) <= e.latestStart {
+	if inTime && c.now+c.levelWait(false, e.level, 1) <= e.latestStart {
 		return false
 	}
 	if inTime && !e.canWait && e.queueDeadline < e.waitLimit(c) {
 		return true
 	}
-	return c.now+c.waitOfLast(true, e.level) > e.waitLimit(c)
-}
-
-// waitOfLast returns the expected wait of the last request of a queue.
-func (c *Cell) waitOfLast(behindAll bool, level int) time.Duration {
-	return c.drainTime(c.queuedAhead(behindAll, level) - 1)
+	return c.now+c.levelWait(true, e.level, 1) > e.waitLimit(c)
 }
--- a/fleet/schedule/slotrequest.go
+++ b/fleet/schedule/slotrequest.go
@@ -37,6 +37,7 @@
 	if !ok {
 		return acts
 	}
+	c.countArrival(e)
 	c.enqueue(e)
 	return c.grantQueued(acts)
 }
