schedule: test the order, the floor, shedding and Retry-After by level

Cause: costs of single requests above MaxLevelDebt clipped the payments of the lower levels, which then got more than their share in small cells; a test found it. The bound is now at least the cost of one request.

--- a/fleet/schedule/level.go
+++ b/fleet/schedule/level.go
@@ -202,17 +202,17 @@
 // updateLevelDebt adds a part of the cost of a grant to the endpoint time owed to the
 // levels below if any of them waits, and subtracts the cost of each grant to a level
 // below the most urgent one. The debt is bounded on both sides, so that no level can save
-// up a burst. The granted request is no longer queued.
+// up a burst; the bound is at least the cost of one request. The granted request is no longer queued.
 func (c *Cell) updateLevelDebt(level int, cost time.Duration) {
 	if c.levels == 0 {
 		return
 	}
+	limit := max(c.cfg.MaxLevelDebt, cost)
 	if level > c.urgentLevel() {
-		c.levelDebt = max(-c.cfg.MaxLevelDebt, c.levelDebt-cost)
+		c.levelDebt = max(-limit, c.levelDebt-cost)
 		c.levelTurns.served[level] += cost
 		return
 	}
-	limit := c.cfg.MaxLevelDebt
 	if !c.waitsBelow(level) {
 		limit = 0
 	}
--- a/fleet/schedule/random_test.go
+++ b/fleet/schedule/random_test.go
@@ -182,6 +182,7 @@
 	m.CanWait = rapid.Bool().Draw(w.T, "can wait")
 	m.Avoid = rapid.SampledFrom([]id.Endpoint{"", "", "p0", "d2"}).Draw(w.T, "avoid")
 	m.Prefix = rapid.Uint64Range(0, 3).Draw(w.T, "prefix")
+	m.Level = message.Level(rapid.IntRange(0, 5).Draw(w.T, "level"))
 	from := w.host()
 	if old, ok := w.drawAttempt(s); ok && rapid.Bool().Draw(w.T, "old") {
 		from = s.hosts[old]
