--- a/router/internal/operator/operator_test.go
+++ b/router/internal/operator/operator_test.go
@@ -19,6 +19,7 @@
 
 	"ragwortshunt.example/fleet/core"
 	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/message"
 	"ragwortshunt.example/fleet/table"
 	"ragwortshunt.example/router/internal/operator"
 )
@@ -122,7 +123,9 @@
 		m.Observe(core.Observe{Name: core.MetricFirstToken, Account: account, Value: 40 * time.Millisecond})
 	}
 	m.Count(core.Count{Name: core.MetricRefused, Code: core.CodeUnauthorized, N: 1})
+	m.Count(core.Count{Name: core.MetricRefusedLevel, Account: "account-000", Code: "too-late", Level: message.LevelOf(2), N: 4})
 	m.Gauge("open-requests", 3)
+	m.Gauge("queued-requests", 5, operator.Label{Name: "model", Value: "m"}, operator.Label{Name: "level", Value: "2"})
 	assert.NilError(t, m.Close())
 	_, page := get(h, "/metrics")
 	count := func(pattern string) int { return len(regexp.MustCompile("(?m)^"+pattern).FindAllString(page, -1)) }
@@ -130,6 +133,8 @@
 	assert.Equal(t, count(`ragwortshunt_first_token_count\{`), 65)
 	assert.Equal(t, count(`ragwortshunt_finished\{account="other",code="",host="h-1",zone="a"\} 1872$`), 1)
 	assert.Equal(t, count(`ragwortshunt_refused\{account="none",code="unauthorized",host="h-1",zone="a"\} 1$`), 1)
+	assert.Equal(t, count(`ragwortshunt_refused_by_level\{account="account-000",code="too-late",host="h-1",level="2",zone="a"\} 4$`), 1)
+	assert.Equal(t, count(`ragwortshunt_queued_requests\{host="h-1",level="2",model="m",zone="a"\} 5$`), 1)
 	assert.Equal(t, count(`ragwortshunt_open_requests\{host="h-1",zone="a"\} 3$`), 1)
 	assert.Equal(t, count(`ragwortshunt_first_token_bucket\{account="account-000",host="h-1",zone="a",le="0.035"\} 0$`), 1)
 	assert.Equal(t, count(`ragwortshunt_first_token_bucket\{account="account-000",host="h-1",zone="a",le="0.051"\} 1$`), 1)
