--- a/fleet/schedule/random_test.go
+++ b/fleet/schedule/random_test.go
@@ -373,14 +373,21 @@
 	}
 }
 
+// changeLevels changes the number of priority levels in one cell.
+func (w *simulation) changeLevels() {
+	s := w.cellModel()
+	schedule.SetLevels(s.cell, w.at(), rapid.IntRange(0, 5).Draw(w.T, "levels"))
+	w.handle(s, nil)
+}
+
 // TestRandom guards against violated invariants of two cells under lost, duplicated
-// and reordered messages, host deaths, and endpoints that fail, shrink or leave.
+// and reordered messages, host deaths, endpoints that fail, shrink or leave, and levels that change.
 func TestRandom(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newSimulation(t)
 		steps := []func(){
 			w.slotRequest, w.slotRequest, w.slotRequest, w.slotRequest, w.update, w.update, w.update, w.hold, w.hold, w.advance, w.advance, w.advance,
-			w.hostGone, w.endpointFailed, w.changeEndpoint, w.reportLoad, w.cacheEvent,
+			w.hostGone, w.endpointFailed, w.changeEndpoint, w.reportLoad, w.cacheEvent, w.changeLevels,
 		}
 		for range 150 {
 			steps[rapid.IntRange(0, len(steps)-1).Draw(t, "step")]()
