schedule: offer more than one request per step in the burst simulation

Cause: the simulation drew at most one arrival per 5 ms, so that TestLowerLevelShare offered 200 requests a second instead of the stated 234. Loads below that draw the same random numbers as before.

--- a/fleet/schedule/burst_test.go
+++ b/fleet/schedule/burst_test.go
@@ -289,8 +289,10 @@
 
 func (s *burstSim) runUntil(end time.Duration, balanced bool) {
 	for ; s.now < end; s.now += burstSimStep {
-		if rate := s.rate(s.now); rate > 0 && s.random.Float64() < rate*burstSimStep.Seconds() {
-			s.arrive()
+		for expected := s.rate(s.now) * burstSimStep.Seconds(); expected > 0; expected-- {
+			if s.random.Float64() < expected {
+				s.arrive()
+			}
 		}
 		retries := s.retries
 		s.retries = nil
