schedule: the level goes before the lateness of a request

Cause: requests that had missed their first-event target came after all others, whatever their level. Urgent requests that came back after a 429 have missed it when they arrive.

Change: the queue is ordered by level, then by lateness. Waits count what is ahead in this order, and the arrivals that overtake: those of more urgent levels, and for late requests those of their own level.

--- a/fleet/schedule/grant.go
+++ b/fleet/schedule/grant.go
@@ -65,9 +65,9 @@
 	}
 }
 
-// nextEntry returns the request to try next: a less urgent level whose turn it is, then
-// interactive requests before deferrable ones, unless endpoint time is owed to deferrable
-// requests.
+// nextEntry returns the request to try next: a less urgent level whose turn it is, or else
+// the most urgent level. Within a level, interactive requests come before deferrable ones,
+// unless endpoint time is owed to deferrable requests.
 func (c *Cell) nextEntry(r *passState) *entry {
 	if e := c.nextLowerLevel(r); e != nil {
 		return e
@@ -76,20 +76,14 @@
 	if c.deferrableDebt > 0 {
 		first, second = second, first
 	}
-	if e := c.nextOfClass(r, first); e != nil {
-		return e
-	}
-	return c.nextOfClass(r, second)
-}
-
-// nextOfClass returns the first request of a class, the most urgent level first.
-func (c *Cell) nextOfClass(r *passState, class int) *entry {
 	for level := range c.levelCount() {
-		if r.holdsBack(class, level) {
-			return nil
-		}
-		if e := c.nextInClass(r, &c.queues[class][level]); e != nil {
-			return e
+		for _, class := range [classCount]int{first, second} {
+			if r.holdsBack(class, level) {
+				return nil
+			}
+			if e := c.nextInClass(r, &c.queues[class][level]); e != nil {
+				return e
+			}
 		}
 	}
 	return nil
--- a/fleet/schedule/level.go
+++ b/fleet/schedule/level.go
@@ -7,7 +7,7 @@
 	"ragwortshunt.example/fleet/message"
 )
 
-// A model may have priority levels. Its queues are ordered by class, then by level, then
+// A model may have priority levels. Its queues are ordered by level, then by class, then
 // by weighted fair queueing. Less urgent levels get a minimum share of the endpoint time,
 // so that a constant load of urgent requests does not starve them. A model without levels
 // uses level 0 only.
@@ -88,12 +88,12 @@
 // queuedAhead returns the number of queued requests that are ahead of one of a level; see
 // queueWait.
 func (c *Cell) queuedAhead(behindAll bool, level int) int {
+	inTime, _ := c.sumQueues(interactive, level)
 	if !behindAll {
-		n, _ := c.sumQueues(interactive, level)
-		return n
+		level--
 	}
 	late, _ := c.sumQueues(deferrable, level)
-	return c.queuedInClass(interactive) + late
+	return inTime + late
 }
 
 // drainRate returns the rate, in requests per second, at which queued requests can start:
@@ -156,34 +156,25 @@
 }
 
 // levelRate returns the rate, in requests per second, at which the requests ahead of one
-// of a level start. More urgent requests that arrive meanwhile overtake it and take their
-// part of the rate. With behindAll set, all interactive requests overtake it.
+// of a level start. Requests that arrive meanwhile and go before it take their part of the
+// rate: those of more urgent levels and, with behindAll set, those of its own level.
 func (c *Cell) levelRate(behindAll bool, level int) float64 {
 	rate := c.drainRate()
-	if c.levels == 0 {
-		return rate
-	}
-	share := int64(0)
 	if behindAll {
-		level = c.levels
-		share = c.cfg.DeferrableShare
+		level++
 	}
-	rest := rate
-	for l := range level {
-		rest -= c.arrivals[l].perSecond
+	for l := range min(level, c.levels) {
+		rate -= c.arrivals[l].perSecond
 	}
-	return max(rest, rate*float64(share)/100, minLevelRate)
+	return max(rate, minLevelRate)
 }
 
-// urgentLevel returns the level that goes first apart from turns: the most urgent one
-// with interactive requests, or with deferrable ones if no interactive request is queued.
-// It returns levelCount if the queue is empty.
+// urgentLevel returns the most urgent level with queued requests, which goes first apart
+// from turns, or levelCount if the queue is empty.
 func (c *Cell) urgentLevel() int {
-	for class := range c.queues {
-		for level := range c.levelCount() {
-			if c.queues[class][level].queued > 0 {
-				return level
-			}
+	for level := range c.levelCount() {
+		if c.queuedAt(level) > 0 {
+			return level
 		}
 	}
 	return c.levelCount()
@@ -275,7 +266,7 @@
 
 // holdsBack reports whether a class and level gets no grant in this pass.
 func (r *passState) holdsBack(class, level int) bool {
-	return r.held && (class == deferrable || level > r.heldLevel)
+	return r.held && (level > r.heldLevel || level == r.heldLevel && class == deferrable)
 }
 
 // LevelCount returns the number of priority levels of the model of a cell, or 0.
