--- a/fleet/core/cell.go
+++ b/fleet/core/cell.go
@@ -97,7 +97,7 @@
 		weights[name] = a.Weight
 	}
 	schedule.SetWeights(c.cell, weights)
-	schedule.SetLevels(c.cell, s.now, s.levels().Count(k.Model))
+	s.configureLevels(k, c)
 	eps := cellEndpoints(snap, k, s.cfg.CellEndpoints, s.cfg.Relay)
 	c.endpoints = make(map[id.Endpoint]bool, len(eps))
 	for i, ep := range eps {
--- a/fleet/core/level.go
+++ b/fleet/core/level.go
@@ -18,6 +18,20 @@
 	return v.levels
 }
 
+// configureLevels applies the number of priority levels of a model to a cell.
+func (s *step) configureLevels(k cellKey, c *scheduledCell) {
+	before := schedule.LevelCount(c.cell)
+	schedule.SetLevels(c.cell, s.now, s.levels().Count(k.Model))
+	after := schedule.LevelCount(c.cell)
+	if after == before {
+		return
+	}
+	s.emit(Log{
+		Level: LogInfo, Component: partTable, Text: "Number of priority levels has changed.",
+		Trace: fmt.Sprintf("cell %s: %d to %d", k, before, after),
+	})
+}
+
 // levelSuffix names the level of a request in its trace. It is empty for a request
 // without a level.
 func (r *request) levelSuffix() string {
--- a/fleet/schedule/level.go
+++ b/fleet/schedule/level.go
@@ -34,6 +34,7 @@
 	c.levels = levels
 	c.levelDebt = 0
 	c.levelTurns = levelTurns{}
+	c.arrivals = [message.MaxLevels]releaseRate{}
 	c.retries = retrySchedule{}
 	queued := make([]*entry, len(c.queueDeadlines))
 	copy(queued, c.queueDeadlines)
