schedule: engines of large cells change their roles

Cause: Balance waited until the surplus of prefill engines had been the same number for a second. In a cell of 90 engines it differs by one or two at most checks, because it is calculated from averages over 100 runs, which is one second of traffic.

Change: a surplus lasts as long as it keeps its sign, and its smallest value counts. Averages cover eight runs of each engine. A surplus below 15 % of the prefill engines changes nothing, because an engine serves nothing for seconds while its role changes.

Result: TestVaryingSurplus is red before (no change) and green after.

--- a/fleet/schedule/balance.go
+++ b/fleet/schedule/balance.go
@@ -21,8 +21,11 @@
 	// before they are used. A stated token time several times the real one would leave a
 	// cell with too few prefill engines for as long as a change of roles takes.
 	minBalanceSamples = 20
-	// balanceWindow is the number of runs over which the averages are taken.
-	balanceWindow = 100
+	// balanceWindow is the number of runs over which the averages of a small cell are taken.
+	// A large cell takes them over balanceRunsPerEngine runs of each engine. It would
+	// otherwise change roles because of the runs of a single second.
+	balanceWindow        = 100
+	balanceRunsPerEngine = 8
 	// maxPrefillUtilization is the utilization of the prefill engines above which
 	// requests queue for a long time.
 	maxPrefillUtilization = 0.85
@@ -36,6 +39,10 @@
 	// meanHeldOutput is the fraction of its final output for which a run holds memory,
 	// averaged over the run.
 	meanHeldOutput = 0.6
+	// minSurplusPercent is the smallest surplus, in percent of the prefill engines, for which
+	// engines change their role. The averages are not exact enough for smaller ones, and an
+	// engine serves nothing while its role changes.
+	minSurplusPercent = 15
 	// surplusDelay and shortageDelay are how long a surplus or a shortage of prefill
 	// engines must last before engines change their role.
 	surplusDelay  = time.Second
@@ -56,21 +63,22 @@
 	samples      int
 	prompt       float64       // tokens
 	output       float64       // tokens
-	surplus      int           // prefill engines above the desired number; negative is a shortage
-	surplusSince time.Duration // last change of surplus
+	surplus      int           // smallest surplus (or shortage, if negative) of prefill engines since surplusSince
+	surplusSince time.Duration // when the last surplus or shortage began
 }
 
-// updateMean adds the n-th value to a moving mean.
-func updateMean(mean *float64, v float64, n int) {
-	*mean += (v - *mean) / float64(min(n, balanceWindow))
+// updateMean adds the n-th value to a moving mean over a window.
+func updateMean(mean *float64, v float64, n, window int) {
+	*mean += (v - *mean) / float64(min(n, window))
 }
 
 // add adds a run to the averages. It is called when the run is placed, because the
 // first runs to end are the short ones.
-func (u *runAverages) add(e *entry) {
+func (u *runAverages) add(e *entry, engines int) {
 	u.samples++
-	updateMean(&u.prompt, float64(e.prompt), u.samples)
-	updateMean(&u.output, float64(e.expected), u.samples)
+	window := max(balanceWindow, balanceRunsPerEngine*engines)
+	updateMean(&u.prompt, float64(e.prompt), u.samples, window)
+	updateMean(&u.output, float64(e.expected), u.samples, window)
 }
 
 // BalanceSummary describes the inputs of Balance for the log.
@@ -112,16 +120,13 @@
 // changes have taken effect.
 func Balance(c *Cell, now time.Time) []RoleChange {
 	c.advance(now)
-	surplus := c.prefillSurplus()
-	if surplus != c.runAverages.surplus {
-		c.runAverages.surplus = surplus
-		c.runAverages.surplusSince = c.now
-	}
+	c.updateSurplus(c.prefillSurplus())
+	surplus := c.runAverages.surplus
 	lasted := c.now - c.runAverages.surplusSince
 	switch {
 	case c.now-c.endpointLostAt < endpointLossDelay:
 		return nil
-	case surplus > 0 && lasted >= surplusDelay:
+	case surplus*100 >= minSurplusPercent*len(c.prefills) && surplus > 0 && lasted >= surplusDelay:
 		return c.chooseRoleChanges(c.prefills, surplus, table.RoleDecode)
 	case surplus < 0 && lasted >= shortageDelay:
 		return c.chooseRoleChanges(c.decodes, 1, table.RolePrefill)
@@ -129,6 +134,21 @@
 	return nil
 }
 
+// updateSurplus records the surplus of prefill engines found by one check. In a large cell
+// it differs a little at each check, because it is calculated from averages. A surplus or a
+// shortage therefore lasts as long as it keeps its sign, and its smallest value counts.
+func (c *Cell) updateSurplus(surplus int) {
+	u := &c.runAverages
+	if cmp.Compare(surplus, 0) != cmp.Compare(u.surplus, 0) {
+		u.surplus = surplus
+		u.surplusSince = c.now
+		return
+	}
+	if max(surplus, -surplus) < max(u.surplus, -u.surplus) {
+		u.surplus = surplus
+	}
+}
+
 // prefillSurplus returns the number of prefill engines above the desired number. It
 // returns a shortage only if the prefill rate is below minPrefillRatio of the decode
 // rate.
--- a/fleet/schedule/balance_test.go
+++ b/fleet/schedule/balance_test.go
@@ -89,6 +89,26 @@
 	assert.Assert(t, max(remaining["a"], remaining["b"], remaining["c"])-min(remaining["a"], remaining["b"], remaining["c"]) <= 1, "%v", remaining)
 }
 
+// TestVaryingSurplus guards against engines that never change their roles because the
+// surplus of prefill engines differs a little at each check, as it does in large cells. The
+// change covers no more engines than were in surplus all the time.
+func TestVaryingSurplus(t *testing.T) {
+	surplusFor := func(output int64) int {
+		c := balanceCell(31, 59)
+		return len(balanceAfterDelay(c, serveRequests(c, 0, promptTokens, output)))
+	}
+	least, most := surplusFor(outputMean), surplusFor(2*outputMean)
+	assert.Assert(t, 0 < least && least < most, "%d, %d", least, most)
+	c := balanceCell(31, 59)
+	now := time.Duration(0)
+	var changes []schedule.RoleChange
+	for i := 0; i < 10 && len(changes) == 0; i++ {
+		now = serveRequests(c, now, promptTokens, outputMean+int64(i%2)*outputMean)
+		changes = schedule.Balance(c, at(now))
+	}
+	assert.Assert(t, least <= len(changes) && len(changes) < most, "%d changes, surplus from %d to %d", len(changes), least, most)
+}
+
 // TestUnmeasuredTokenTime guards against role changes from a guessed token time: before
 // enough runs have ended there are none, and afterwards a wrong guess has no effect.
 func TestUnmeasuredTokenTime(t *testing.T) {
--- a/fleet/schedule/grant.go
+++ b/fleet/schedule/grant.go
@@ -133,7 +133,7 @@
 	e.phase = message.PhasePrefill
 	e.reservedUntil = c.now + c.cfg.GrantTimeout
 	c.charge(e)
-	c.runAverages.add(e)
+	c.runAverages.add(e, len(c.prefills)+len(c.decodes))
 	c.reserve(e, pl.prefill, pl.decode)
 	e.prefillTime = pl.prefillEnd - pl.prefillStart
 	e.prefillStart = pl.prefillStart
