schedule, core: measure the speed of each engine and place by it

Engines of one model differ in speed by a factor of two and slow down for seconds. The scheduler of a cell knew one time per output token for the whole cell and a prefill rate with a long memory.

The cell now averages the time per token of each engine over less than a second, from prefills, ended runs and reports of entry hosts (EnginePace), and places decodes, prefills and changes of roles by it while the speeds of a role differ by more than a quarter from the median. Placement is unchanged otherwise.

--- a/fleet/core/cell.go
+++ b/fleet/core/cell.go
@@ -23,6 +23,7 @@
 	cell        *schedule.Cell
 	lastMessage time.Time
 	lastPoll    time.Time // last time that load reports were requested
+	lastSpeeds  time.Time // last time that the speeds of engines were exported
 	endpoints   map[id.Endpoint]bool
 }
 
@@ -98,6 +99,7 @@
 	}
 	schedule.SetWeights(c.cell, weights)
 	eps := cellEndpoints(snap, k, s.cfg.CellEndpoints, s.cfg.Relay)
+	before := c.endpoints
 	c.endpoints = make(map[id.Endpoint]bool, len(eps))
 	for i, ep := range eps {
 		c.endpoints[ep.Name] = true
@@ -105,6 +107,7 @@
 		eps[i].PerSecond, eps[i].Limited = throttle.PerSecond(s.throttle, ep.Name)
 	}
 	s.cellActions(k, schedule.SetEndpoints(c.cell, s.now, eps))
+	s.clearSpeedGauges(before, c.endpoints)
 }
 
 // cellEndpoints returns the endpoints of a cell. Prefill and decode endpoints are
@@ -148,7 +151,7 @@
 	return schedule.Endpoint{
 		Name: ep.Name, AZ: ep.AZ, Role: pool.Role, Slots: pool.Slots, Blocks: pool.Blocks,
 		BlockTokens: pool.BlockTokens, PrefillRate: pool.PrefillRate, LinkRate: pool.LinkRate,
-		Leaving: ep.State == table.StateLeaving,
+		EventTokens: pool.EventTokens, Leaving: ep.State == table.StateLeaving,
 	}
 }
 
@@ -251,6 +254,7 @@
 		c := s.scheduler.cells[k]
 		s.cellActions(k, schedule.Tick(c.cell, s.now))
 		s.pollCell(c)
+		s.tickSpeeds(c)
 		if s.schedulerOf(k) != s.cfg.Host && s.now.Sub(c.lastMessage) > idleCellTimeout {
 			s.dropCell(k)
 		}
@@ -288,6 +292,7 @@
 }
 
 func (s *step) dropCell(k cellKey) {
+	s.clearSpeedGauges(s.scheduler.cells[k].endpoints, nil)
 	delete(s.scheduler.cells, k)
 	for req, known := range s.scheduler.requests {
 		if known.cell == k {
--- a/fleet/core/core.go
+++ b/fleet/core/core.go
@@ -198,6 +198,7 @@
 	unreachable      map[id.Endpoint]bool          // the last call could not reach the endpoint
 	engineProgress   map[id.Endpoint]time.Time     // time of the last event of each decode engine
 	engineGaps       map[id.Endpoint]time.Duration // average time between two events of a stream
+	enginePaces      enginePaces                   // relay mode only
 	notices          map[id.Endpoint]notice        // what endpoints have said; relay mode only
 	hostsReadAt      time.Time
 	rolesBalancedAt  time.Time // last time that the balance of roles was checked
@@ -242,6 +243,7 @@
 		unreachable:      make(map[id.Endpoint]bool),
 		engineProgress:   make(map[id.Endpoint]time.Time),
 		engineGaps:       make(map[id.Endpoint]time.Duration),
+		enginePaces:      make(enginePaces),
 		notices:          make(map[id.Endpoint]notice),
 		finished:         make([]Record, 0, cfg.FinishedRecords),
 	}
--- a/fleet/core/effect.go
+++ b/fleet/core/effect.go
@@ -258,6 +258,13 @@
 	Value   time.Duration
 }
 
+// EndpointGauge sets a gauge of one endpoint.
+type EndpointGauge struct {
+	Name     string
+	Endpoint id.Endpoint
+	Value    float64
+}
+
 // PublishQuarantine writes the decisions about prompt segments to the platform, so that hosts
 // find them in the host list even if all hosts start again. It is retried until it succeeds
 // or another one follows.
@@ -299,4 +306,5 @@
 func (TableInstalled) isEffect()  {}
 func (Stopped) isEffect()         {}
 
+func (EndpointGauge) isEffect()     {}
 func (PublishQuarantine) isEffect() {}
--- a/fleet/core/explain.go
+++ b/fleet/core/explain.go
@@ -26,6 +26,8 @@
 	MetricResumed       = "resumed"
 	MetricWastedPrefill = "wasted-prefill-tokens"
 	MetricOutputTokens  = "output-tokens"
+	MetricTokenTime     = "engine-token-time"
+	MetricPrefillRate   = "engine-prefill-rate"
 )
 
 // Record describes one request for operators, with a trace of its steps.
--- a/fleet/core/peers.go
+++ b/fleet/core/peers.go
@@ -115,6 +115,8 @@
 		s.slotUpdate(from, m)
 	case message.SlotHold:
 		s.slotHold(from, m)
+	case message.EnginePace:
+		s.enginePaced(m)
 	case message.SlotQuery:
 		s.handleSlotQuery(from, m)
 	case message.TableRequest:
--- a/fleet/core/request.go
+++ b/fleet/core/request.go
@@ -77,11 +77,12 @@
 	refusals            int       // number of refusals by schedulers
 	triedCells          []cellKey // cells that refused the request or did not reply since its last grant
 
-	prefill      id.Endpoint
-	decode       id.Endpoint
-	lastProgress time.Time     // time of the last event of the attempt
-	timeout      time.Duration // timeout of the prefill
-	resumed      bool          // the stream has been resumed and no token has arrived since
+	prefill          id.Endpoint
+	decode           id.Endpoint
+	grantedTokenTime time.Duration // expected time per output token on decode; 0 is unknown
+	lastProgress     time.Time     // time of the last event of the attempt
+	timeout          time.Duration // timeout of the prefill
+	resumed          bool          // the stream has been resumed and no token has arrived since
 
 	decodeUnusableSince time.Time // when the decode engine stopped taking requests during the prefill; zero if it takes them
 
--- a/fleet/core/run.go
+++ b/fleet/core/run.go
@@ -162,6 +162,7 @@
 	if skip < int64(len(ev.Tokens)) {
 		s.recordEventGap(r)
 		newTokens := ev.Tokens[skip:]
+		s.recordPace(r, len(newTokens))
 		s.emit(Deliver{Request: r.Request, Attempt: r.attempt, Offset: r.delivered, Tokens: newTokens})
 		r.delivered += int64(len(newTokens))
 		s.observeTokens(r, len(newTokens))
--- a/fleet/core/silence.go
+++ b/fleet/core/silence.go
@@ -57,6 +57,7 @@
 			delete(s.engineGaps, name)
 		}
 	}
+	s.forgetPaces()
 }
 
 // isResumableElsewhere reports whether a stream that its endpoint has stopped sending may
--- a/fleet/core/slot.go
+++ b/fleet/core/slot.go
@@ -168,6 +168,8 @@
 		MaxWait:            s.maxQueueWait(r),
 		ElapsedBeforeEntry: r.earlierWait(),
 		AZ:                 s.cfg.AZ,
+		TimeLeft:           s.timeLeft(r),
+		EventGap:           r.eventGapTarget(),
 	})
 }
 
@@ -236,6 +238,7 @@
 	}
 	r.schedulerHost = from
 	r.prefill, r.decode = m.Prefill, m.Decode
+	r.grantedTokenTime = m.TokenTime
 	r.triedCells = nil
 	s.startPrefill(r, m.Valid)
 }
--- a/fleet/message/envelope.go
+++ b/fleet/message/envelope.go
@@ -30,6 +30,9 @@
 	EndpointLimits []EndpointLimit `cbor:"21,keyasint,omitempty"`
 
 	SlotQueries []SlotQuery `cbor:"22,keyasint,omitempty"`
+
+	// Keys 23 and 24 are the reports and summaries of plain services.
+	EnginePaces []EnginePace `cbor:"25,keyasint,omitempty"`
 }
 
 // Add appends m to the list of its type.
@@ -75,13 +78,15 @@
 		e.EndpointLimits = append(e.EndpointLimits, m)
 	case SlotQuery:
 		e.SlotQueries = append(e.SlotQueries, m)
+	case EnginePace:
+		e.EnginePaces = append(e.EnginePaces, m)
 	}
 }
 
 // Messages returns the messages of the batch, grouped by type. SlotHolds precede
 // SlotUpdates, so that a new scheduler registers an attempt before the attempt ends.
 // SlotUpdates precede SlotRequests, so that the scheduler knows why an attempt failed
-// before it places the next one.
+// before it places the next one. The same holds for EnginePaces.
 func (e *Envelope) Messages() []Message {
 	var out []Message
 	for _, m := range e.Heartbeats {
@@ -114,6 +119,9 @@
 	for _, m := range e.SlotUpdates {
 		out = append(out, m)
 	}
+	for _, m := range e.EnginePaces {
+		out = append(out, m)
+	}
 	for _, m := range e.SlotRequests {
 		out = append(out, m)
 	}
--- a/fleet/message/message.go
+++ b/fleet/message/message.go
@@ -120,6 +120,9 @@
 	MaxWait            time.Duration `cbor:"15,keyasint,omitempty"` // maximum queueing time; 0 means the limit of the scheduler
 	ElapsedBeforeEntry time.Duration `cbor:"16,keyasint,omitempty"` // time that the caller had spent before the request reached its entry host
 	AZ                 id.Zone       `cbor:"17,keyasint,omitempty"` // availability zone of the entry host; set if the scheduler's zone is a larger scheduling domain
+	// Key 18 is the priority level.
+	TimeLeft time.Duration `cbor:"19,keyasint,omitempty"` // time that the caller will wait for the end of the response; 0 is unknown
+	EventGap time.Duration `cbor:"20,keyasint,omitempty"` // target for the pause between two events; 0 means none
 }
 
 // SlotGrant reserves a prefill and a decode engine for one attempt.
@@ -130,6 +133,8 @@
 	Decode  id.Endpoint   `cbor:"4,keyasint"`
 	Valid   time.Duration `cbor:"5,keyasint"`           // the prefill must start within this time after receipt
 	Wait    time.Duration `cbor:"6,keyasint,omitempty"` // expected queueing time of a new request in the cell
+
+	TokenTime time.Duration `cbor:"7,keyasint,omitempty"` // expected time per output token on the decode engine; 0 is unknown
 }
 
 // SlotRefusal rejects a SlotRequest. The request has not run.
@@ -178,6 +183,15 @@
 	CellIndex int        `cbor:"4,keyasint,omitempty"` // index of the model's cell in the scheduler's zone
 }
 
+// EnginePace reports the speed of a decode engine to the scheduler of its cell, if it
+// differs from the one that the scheduler expects.
+type EnginePace struct {
+	Model     id.Model      `cbor:"1,keyasint"`
+	CellIndex int           `cbor:"2,keyasint,omitempty"` // index of the model's cell in the scheduler's zone
+	Endpoint  id.Endpoint   `cbor:"3,keyasint"`
+	TokenTime time.Duration `cbor:"4,keyasint"` // time per output token that the sender has seen
+}
+
 // TokenRequest requests rate tokens from another host that holds a share of the account's
 // rate.
 type TokenRequest struct {
@@ -350,3 +364,4 @@
 func (CrashReport) isMessage()    {}
 func (CrashRebuttal) isMessage()  {}
 func (EndpointLimit) isMessage()  {}
+func (EnginePace) isMessage()     {}
--- a/fleet/schedule/balance.go
+++ b/fleet/schedule/balance.go
@@ -142,6 +142,9 @@
 	if len(c.prefills) == 0 || len(c.decodes) == 0 || c.runAverages.prompt < 1 || c.runAverages.output < 1 {
 		return 0
 	}
+	if c.speeds.unevenRelative {
+		return c.surplusBySpeed()
+	}
 	surplus := len(c.prefills) - c.desiredPrefills()
 	isShort := c.prefillRequestRate(len(c.prefills)) < minPrefillRatio*c.decodeRequestRate(len(c.decodes), c.decodes[0])
 	if surplus < 0 && !isShort {
@@ -153,8 +156,9 @@
 // chooseRoleChanges returns role changes for up to n of the endpoints, without those that
 // are failing. New decode endpoints come from the zones with the most prefill engines
 // and new prefill endpoints from those with the fewest, because a partitioned zone has
-// only its own engines. Among zones with equal numbers, the endpoints with the fewest
-// reserved slots come first.
+// only its own engines. Among zones with equal numbers, the fastest engines become prefill
+// engines and the slowest ones decode engines if the speeds differ, and then the endpoints
+// with the fewest reserved slots come first.
 func (c *Cell) chooseRoleChanges(eps []*endpoint, n int, role table.Role) []RoleChange {
 	prefills := make(map[id.Zone]int)
 	for _, ep := range c.prefills {
@@ -168,7 +172,7 @@
 	var out []RoleChange
 	for len(out) < n && len(candidates) > 0 {
 		slices.SortStableFunc(candidates, func(a, b *endpoint) int {
-			return cmp.Or(step*cmp.Compare(prefills[a.AZ], prefills[b.AZ]), cmp.Compare(a.slots, b.slots))
+			return cmp.Or(step*cmp.Compare(prefills[a.AZ], prefills[b.AZ]), -step*c.compareSpeed(a, b), cmp.Compare(a.slots, b.slots))
 		})
 		out = append(out, RoleChange{Endpoint: candidates[0].Name, Role: role})
 		prefills[candidates[0].AZ] += step
--- a/fleet/schedule/config.go
+++ b/fleet/schedule/config.go
@@ -51,6 +51,7 @@
 
 	ProjectMemory bool  // place decode runs by their expected memory instead of their output limit
 	MemoryPercent int64 // percentage of an endpoint's memory that the projected peak may reach
+	EngineSpeeds  bool  // measure the speed of each engine and place by it where speeds differ; needs ProjectMemory
 
 	MaxQueue          int           // requests
 	ScanLimit         int           // requests without a grant after which a pass over the queue stops
--- a/fleet/schedule/endpoint.go
+++ b/fleet/schedule/endpoint.go
@@ -19,6 +19,7 @@
 	BlockTokens int64
 	PrefillRate int64
 	LinkRate    int64
+	EventTokens int64 // output tokens per event of a stream; 0 is unknown
 	Leaving     bool
 	Limited     bool    // the endpoint has announced a request rate limit
 	PerSecond   float64 // the limit, in requests per second, for all hosts together
@@ -40,6 +41,7 @@
 	hasReport                         bool
 
 	limit rateLimit
+	speed engineSpeed
 
 	failures     int // since the last success
 	backoffUntil time.Duration
@@ -77,6 +79,9 @@
 		if e.Limited && !ep.Limited {
 			c.startRateLimit(ep)
 		}
+		if ep.Role != e.Role {
+			ep.speed.changeRole()
+		}
 		ep.Endpoint = e
 		ep.member = true
 		ep.updateGrantLimits()
@@ -133,8 +138,8 @@
 func (c *Cell) updateCapacity() {
 	var rate, slots, fastest, link int64
 	for _, ep := range c.prefills {
-		rate += ep.rate()
-		fastest = max(fastest, ep.rate())
+		rate += c.rateOn(ep)
+		fastest = max(fastest, c.rateOn(ep))
 		link = max(link, ep.LinkRate)
 	}
 	for _, ep := range c.decodes {
--- a/fleet/schedule/entry.go
+++ b/fleet/schedule/entry.go
@@ -45,6 +45,9 @@
 	latestStart   time.Duration // latest start that meets the target; without a target, end of the queueing time
 	queueDeadline time.Duration // refused or demoted after this time
 
+	callerUntil time.Duration // when the caller stops waiting for the end of the response; 0 is unknown
+	maxEventGap time.Duration // target for the pause between two events; 0 means none
+
 	lane               *lane
 	laneIndex          int
 	queueDeadlineIndex int
@@ -55,6 +58,7 @@
 	prefillBlocks, decodeBlocks int64
 	charge                      time.Duration // endpoint time charged to the account
 	decodeSince                 time.Duration
+	startClock                  float64       // outputClock of the decode endpoint at decodeSince
 	missedReports               int           // consecutive load reports without the decode run
 	reservedUntil               time.Duration // expiry of the reservation, extended by updates and holds
 	queryAt                     time.Duration // when the host is asked whether the attempt still runs
--- a/fleet/schedule/grant.go
+++ b/fleet/schedule/grant.go
@@ -27,6 +27,7 @@
 		}
 	}
 	var r passState
+	c.speeds.pass++
 	for r.scanned < c.cfg.ScanLimit {
 		e := c.nextEntry(&r)
 		if e == nil {
@@ -162,6 +163,8 @@
 		Prefill: e.prefill.Name,
 		Decode:  e.decode.Name,
 		Valid:   valid,
+
+		TokenTime: c.grantedTokenTime(e.decode),
 	}
 }
 
--- a/fleet/schedule/measure.go
+++ b/fleet/schedule/measure.go
@@ -71,6 +71,7 @@
 	if busy < 0 {
 		return
 	}
+	c.measureEnginePrefill(p, e.prompt, busy)
 	p.prefillStats.tokens = prefillRateDecay*p.prefillStats.tokens + float64(e.prompt)
 	p.prefillStats.busy = prefillRateDecay*p.prefillStats.busy + busy.Seconds()
 	c.updateCapacity()
@@ -83,6 +84,7 @@
 		return
 	}
 	perToken := (c.now - e.decodeSince) / time.Duration(e.tokens)
+	c.measureEngineTokenTime(e, perToken)
 	perToken = min(perToken, c.tokenTime*3/2) // bounds the effect of an interrupted run
 	c.tokenTimeSamples++
 	c.tokenTime += (perToken - c.tokenTime) / time.Duration(min(c.tokenTimeSamples, tokenTimeWindow))
--- a/fleet/schedule/memory.go
+++ b/fleet/schedule/memory.go
@@ -31,6 +31,9 @@
 	if e.phase != message.PhaseDecode || c.tokenTime <= 0 {
 		return 0
 	}
+	if c.speeds.unevenDecode && e.decode != nil {
+		return max(e.tokens, int64(c.outputClock(e.decode)-e.startClock))
+	}
 	return max(e.tokens, int64((c.now-e.decodeSince)/c.tokenTime))
 }
 
@@ -72,15 +75,17 @@
 	return peakTokens(c.projections)
 }
 
-// hasRoom reports whether a decode endpoint has the memory for e. With
-// Config.ProjectMemory, half a block per run is added for partly filled blocks.
-func (c *Cell) hasRoom(ep *endpoint, e *entry) bool {
+// hasRoom reports whether a decode endpoint has the memory for e, and returns its peak
+// with e added if Config.ProjectMemory is set. Half a block per run is then added for partly
+// filled blocks.
+func (c *Cell) hasRoom(ep *endpoint, e *entry) (peak int64, ok bool) {
 	if !c.cfg.ProjectMemory {
-		return ep.freeBlocks() >= ep.blocksFor(e.prompt+e.output)
+		return 0, ep.freeBlocks() >= ep.blocksFor(e.prompt+e.output)
 	}
 	waste := int64(len(ep.decoding)+1) * ep.BlockTokens / 2
 	memory := (ep.Blocks - ep.unregisteredBlocks) * ep.BlockTokens
-	return c.peakWith(ep, e)+waste <= memory*c.cfg.MemoryPercent/100
+	peak = c.peakWith(ep, e)
+	return peak, peak+waste <= memory*c.cfg.MemoryPercent/100
 }
 
 // queueWait estimates how long a request would wait for the queued requests ahead of
@@ -94,6 +99,6 @@
 	if ahead == 0 {
 		return 0
 	}
-	rate := max(c.slotReleases.perSecond, 1)
+	rate := c.releasesPerSecond()
 	return max(time.Duration(float64(ahead)/rate*float64(time.Second)), c.limitWait(ahead))
 }
--- a/fleet/schedule/place.go
+++ b/fleet/schedule/place.go
@@ -38,7 +38,7 @@
 		return placement{}, why
 	}
 	start := c.now + c.backlog(p)
-	pl := placement{prefill: p, prefillStart: start, prefillEnd: start + durationAtRate(e.prompt, p.rate())}
+	pl := placement{prefill: p, prefillStart: start, prefillEnd: start + durationAtRate(e.prompt, c.rateOn(p))}
 	why = c.chooseDecode(e, &pl)
 	return pl, why
 }
@@ -68,6 +68,9 @@
 	if e.large && c.largeLimited() {
 		return nil, obstacleLarge
 	}
+	if c.speeds.unevenPrefill {
+		return c.choosePrefillBySpeed(e)
+	}
 	avoid := c.canAvoid(e, c.prefills)
 	var best *endpoint
 	var bestScore time.Duration
@@ -128,32 +131,23 @@
 // room, among those with enough memory and with a link that is free before the KV
 // cache expires.
 func (c *Cell) chooseDecode(e *entry, pl *placement) obstacle {
+	if c.speeds.unevenDecode {
+		return c.chooseDecodeBySpeed(e, pl)
+	}
 	avoid := c.canAvoid(e, c.decodes)
 	why := obstacleSlot
 	var best *endpoint
+	var bestPeak int64
 	for _, ep := range c.decodes {
-		free := ep.freeSlots()
-		if free < 1 || c.pinned(ep, e) || !c.acceptsGrants(ep) {
-			continue
-		}
-		if avoid && ep.Name == e.avoid || c.isPartitioned(e, ep) {
-			why = obstacleOther
-			continue
-		}
-		if !c.hasRoom(ep, e) {
-			if why == obstacleSlot {
-				why = obstacleMemory
-			}
-			continue
-		}
-		if best != nil && !c.hasMoreRoom(ep, best, e) {
+		peak, found := c.checkDecode(ep, e, avoid, &why)
+		if !found || best != nil && !c.hasMoreRoom(ep, best, peak, bestPeak) {
 			continue
 		}
 		if !c.planTransfer(e, pl, ep) {
 			why = obstacleLink
 			continue
 		}
-		best = ep
+		best, bestPeak = ep, peak
 	}
 	if best == nil {
 		return why
@@ -162,9 +156,30 @@
 	return obstacleNone
 }
 
-func (c *Cell) hasMoreRoom(a, b *endpoint, e *entry) bool {
+// checkDecode reports whether a decode endpoint has a slot and the memory for e, and
+// returns its peak with a penalty for another zone. Otherwise it updates the obstacle.
+func (c *Cell) checkDecode(ep *endpoint, e *entry, avoid bool, why *obstacle) (peak int64, ok bool) {
+	if ep.freeSlots() < 1 || c.pinned(ep, e) || !c.acceptsGrants(ep) {
+		return 0, false
+	}
+	if avoid && ep.Name == e.avoid || c.isPartitioned(e, ep) {
+		*why = obstacleOther
+		return 0, false
+	}
+	peak, ok = c.hasRoom(ep, e)
+	if !ok {
+		if *why == obstacleSlot {
+			*why = obstacleMemory
+		}
+		return 0, false
+	}
+	return peak + zonePenalty(ep, e), true
+}
+
+// hasMoreRoom reports whether a has more room than b, given their peaks with penalties.
+func (c *Cell) hasMoreRoom(a, b *endpoint, peakA, peakB int64) bool {
 	if c.cfg.ProjectMemory {
-		return c.peakWithZonePenalty(a, e) < c.peakWithZonePenalty(b, e)
+		return peakA < peakB
 	}
 	if a.freeSlots() != b.freeSlots() {
 		return a.freeSlots() > b.freeSlots()
@@ -172,15 +187,14 @@
 	return a.freeBlocks() > b.freeBlocks()
 }
 
-// peakWithZonePenalty returns peakWith plus a penalty for an endpoint in another
-// availability zone than the host of e. A partition between zones breaks no run within
-// one zone, and the transfer there takes half the time.
-func (c *Cell) peakWithZonePenalty(ep *endpoint, e *entry) int64 {
-	peak := c.peakWith(ep, e)
-	if ep.AZ != e.az {
-		peak += ep.Blocks * ep.BlockTokens / remoteZoneMemoryDivisor
+// zonePenalty returns the memory, in tokens, that is added to the peak of an endpoint in
+// another availability zone than the host of e. A partition between zones breaks no run
+// within one zone, and the transfer there takes half the time.
+func zonePenalty(ep *endpoint, e *entry) int64 {
+	if ep.AZ == e.az {
+		return 0
 	}
-	return peak
+	return ep.Blocks * ep.BlockTokens / remoteZoneMemoryDivisor
 }
 
 func (c *Cell) pinned(ep *endpoint, e *entry) bool {
--- a/fleet/schedule/report.go
+++ b/fleet/schedule/report.go
@@ -168,6 +168,9 @@
 	c.rebuildUntil = c.now
 }
 
+// releaseDecay is the weight of the earlier average in the measured rate of releases.
+const releaseDecay = 0.9
+
 // releaseRate measures the rate at which decode slots become free.
 type releaseRate struct {
 	count     int
@@ -176,9 +179,8 @@
 
 // addPeriod adds the releases of a period to the moving average.
 func (r *releaseRate) addPeriod(period time.Duration) {
-	const decay = 0.9
 	rate := float64(r.count) / period.Seconds()
-	r.perSecond = decay*r.perSecond + (1-decay)*rate
+	r.perSecond = releaseDecay*r.perSecond + (1-releaseDecay)*rate
 	r.count = 0
 }
 
@@ -208,7 +210,7 @@
 	if excess <= 0 {
 		return wait
 	}
-	rate := max(c.slotReleases.perSecond, 1)
+	rate := c.releasesPerSecond()
 	return max(wait, time.Duration(float64(excess)/rate*float64(time.Second)))
 }
 
--- a/fleet/schedule/run.go
+++ b/fleet/schedule/run.go
@@ -113,6 +113,7 @@
 func (c *Cell) startDecode(e *entry) {
 	e.phase = message.PhaseDecode
 	e.decodeSince = c.now
+	c.startClock(e)
 	length := e.transferEnd - e.transferStart
 	e.transferStart = c.now
 	e.transferEnd = c.now + length
@@ -201,8 +202,9 @@
 	}
 	c.entries[e.request] = e
 	c.reserve(e, p, d)
+	c.startClock(e)
 	if p != nil {
-		e.prefillTime = durationAtRate(e.prompt, p.rate())
+		e.prefillTime = durationAtRate(e.prompt, c.rateOn(p))
 		e.prefillStart = c.now + c.backlog(p)
 		e.prefillEnd = e.prefillStart + e.prefillTime
 		p.prefills = append(p.prefills, e)
@@ -340,6 +342,7 @@
 		return acts
 	}
 	c.slotReleases.addPeriod(c.now - c.lastSweep)
+	c.updateSpeeds(c.now - c.lastSweep)
 	c.lastSweep = c.now
 	c.ended.expire(c.now)
 	if c.now-c.lastAccountSweep >= c.cfg.AccountSweepInterval {
--- a/fleet/schedule/schedule.go
+++ b/fleet/schedule/schedule.go
@@ -94,6 +94,7 @@
 	endpointLostAt   time.Duration // when the number of usable endpoints last fell
 	zoneReachability map[zonePair]*zoneReachability
 	runAverages      runAverages
+	speeds           cellSpeeds
 }
 
 // New returns a cell without endpoints. Set rebuild if a predecessor may have granted
--- a/fleet/schedule/slotrequest.go
+++ b/fleet/schedule/slotrequest.go
@@ -93,6 +93,7 @@
 		c.hasSmallRequest = true
 	}
 	c.setTimes(e, m)
+	c.setSpeedNeeds(e, m)
 	return e
 }
 
--- a/router/internal/app/dispatch.go
+++ b/router/internal/app/dispatch.go
@@ -66,6 +66,8 @@
 		d.metrics.Count(e)
 	case core.Observe:
 		d.metrics.Observe(e)
+	case core.EndpointGauge:
+		d.metrics.EndpointGauge(e)
 	case core.TableInstalled:
 		d.adapters.SetTable(e)
 	case core.FollowPlatform:
--- a/router/internal/app/relay.go
+++ b/router/internal/app/relay.go
@@ -67,6 +67,7 @@
 	cfg.HostListInterval = relayHostListInterval
 	cfg.Schedule.KVSurvival = relayKVSurvival
 	cfg.Schedule.ProjectMemory = true
+	cfg.Schedule.EngineSpeeds = true
 	cfg.Schedule.MemoryPercent = relayMemoryPercent
 	cfg.Schedule.TokenTime = relayTokenTime
 	// Deferrable requests get no reserved share: late requests are served last, and are
--- a/router/internal/operator/metrics.go
+++ b/router/internal/operator/metrics.go
@@ -24,6 +24,10 @@
 // otherAccounts is the label value that the accounts beyond maxAccounts share.
 const otherAccounts = "other"
 
+// maxEndpointGauges is the maximum number of gauges of endpoints. Endpoints come and go, and
+// a gauge is never removed.
+const maxEndpointGauges = 2048
+
 const reportInterval = time.Second
 
 // latencyBuckets are the upper bounds of the buckets of all latency histograms.
@@ -46,6 +50,7 @@
 	accounts   map[id.Account]bool
 	counters   map[counterKey]tally.Counter
 	histograms map[histogramKey]tally.Histogram
+	gauges     map[gaugeKey]tally.Gauge
 }
 
 type counterKey struct {
@@ -56,6 +61,11 @@
 	name, account string
 }
 
+type gaugeKey struct {
+	name     string
+	endpoint id.Endpoint
+}
+
 // NewMetrics returns metrics that all carry the labels host and zone. The metrics of the
 // Go runtime and of the process are served too, without these labels.
 func NewMetrics(host id.Host, zone id.Zone) *Metrics {
@@ -74,6 +84,7 @@
 		accounts:   make(map[id.Account]bool),
 		counters:   make(map[counterKey]tally.Counter),
 		histograms: make(map[histogramKey]tally.Histogram),
+		gauges:     make(map[gaugeKey]tally.Gauge),
 	}
 }
 
@@ -149,3 +160,20 @@
 func (m *Metrics) Gauge(name string, v float64) {
 	m.scope.Gauge(name).Update(v)
 }
+
+// EndpointGauge sets a gauge of one endpoint, which is created on first use. Beyond
+// maxEndpointGauges no more are created.
+func (m *Metrics) EndpointGauge(e core.EndpointGauge) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	key := gaugeKey{e.Name, e.Endpoint}
+	g, ok := m.gauges[key]
+	if !ok {
+		if len(m.gauges) >= maxEndpointGauges {
+			return
+		}
+		g = m.scope.Tagged(map[string]string{"endpoint": string(e.Endpoint)}).Gauge(e.Name)
+		m.gauges[key] = g
+	}
+	g.Update(e.Value)
+}
