schedule: probe slow engines, confirm reports, test uneven load

A report of one paused stream made an engine count as slow, so that placement on equal engines changed; such a report now needs a second one, and ended runs only confirm. A recovery was noticed after up to 3.7 s, because the average forgot slowly and idle slow engines got no work; it is now noticed within 1.2 s. A request that waits for a faster engine no longer hides those behind it.

With equal engines the placements are the same.

--- a/fleet/schedule/bench_test.go
+++ b/fleet/schedule/bench_test.go
@@ -86,3 +86,71 @@
 		b.Fatalf("the queue has %d requests", q)
 	}
 }
+
+// BenchmarkPlacement measures one request from slot request to end on 90 engines of the
+// size that the users run, whose memory is short, with a Tick for every five requests. With
+// uneven speeds, a quarter of the engines runs at half the speed.
+func BenchmarkPlacement(b *testing.B) {
+	for _, queue := range []int{0, 100} {
+		for _, uneven := range []bool{false, true} {
+			b.Run(fmt.Sprintf("queue=%d/uneven=%t", queue, uneven), func(b *testing.B) {
+				b.ReportAllocs()
+				benchmarkPlacement(b, queue, uneven)
+			})
+		}
+	}
+}
+
+func benchmarkPlacement(b *testing.B, queue int, uneven bool) {
+	cfg := projectedConfig()
+	cfg.ScanLimit, cfg.LaneScanLimit = 24, 12
+	cfg.RunTimeout = 1000 * time.Hour
+	configureSpeeds(&cfg)
+	c := schedule.New(cfg, "m", t0, false)
+	schedule.SetEndpoints(c, t0, engines(24, 66))
+	now := t0
+	sent, started := 0, 0
+	var running []message.SlotGrant
+	collect := func(acts []schedule.Action) { running = append(running, grants(acts)...) }
+	step := func() {
+		now = now.Add(5 * time.Millisecond)
+		m := memoryRequest(sent, func(m *message.SlotRequest) {
+			m.Request = id.Request(fmt.Sprintf("r%08d", sent))
+			m.Account = id.Account(fmt.Sprintf("a%d", sent%16))
+			m.PromptTokens = 1000 + int64(sent*7919%4400)
+			m.FirstToken, m.MaxWait = time.Hour, time.Hour
+		})
+		sent++
+		collect(schedule.HandleSlotRequest(c, now, "h", m))
+		for ; started < len(running); started++ {
+			g := running[started]
+			collect(schedule.HandleUpdate(c, now.Add(ms), "h", message.SlotUpdate{Request: g.Request, Attempt: 1, Phase: message.PhaseDecode}))
+			reportSpeed(c, now.Add(ms), g, uneven)
+		}
+		if sent%5 == 0 {
+			collect(schedule.Tick(c, now.Add(2*ms)))
+		}
+	}
+	for schedule.Load(c, now).Queued < queue || sent < 500 {
+		step()
+		if queue == 0 && len(running) > 400 {
+			break
+		}
+	}
+	head := 0
+	b.ResetTimer()
+	for range b.N {
+		collect(schedule.HandleUpdate(c, now, "h", message.SlotUpdate{Request: running[head].Request, Attempt: 1, Phase: message.PhaseDone, Tokens: outputMean}))
+		head++
+		step()
+	}
+}
+
+func configureSpeeds(cfg *schedule.Config) { cfg.EngineSpeeds = true }
+
+// reportSpeed reports half the speed for a quarter of the engines.
+func reportSpeed(c *schedule.Cell, now time.Time, g message.SlotGrant, uneven bool) {
+	if uneven && g.Decode[len(g.Decode)-1]%4 == 0 {
+		schedule.HandlePace(c, now, g.Decode, 2*projectedTokenTime)
+	}
+}
--- a/fleet/schedule/burst_test.go
+++ b/fleet/schedule/burst_test.go
@@ -44,6 +44,14 @@
 	prefillEnd   time.Duration // 0 until the prefill starts
 	produced     float64       // output tokens
 	retried      bool
+
+	// For speedSim.
+	prefilled  float64 // prompt tokens
+	events     int     // that the caller has received
+	lastEvent  time.Duration
+	paces      []time.Duration // times per token since the last report
+	pausedLong bool
+	host       string
 }
 
 // burstSim simulates the load, the callers and the engines of a cell.
@@ -126,6 +134,7 @@
 	v.arrival = s.now + retry
 	v.slotRequest.Request += "-2"
 	v.slotRequest.ElapsedBeforeEntry = v.arrival - v.firstArrival
+	v.slotRequest.TimeLeft = max(v.slotRequest.TimeLeft-v.slotRequest.ElapsedBeforeEntry, 0)
 	s.retries = append(s.retries, v)
 }
 
@@ -232,15 +241,7 @@
 		if s.now < burstLength && s.random.Float64() < rate*burstSimStep.Seconds() {
 			s.arrive()
 		}
-		retries := s.retries
-		s.retries = nil
-		for _, v := range retries {
-			if v.arrival <= s.now {
-				s.slotRequest(v)
-				continue
-			}
-			s.retries = append(s.retries, v)
-		}
+		s.sendRetries()
 		s.stepPrefill()
 		s.stepDecode()
 		if s.now%(20*time.Millisecond) == 0 {
@@ -252,6 +253,19 @@
 	}
 }
 
+// sendRetries sends the refused requests again whose time has come.
+func (s *burstSim) sendRetries() {
+	retries := s.retries
+	s.retries = nil
+	for _, v := range retries {
+		if v.arrival <= s.now {
+			s.slotRequest(v)
+			continue
+		}
+		s.retries = append(s.retries, v)
+	}
+}
+
 // value returns the total value of the answers divided by the number of requests.
 func (s *burstSim) value() float64 {
 	return (float64(s.onTime) + lateValue*float64(s.late)) / float64(s.requested)
--- a/fleet/schedule/endpoint.go
+++ b/fleet/schedule/endpoint.go
@@ -47,7 +47,8 @@
 	backoffUntil time.Duration
 	probe        *entry // the only grant while failures > 0
 
-	decoding []*entry // with a decode reservation
+	decoding       []*entry // with a decode reservation
+	decodingPrompt int64    // prompt tokens of decoding
 
 	prefills          []*entry // granted prefills, in order
 	prefillStats      prefillSums
--- a/fleet/schedule/entry.go
+++ b/fleet/schedule/entry.go
@@ -45,6 +45,7 @@
 	latestStart   time.Duration // latest start that meets the target; without a target, end of the queueing time
 	queueDeadline time.Duration // refused or demoted after this time
 
+	waitsIn     int           // the pass over the queue in which it waits for a faster engine
 	callerUntil time.Duration // when the caller stops waiting for the end of the response; 0 is unknown
 	maxEventGap time.Duration // target for the pause between two events; 0 means none
 
--- a/fleet/schedule/grant.go
+++ b/fleet/schedule/grant.go
@@ -12,6 +12,7 @@
 	scanned       int
 	largeBlocked  bool  // large prompts cannot be granted
 	blockedTokens int64 // requests of this many prompt and output tokens or more lack memory; 0 if none is known
+	hasWaiting    bool  // a request waits for a faster engine; see entry.waitsIn
 }
 
 // grantQueued refuses or demotes the requests whose queue deadline has passed, then
@@ -53,6 +54,9 @@
 	switch {
 	case why == obstacleLarge:
 		r.largeBlocked = true
+	case why == obstacleSpeed:
+		r.hasWaiting = true
+		e.waitsIn = c.speeds.pass
 	case why == obstacleMemory:
 		r.blockedTokens = e.prompt + e.output
 		c.drainFor(e)
@@ -80,7 +84,7 @@
 	if len(q.lanes) == 0 {
 		return nil
 	}
-	if !r.largeBlocked && r.blockedTokens == 0 {
+	if !r.largeBlocked && r.blockedTokens == 0 && !r.hasWaiting {
 		return q.lanes[0].heap[0]
 	}
 	var best *entry
@@ -95,18 +99,24 @@
 	return best
 }
 
-// pickFromLane returns the first request of a lane or, if it lacks memory, one of the
-// first LaneScanLimit requests that needs less. It returns nil if there is none.
+// pickFromLane returns the first request of a lane or, if it lacks memory or waits for a
+// faster engine, one of the first LaneScanLimit requests that needs less or does not wait. It
+// returns nil if there is none.
 func (c *Cell) pickFromLane(r *passState, l *lane) *entry {
 	if r.largeBlocked && l.heap[0].large {
 		return nil
 	}
 	for _, e := range l.heap[:min(len(l.heap), c.cfg.LaneScanLimit)] {
+		if r.hasWaiting && e.waitsIn == c.speeds.pass {
+			continue
+		}
 		if r.blockedTokens == 0 || e.prompt+e.output < r.blockedTokens {
 			return e
 		}
 	}
-	c.drainFor(l.heap[0])
+	if r.blockedTokens > 0 {
+		c.drainFor(l.heap[0])
+	}
 	return nil
 }
 
--- a/fleet/schedule/memory.go
+++ b/fleet/schedule/memory.go
@@ -1,8 +1,6 @@
 package schedule
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"ragwortshunt.example/fleet/message"
@@ -26,19 +24,20 @@
 }
 
 // producedTokens estimates the output tokens of a decode run from its running time,
-// which may be ahead of the last update.
-func (c *Cell) producedTokens(e *entry) int64 {
+// which may be ahead of the last update, or while speeds differ from the output clock of its
+// endpoint.
+func (c *Cell) producedTokens(e *entry, clock float64) int64 {
 	if e.phase != message.PhaseDecode || c.tokenTime <= 0 {
 		return 0
 	}
 	if c.speeds.unevenDecode && e.decode != nil {
-		return max(e.tokens, int64(c.outputClock(e.decode)-e.startClock))
+		return max(e.tokens, int64(clock-e.startClock))
 	}
 	return max(e.tokens, int64((c.now-e.decodeSince)/c.tokenTime))
 }
 
-func (c *Cell) project(e *entry) projection {
-	produced := min(c.producedTokens(e), e.output)
+func (c *Cell) project(e *entry, clock float64) projection {
+	produced := min(c.producedTokens(e, clock), e.output)
 	remaining := e.expected - produced
 	if remaining < overdueTokens {
 		remaining = min(overdueTokens, e.output-produced)
@@ -46,10 +45,22 @@
 	return projection{heldTokens: e.prompt + produced, remaining: max(remaining, 0)}
 }
 
+// insertProjection adds r to runs, which are sorted by the remaining output. An engine has
+// few runs, for which this costs less than a sort.
+func insertProjection(runs []projection, r projection) []projection {
+	runs = append(runs, r)
+	i := len(runs) - 1
+	for ; i > 0 && runs[i-1].remaining > r.remaining; i-- {
+		runs[i] = runs[i-1]
+	}
+	runs[i] = r
+	return runs
+}
+
 // peakTokens returns the peak memory of the runs, in tokens, if all of them grow at
-// the same rate and free their memory when they end. It sorts runs.
+// the same rate and free their memory when they end. The runs are sorted by the remaining
+// output.
 func peakTokens(runs []projection) int64 {
-	slices.SortFunc(runs, func(a, b projection) int { return cmp.Compare(a.remaining, b.remaining) })
 	var heldTokens int64
 	for _, r := range runs {
 		heldTokens += r.heldTokens
@@ -66,13 +77,15 @@
 // peakWith returns the peak memory, in tokens, of a decode endpoint with e added to
 // its runs.
 func (c *Cell) peakWith(ep *endpoint, e *entry) int64 {
-	c.projections = append(c.projections[:0], c.project(e))
+	clock := c.outputClock(ep)
+	runs := append(c.projections[:0], c.project(e, clock))
 	for _, other := range ep.decoding {
 		if other != e {
-			c.projections = append(c.projections, c.project(other))
+			runs = insertProjection(runs, c.project(other, clock))
 		}
 	}
-	return peakTokens(c.projections)
+	c.projections = runs
+	return peakTokens(runs)
 }
 
 // hasRoom reports whether a decode endpoint has the memory for e, and returns its peak
@@ -84,8 +97,12 @@
 	}
 	waste := int64(len(ep.decoding)+1) * ep.BlockTokens / 2
 	memory := (ep.Blocks - ep.unregisteredBlocks) * ep.BlockTokens
+	limit := memory * c.cfg.MemoryPercent / 100
+	if ep.decodingPrompt+e.prompt+waste > limit {
+		return 0, false // without the output, which takes longer to project
+	}
 	peak = c.peakWith(ep, e)
-	return peak, peak+waste <= memory*c.cfg.MemoryPercent/100
+	return peak, peak+waste <= limit
 }
 
 // queueWait estimates how long a request would wait for the queued requests ahead of
--- a/fleet/schedule/placespeed.go
+++ b/fleet/schedule/placespeed.go
@@ -13,6 +13,9 @@
 	// maxGapPercent is the percentage of the target for the pause between events that the
 	// mean pause on an engine may reach. Single pauses are longer than the mean.
 	maxGapPercent = 75
+	// lengthPercent is the percentage of its expected output with which a run must end in time.
+	// Estimates of the output are often too low.
+	lengthPercent = 125
 	// speedWeight is the part of an engine's memory that counts as taken for each time that
 	// the engine takes longer for a token than the fastest one. An engine that needs twice as
 	// long is chosen once the fast ones are fuller by this part.
@@ -21,8 +24,10 @@
 	// engine that does not meet its targets, if no other one has room. It exceeds the interval
 	// between two calls of Tick.
 	lastChance = 50 * time.Millisecond
+	// maxHalvings bounds the halvings of unprovenTokenTime.
+	maxHalvings = 30
 	// probeInterval is the time without work after which a slow engine gets a single request.
-	probeInterval = time.Second
+	probeInterval = 500 * time.Millisecond
 )
 
 // setSpeedNeeds sets what e needs of the speed of its decode engine.
@@ -79,7 +84,7 @@
 	}
 	if !c.takesPrefill(best, e) {
 		c.promise(best, e)
-		return nil, obstacleOther
+		return nil, obstacleSpeed
 	}
 	return best, obstacleNone
 }
@@ -93,13 +98,13 @@
 }
 
 // prefillScore returns the time until the expected end of the prefill of e, with the bonus
-// and the penalty of choosePrefill. A slow endpoint that is due for a probe counts as a
-// typical one, if e has the time for its measured speed.
+// and the penalty of choosePrefill. A slow endpoint that is due for a probe goes first, if e
+// has the time for its measured speed.
 func (c *Cell) prefillScore(ep *endpoint, e *entry) time.Duration {
 	perToken := c.prefillTimeOn(ep)
 	length := time.Duration(e.prompt) * perToken
 	if c.isProbeDue(ep, &ep.speed.prefill, len(ep.prefills)) && c.now+length-e.prefillTime <= e.latestStart {
-		length = time.Duration(e.prompt) * c.speeds.prefill
+		length = 0
 	}
 	score := c.backlog(ep) + c.promised(ep) + length - c.affinity(ep, e)
 	if ep.AZ != e.az {
@@ -178,7 +183,7 @@
 	case best.endpoint == nil:
 		return why
 	case !best.sound && c.now+lastChance < e.latestStart && c.hasSound(e, pl):
-		return obstacleOther
+		return obstacleSpeed
 	}
 	pl.decode = best.endpoint
 	return obstacleNone
@@ -195,17 +200,31 @@
 }
 
 // isSound reports whether a run of e on the endpoint is expected to end within the time of
-// its caller, with pauses between its events that meet the target.
+// its caller, with pauses between its events that meet the target. An engine that was slow
+// may still be.
 func (c *Cell) isSound(ep *endpoint, e *entry, pl *placement) bool {
 	perToken := c.tokenTimeOn(ep)
+	if c.isUnproven(ep, &ep.speed.decode) {
+		perToken = c.unprovenTokenTime(ep)
+	}
 	gap := perToken * time.Duration(max(ep.EventTokens, 1))
 	if e.maxEventGap > 0 && gap > e.maxEventGap*maxGapPercent/100 {
 		return false
 	}
-	end := pl.prefillEnd + time.Duration(e.expected)*perToken
+	tokens := min(e.expected*lengthPercent/100, e.output)
+	end := pl.prefillEnd + time.Duration(tokens)*perToken
 	return e.callerUntil == 0 || end <= e.callerUntil
 }
 
+// unprovenTokenTime returns the time per output token that a run must be able to bear on an
+// engine that was slow. The difference to the typical time halves with each speedTTL without
+// news, so that short runs go there first.
+func (c *Cell) unprovenTokenTime(ep *endpoint) time.Duration {
+	typical := c.typicalTokenTime()
+	halvings := min((c.now-ep.speed.decode.newsAt)/speedTTL, maxHalvings)
+	return typical + max(ep.speed.decode.perToken-typical, 0)>>halvings
+}
+
 // speedPenalty returns the memory, in tokens, that counts as taken because the endpoint is
 // slower than the fastest one. A slow endpoint that is due for a probe has none.
 func (c *Cell) speedPenalty(ep *endpoint, e *entry, pl *placement) int64 {
--- a/fleet/schedule/run.go
+++ b/fleet/schedule/run.go
@@ -223,6 +223,7 @@
 		e.decodeBlocks = d.blocksFor(e.prompt + e.output)
 		d.addReservation(e, e.decodeBlocks)
 		d.decoding = append(d.decoding, e)
+		d.decodingPrompt += e.prompt
 	}
 	e.runIndex = len(c.runs)
 	c.runs = append(c.runs, e)
@@ -255,6 +256,7 @@
 		d.removeReservation(e, e.decodeBlocks)
 		if i := slices.Index(d.decoding, e); i >= 0 {
 			d.decoding = slices.Delete(d.decoding, i, i+1)
+			d.decodingPrompt -= e.prompt
 		}
 		e.decode = nil
 		e.decodeBlocks = 0
--- a/fleet/schedule/speed.go
+++ b/fleet/schedule/speed.go
@@ -27,8 +27,8 @@
 	runWindow  = 2 * time.Second
 	// minPaceInterval bounds the weight of reports that arrive at the same time.
 	minPaceInterval = 100 * time.Millisecond
-	// restartFactor is the ratio to the average beyond which two consecutive samples replace
-	// it. A single one may be due to a pause of its host.
+	// restartFactor is the ratio to the average beyond which samples replace it. A single long
+	// one may be due to a pause of its host.
 	restartFactor = 2
 	// slowRatio is the ratio to the typical time per token above which an engine is slow.
 	// It stays slow until the ratio falls below soundRatio.
@@ -47,6 +47,11 @@
 	// provenAfter is the time after which a run without a report proves that the engine has
 	// the speed that its grant names.
 	provenAfter = time.Second
+	// confirmWindow is the time within which a second report confirms that an engine is slow.
+	confirmWindow = 700 * time.Millisecond
+	// maxRunRatio bounds the ratio to the typical time per token that ended runs show. A run
+	// may have been interrupted, so it confirms that its engine is slow but does not show it.
+	maxRunRatio = 1.2
 	// maxTokenTime bounds the reported time per output token.
 	maxTokenTime = 10 * time.Second
 )
@@ -56,7 +61,6 @@
 	perToken time.Duration // 0 is unknown
 	newsAt   time.Duration // last sample
 	above    bool          // the last sample exceeded the average by restartFactor
-	below    bool          // the same, in the other direction
 }
 
 // isFresh reports whether there has been a sample within speedTTL.
@@ -64,36 +68,44 @@
 	return p.perToken > 0 && now-p.newsAt <= speedTTL
 }
 
-// add averages a sample, whose weight is that of a time in a window. The first sample and
-// the second one in a row that is far from the average replace it.
-func (p *pace) add(now, perToken, weightTime, window time.Duration) {
+// add averages a sample, whose weight is that of a time in a window. A much shorter one
+// shows at once that an engine is no longer slow, a much longer one if it is the second in
+// a row.
+func (p *pace) add(now, perToken, typical time.Duration, weight float64) {
 	above := perToken > restartFactor*p.perToken
-	below := perToken < p.perToken/restartFactor
-	restart := above && p.above || below && p.below
-	p.above, p.below = above, below
-	if !p.isFresh(now) || restart {
-		p.perToken, p.newsAt = perToken, now
-		return
+	restart := above && p.above
+	p.above = above
+	switch {
+	case !p.isFresh(now) || restart:
+		p.perToken = perToken
+	case perToken < p.perToken/restartFactor && p.perToken > typical:
+		p.perToken = max(perToken, typical)
+	default:
+		p.perToken += time.Duration(weight * float64(perToken-p.perToken))
 	}
-	weight := 1 - math.Exp(-float64(weightTime)/float64(window))
-	p.perToken += time.Duration(weight * float64(perToken-p.perToken))
 	p.newsAt = now
 }
 
+// sampleWeight returns the weight of a sample of a time in an average over a window.
+func sampleWeight(of, window time.Duration) float64 {
+	return 1 - math.Exp(-float64(of)/float64(window))
+}
+
 // engineSpeed is the measured speed of one engine.
 type engineSpeed struct {
 	prefill pace // time per prompt token
 	decode  pace // time per output token
 
-	reportedAt  time.Duration // last report of an entry host
-	slow        bool          // slower than the typical engine of its role
-	relative    float64       // speed over relativeWindow, relative to the typical one; 0 is unknown
-	clock       float64       // output tokens of a run that has lasted since the start
-	clockAt     time.Duration // when clock was updated
-	announced   bool          // value of slow in the last SpeedChange
-	announcedAt time.Duration
-	promised    time.Duration // prefill time of queued requests that wait for the engine in this pass
-	promisedIn  int           // number of the pass
+	reportedAt   time.Duration // last report of an entry host that counted
+	slowReportAt time.Duration // last report that the engine is slower than expected
+	slow         bool          // slower than the typical engine of its role
+	relative     float64       // speed over relativeWindow, relative to the typical one; 0 is unknown
+	clock        float64       // output tokens of a run that has lasted since the start
+	clockAt      time.Duration // when clock was updated
+	announced    bool          // value of slow in the last SpeedChange
+	announcedAt  time.Duration
+	promised     time.Duration // prefill time of queued requests that wait for the engine in this pass
+	promisedIn   int           // number of the pass
 }
 
 // cellSpeeds holds the typical speeds of the engines of a cell.
@@ -231,18 +243,33 @@
 	if !ok || !c.cfg.EngineSpeeds || perToken <= 0 || perToken > maxTokenTime {
 		return
 	}
+	if !c.isConfirmed(ep, perToken) {
+		return
+	}
 	c.advanceClock(ep)
 	elapsed := max(c.now-ep.speed.decode.newsAt, minPaceInterval)
-	ep.speed.decode.add(c.now, perToken, elapsed, paceWindow)
+	ep.speed.decode.add(c.now, perToken, c.typicalTokenTime(), sampleWeight(elapsed, paceWindow))
 	ep.speed.reportedAt = c.now
 }
 
+// isConfirmed reports whether a report counts. One that makes an engine slow needs a second
+// one within confirmWindow if the engine has several runs: a single run also pauses while
+// its engine lacks memory.
+func (c *Cell) isConfirmed(ep *endpoint, perToken time.Duration) bool {
+	if float64(perToken) <= slowRatio*float64(c.tokenTimeOn(ep)) || len(ep.decoding) < 2 {
+		return true
+	}
+	last := ep.speed.slowReportAt
+	ep.speed.slowReportAt = c.now
+	return last > 0 && c.now-last <= confirmWindow
+}
+
 // measureEnginePrefill adds a prefill that has ended to the speed of its endpoint.
 func (c *Cell) measureEnginePrefill(ep *endpoint, prompt int64, busy time.Duration) {
-	if !c.cfg.EngineSpeeds || prompt <= 0 || busy <= 0 {
+	if !c.cfg.EngineSpeeds || busy <= 0 || durationAtRate(prompt, ep.rate()) < minMeasuredPrefill {
 		return
 	}
-	ep.speed.prefill.add(c.now, busy/time.Duration(prompt), busy, prefillWindow)
+	ep.speed.prefill.add(c.now, busy/time.Duration(prompt), c.speeds.prefill, sampleWeight(busy, prefillWindow))
 }
 
 // measureEngineTokenTime adds a run that has ended to the speed of its endpoint, unless
@@ -257,7 +284,8 @@
 	}
 	c.advanceClock(ep)
 	elapsed := max(c.now-ep.speed.decode.newsAt, minPaceInterval)
-	ep.speed.decode.add(c.now, min(perToken, 2*c.tokenTimeOn(ep)), elapsed, runWindow)
+	limit := max(c.tokenTimeOn(ep), time.Duration(maxRunRatio*float64(c.typicalTokenTime())))
+	ep.speed.decode.add(c.now, min(perToken, limit), c.typicalTokenTime(), sampleWeight(elapsed, runWindow))
 }
 
 // updateSpeeds derives the typical speeds and finds the slow engines. It is called once per
--- /dev/null
+++ b/fleet/schedule/speed_test.go
@@ -0,0 +1,297 @@
+package schedule_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/message"
+	"ragwortshunt.example/fleet/schedule"
+	"ragwortshunt.example/fleet/table"
+)
+
+const speedSeeds = 3
+
+// noticeWithin is the stated second, plus one sweep of the cell and one step of the test.
+const noticeWithin = 1200 * ms
+
+// TestEqualSpeeds guards against placement that changes although all engines are equally
+// fast.
+func TestEqualSpeeds(t *testing.T) {
+	var sims []*speedSim
+	for _, measured := range []bool{false, true} {
+		s := newSpeedSim(measured, 1)
+		s.run(20 * time.Second)
+		sims = append(sims, s)
+	}
+	assert.DeepEqual(t, sims[0].prefillOn, sims[1].prefillOn)
+	assert.DeepEqual(t, sims[0].decodeOn, sims[1].decodeOn)
+	assert.Equal(t, sims[1].reports, 0)
+}
+
+// TestUnevenLoad guards against streams that callers give up, because slow engines get as
+// many runs as fast ones, in a burst on engines of which a quarter runs at 0.55 of the speed
+// and a sixth slows down to a fifth for 6.5 s. It must not cost first events or pauses.
+func TestUnevenLoad(t *testing.T) {
+	var cut, inTime, paused [2]int
+	for seed := range uint64(speedSeeds) {
+		for i, measured := range []bool{false, true} {
+			s := newSpeedSim(measured, seed)
+			s.speed = unevenSpeed
+			s.run(speedLength + 16*time.Second)
+			t.Logf("seed %d, measured %t: %d requests, %d refused twice, %d first events in time, %d ended, %d cut, %d with a long pause, %d reports",
+				seed, measured, s.requested, s.refused, s.inTime, s.ended, s.cut, s.paused, s.reports)
+			cut[i] += s.cut
+			inTime[i] += s.inTime
+			paused[i] += s.paused
+		}
+	}
+	assert.Assert(t, cut[1] < cut[0], "%d streams cut in place of %d", cut[1], cut[0])
+	assert.Assert(t, inTime[1] >= inTime[0], "%d first events in time in place of %d", inTime[1], inTime[0])
+	assert.Assert(t, paused[1] <= paused[0], "%d streams with a long pause in place of %d", paused[1], paused[0])
+}
+
+// TestNoticed guards against an engine that is slow for seconds and is noticed, or whose
+// recovery is noticed, after more than a second. If half of the reports are lost, the speed
+// must be forgotten instead.
+func TestNoticed(t *testing.T) {
+	for _, lossy := range []bool{false, true} {
+		t.Run(fmt.Sprintf("lossy=%t", lossy), func(t *testing.T) {
+			s := newSpeedSim(true, 1)
+			s.speed = unevenSpeed
+			s.burst = 1
+			limit := noticeWithin
+			if lossy {
+				s.lose = func() bool { return s.reports%2 == 0 }
+				limit += 4 * time.Second // expiry and proof of the speed
+			}
+			slow := make(map[id.Endpoint]bool)
+			for end := time.Duration(0); end < slowTo+limit; end += 100 * ms {
+				s.run(end)
+				for _, change := range schedule.TakeSpeedChanges(s.cell) {
+					if s.index[change.Endpoint]%6 == 0 {
+						assert.Assert(t, !change.Slow || end >= slowFrom, "%+v", change)
+						slow[change.Endpoint] = change.Slow
+					}
+				}
+				if end == slowFrom+limit {
+					assert.Assert(t, len(slow) >= 11, "%d engines noticed", len(slow)) // 11 run decodes
+				}
+			}
+			for name, isSlow := range slow {
+				assert.Assert(t, !isSlow, "%s has been sound for %s", name, limit)
+			}
+		})
+	}
+}
+
+// speedCell returns a cell of the engines, each of which has had reports of its time per
+// output token. Reports that are 0 are left out.
+func speedCell(t *testing.T, prefills int, reports ...time.Duration) *schedule.Cell {
+	t.Helper()
+	cfg := projectedConfig()
+	cfg.EngineSpeeds = true
+	c := schedule.New(cfg, "m", at(0), false)
+	eps := engines(prefills, len(reports))
+	for i := range eps {
+		eps[i].EventTokens = speedEventTokens
+	}
+	schedule.SetEndpoints(c, at(0), eps)
+	report(c, time.Second, prefills, reports...)
+	return c
+}
+
+// report sends reports of entry hosts and lets the cell evaluate them.
+func report(c *schedule.Cell, now time.Duration, prefills int, reports ...time.Duration) {
+	for i, perToken := range reports {
+		for range 2 { // the second one confirms the first
+			schedule.HandlePace(c, at(now), id.Endpoint(fmt.Sprintf("e%02d", prefills+i)), perToken)
+		}
+	}
+	schedule.Tick(c, at(now+110*ms))
+}
+
+// placedOn sends requests and returns the decode engines that they got.
+func placedOn(c *schedule.Cell, now time.Duration, first, n int, change func(*message.SlotRequest)) []id.Endpoint {
+	var out []id.Endpoint
+	for i := range n {
+		m := memoryRequest(first+i, change)
+		for _, g := range grants(schedule.HandleSlotRequest(c, at(now), "h", m)) {
+			out = append(out, g.Decode)
+			schedule.HandleUpdate(c, at(now), "h", message.SlotUpdate{Request: g.Request, Attempt: 1, Phase: message.PhaseDecode})
+		}
+	}
+	return out
+}
+
+func callerNeeds(left, gap time.Duration) func(*message.SlotRequest) {
+	return func(m *message.SlotRequest) { m.TimeLeft, m.EventGap, m.CanWait = left, gap, true }
+}
+
+// TestSlowDecode guards against runs on a slow engine while another one has room or will
+// have it in time, and against a slow engine that stays idle while the others are full.
+func TestSlowDecode(t *testing.T) {
+	const usual = projectedTokenTime
+	for _, tc := range []struct {
+		name        string
+		slow        time.Duration
+		left, gap   time.Duration
+		wantOverall int // of 30 requests at once, those that the slow engine gets
+		wantLate    int // those that it gets just before their latest start
+	}{
+		{"sound", 2 * usual, 14 * time.Second, speedGapTarget, 7, 0},
+		{"ends too late", 5 * usual, 14 * time.Second, 0, 0, 3},
+		{"pauses are too long", 6 * usual, time.Minute, speedGapTarget, 0, 3},
+		{"no needs are known", 5 * usual, 0, 0, 7, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := speedCell(t, 8, usual, usual, usual, tc.slow)
+			now := 1200 * ms
+			count := func(placed []id.Endpoint) int {
+				n := 0
+				for _, name := range placed {
+					if name == "e11" {
+						n++
+					}
+				}
+				return n
+			}
+			first := placedOn(c, now, 0, 10, callerNeeds(tc.left, tc.gap))
+			assert.Equal(t, len(first), 10)
+			assert.Equal(t, count(first), 0, "%v", first)
+			rest := placedOn(c, now, 10, 20, callerNeeds(tc.left, tc.gap))
+			assert.Equal(t, count(rest), tc.wantOverall, "%v", rest)
+			late := grants(schedule.Tick(c, at(now+680*ms)))
+			assert.Assert(t, len(late) >= tc.wantLate, "%v", late)
+			for _, g := range late {
+				assert.Assert(t, tc.wantLate > 0 && g.Decode == "e11", "%v", g)
+			}
+		})
+	}
+}
+
+// TestExpiredSpeed guards against an engine that is avoided for good, and against one that
+// is filled before it has shown that it is sound. It gets a single request.
+func TestExpiredSpeed(t *testing.T) {
+	c := speedCell(t, 8, projectedTokenTime, projectedTokenTime, 3*projectedTokenTime)
+	now := 6 * time.Second
+	schedule.Tick(c, at(now))
+	placed := placedOn(c, now, 0, 6, nil)
+	n := 0
+	for _, name := range placed {
+		if name == "e10" {
+			n++
+		}
+	}
+	assert.Equal(t, n, 1, "%v", placed)
+	schedule.Tick(c, at(now+1200*ms))
+	changes := schedule.TakeSpeedChanges(c)
+	assert.Equal(t, len(changes), 2, "%+v", changes)
+	assert.Assert(t, changes[0].Slow && !changes[1].Slow, "%+v", changes)
+}
+
+// TestFreshScheduler guards against a scheduler that takes over and doesn't learn the speeds
+// from the first reports, or grants without naming the speed that it expects.
+func TestFreshScheduler(t *testing.T) {
+	c := speedCell(t, 4, 0, 0, 0, 0)
+	g := grants(schedule.HandleSlotRequest(c, at(1200*ms), "h", memoryRequest(0, nil)))
+	assert.Equal(t, g[0].TokenTime, projectedTokenTime)
+	report(c, 1300*ms, 4, 0, 0, projectedTokenTime, 2*projectedTokenTime)
+	for _, speed := range schedule.EngineSpeeds(c) {
+		if speed.Endpoint == "e07" {
+			assert.Equal(t, speed.TokenTime, 2*projectedTokenTime)
+		}
+	}
+	assert.Equal(t, len(schedule.TakeSpeedChanges(c)), 0) // two engines have no median
+}
+
+// prefillOnly sends a request whose prefill takes a time on the engine that it is granted, and
+// returns that engine.
+func prefillOnly(t *testing.T, c *schedule.Cell, now time.Duration, n int, took func(id.Endpoint) time.Duration) (id.Endpoint, time.Duration) {
+	t.Helper()
+	g := grants(schedule.HandleSlotRequest(c, at(now), "h", memoryRequest(n, nil)))
+	assert.Equal(t, len(g), 1)
+	u := message.SlotUpdate{Request: g[0].Request, Attempt: 1, Phase: message.PhasePrefill}
+	schedule.HandleUpdate(c, at(now), "h", u)
+	now += took(g[0].Prefill)
+	u.Phase = message.PhaseDecode
+	schedule.HandleUpdate(c, at(now), "h", u)
+	u.Phase = message.PhaseDone
+	schedule.HandleUpdate(c, at(now), "h", u)
+	schedule.Tick(c, at(now+110*ms))
+	return g[0].Prefill, now + 110*ms
+}
+
+// TestSlowPrefill guards against prompts that go to an idle slow engine although they would
+// end earlier if they waited for a fast one, and against a slow engine that gets nothing of
+// a long queue.
+func TestSlowPrefill(t *testing.T) {
+	const usual = promptTokens * time.Second / balancePrefillRate
+	c := speedCell(t, 3, projectedTokenTime, projectedTokenTime, projectedTokenTime)
+	now := 2 * time.Second
+	for i := range 3 { // one prefill on each engine
+		schedule.HandleSlotRequest(c, at(now), "h", memoryRequest(i, nil))
+	}
+	for i, took := range []time.Duration{usual, usual, 5 * usual / 2} { // that on e00 takes longest
+		u := message.SlotUpdate{Request: memoryRequest(2-i, nil).Request, Attempt: 1, Phase: message.PhaseDecode}
+		schedule.HandleUpdate(c, at(now+took), "h", u)
+		u.Phase = message.PhaseDone
+		schedule.HandleUpdate(c, at(now+took), "h", u)
+	}
+	now += 3*usual + 110*ms
+	schedule.Tick(c, at(now))
+	var got []id.Endpoint
+	for i := range 4 {
+		for _, g := range grants(schedule.HandleSlotRequest(c, at(now), "h", memoryRequest(20+i, nil))) {
+			got = append(got, g.Prefill)
+		}
+	}
+	// The third and the fourth one end earlier on e01 and e02, after those that run there.
+	assert.DeepEqual(t, got, []id.Endpoint{"e01", "e02"})
+	for i := range 4 {
+		for _, g := range grants(schedule.HandleSlotRequest(c, at(now), "h", memoryRequest(30+i, nil))) {
+			got = append(got, g.Prefill)
+		}
+	}
+	assert.DeepEqual(t, got, []id.Endpoint{"e01", "e02", "e00"})
+}
+
+// TestOverduePrefill guards against an engine that counts as fast until a prefill of many
+// times the usual length has ended.
+func TestOverduePrefill(t *testing.T) {
+	c := speedCell(t, 4, projectedTokenTime, projectedTokenTime)
+	now := 2 * time.Second
+	g := grants(schedule.HandleSlotRequest(c, at(now), "h", memoryRequest(0, nil)))
+	schedule.HandleUpdate(c, at(now), "h", message.SlotUpdate{Request: g[0].Request, Attempt: 1, Phase: message.PhasePrefill})
+	for i := range 8 {
+		_, now = prefillOnly(t, c, now, 1+i, func(id.Endpoint) time.Duration { return 133 * ms })
+	}
+	changes := schedule.TakeSpeedChanges(c)
+	assert.Equal(t, len(changes), 1, "%+v", changes)
+	assert.Equal(t, changes[0].Endpoint, g[0].Prefill)
+}
+
+// TestRolesBySpeed guards against prefill roles for slow engines, and against a balance that
+// counts engines whose speed is a third.
+func TestRolesBySpeed(t *testing.T) {
+	reports := make([]time.Duration, 10)
+	for i := range reports {
+		reports[i] = projectedTokenTime * time.Duration(1+2*(i%2)) // every other engine is slow
+	}
+	c := speedCell(t, 2, reports...)
+	now := serveRequests(c, 2*time.Second, 2*promptTokens, 100)
+	for range 100 {
+		now += 200 * ms
+		report(c, now, 2, reports...)
+	}
+	changes := balanceAfterDelay(c, now)
+	assert.Equal(t, len(changes), 1, "%+v", changes)
+	assert.Equal(t, changes[0].Role, table.RolePrefill)
+	var n int
+	_, err := fmt.Sscanf(string(changes[0].Endpoint), "e%d", &n)
+	assert.NilError(t, err)
+	assert.Equal(t, (n-2)%2, 0, "%s is slow", changes[0].Endpoint)
+}
