core, schedule: test reports of engine speed and a change of schedulers

A host measured an engine for 500 ms and started anew before it had seen three events of a slow engine, so that a slowdown to a fifth was not reported. The window now lasts until there are three events.

--- a/fleet/core/enginepace.go
+++ b/fleet/core/enginepace.go
@@ -21,6 +21,8 @@
 	paceInterval = time.Second
 	// paceWindow is the time over which an entry host measures the pace of an engine.
 	paceWindow = 500 * time.Millisecond
+	// maxPaceWindow bounds it if there are few events.
+	maxPaceWindow = 2 * time.Second
 	// minPaceGaps is the number of pauses between events that show the pace of an engine.
 	minPaceGaps = 3
 	// minFastWindow is the shortest measurement that shows that an engine is fast. A host that
@@ -54,7 +56,7 @@
 		return
 	}
 	p := s.enginePaces[r.decode]
-	if s.now.Sub(p.since) > paceWindow || p.since.Before(s.resumedAt) {
+	if s.paceWindowEnded(p) {
 		p = pace{since: r.lastToken, sent: p.sent, sentAt: p.sentAt}
 	}
 	gap := s.now.Sub(r.lastToken) / time.Duration(events)
@@ -65,6 +67,13 @@
 	s.sendPace(r, p)
 }
 
+// paceWindowEnded reports whether a measurement starts anew: after paceWindow, later if there
+// were few events, and after a pause of this host.
+func (s *step) paceWindowEnded(p pace) bool {
+	age := s.now.Sub(p.since)
+	return age > paceWindow && p.gaps >= minPaceGaps || age > maxPaceWindow || p.since.Before(s.resumedAt)
+}
+
 // sendPace tells the scheduler of a request the pace of its engine if it is not the
 // expected one.
 func (s *step) sendPace(r *request, p pace) {
--- a/fleet/schedule/speed_test.go
+++ b/fleet/schedule/speed_test.go
@@ -88,6 +88,26 @@
 	}
 }
 
+// TestNewScheduler guards against a scheduler that takes over while engines are slow and
+// does not learn of them from the reports that follow.
+func TestNewScheduler(t *testing.T) {
+	s := newSpeedSim(true, 1)
+	s.speed = unevenSpeed
+	s.burst = 1
+	s.run(slowFrom + 2*time.Second)
+	s.changeScheduler(speedConfig(true))
+	s.run(slowFrom + 2*time.Second + noticeWithin)
+	slow := 0
+	for _, speed := range schedule.EngineSpeeds(s.cell) {
+		if s.index[speed.Endpoint]%6 == 0 && speed.TokenTime > speedTokenTime*5/4 {
+			slow++
+		}
+	}
+	assert.Assert(t, slow >= 9, "%d of 11 engines noticed", slow)
+	s.run(slowTo + 20*time.Second)
+	assert.NilError(t, schedule.Check(s.cell))
+}
+
 // speedCell returns a cell of the engines, each of which has had reports of its time per
 // output token. Reports that are 0 are left out.
 func speedCell(t *testing.T, prefills int, reports ...time.Duration) *schedule.Cell {
--- a/fleet/schedule/speedsim_test.go
+++ b/fleet/schedule/speedsim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -43,12 +44,17 @@
 	prefillOn, decodeOn                 map[id.Endpoint]int
 }
 
-func newSpeedSim(measured bool, seed uint64) *speedSim {
+func speedConfig(measured bool) schedule.Config {
 	cfg := projectedConfig()
 	cfg.EngineSpeeds = measured
 	cfg.RunTimeout = time.Hour // no holds are sent
 	cfg.ScanLimit, cfg.LaneScanLimit = 24, 12
 	cfg.MinRetry, cfg.MaxRetry, cfg.RetrySpread = 2500*ms, 5*time.Second, 1250*ms
+	return cfg
+}
+
+func newSpeedSim(measured bool, seed uint64) *speedSim {
+	cfg := speedConfig(measured)
 	s := &speedSim{
 		burstSim: &burstSim{
 			cell: schedule.New(cfg, "m", at(0), false), random: rand.New(rand.NewPCG(seed, 1)),
@@ -224,3 +230,28 @@
 		}
 	}
 }
+
+// changeScheduler lets a fresh scheduler take over. Hosts register their runs and repeat
+// their slot requests.
+func (s *speedSim) changeScheduler(cfg schedule.Config) {
+	s.cell = schedule.New(cfg, "m", at(0), true)
+	s.apply(schedule.SetEndpoints(s.cell, at(s.now), s.eps))
+	hold := func(v *burstRequest, phase message.Phase) {
+		m := v.slotRequest
+		s.apply(schedule.HandleHold(s.cell, at(s.now), "h", message.SlotHold{
+			Request: m.Request, Attempt: 1, Prefill: v.grant.Prefill, Decode: v.grant.Decode, Phase: phase,
+			PromptTokens: m.PromptTokens, OutputTokens: m.OutputTokens, Expected: m.Expected,
+		}))
+	}
+	for _, ep := range s.eps {
+		for _, v := range s.prefilling[ep.Name] {
+			hold(v, message.PhasePrefill)
+		}
+		for _, v := range s.decoding[ep.Name] {
+			hold(v, message.PhaseDecode)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.waiting)) {
+		s.slotRequest(s.waiting[name])
+	}
+}
