--- a/fleet/core/enginepace_test.go
+++ b/fleet/core/enginepace_test.go
@@ -42,7 +42,7 @@
 // has recovered, against messages while all is as expected, and against more than one message
 // per second.
 func TestPaceReports(t *testing.T) {
-	usual := func(n int) time.Duration { return grantedPace }
+	usual := func(int) time.Duration { return grantedPace }
 	for _, tc := range []struct {
 		name     string
 		granted  time.Duration
