--- a/fleet/schedule/placespeed.go
+++ b/fleet/schedule/placespeed.go
@@ -201,17 +201,34 @@
 
 // isSound reports whether a run of e on the endpoint is expected to end within the time of
 // its caller, with pauses between its events that meet the target. An engine that was slow
-// may still be.
+// may still be. A probe needs no margin, because engines of which nothing is known would
+// otherwise get none.
 func (c *Cell) isSound(ep *endpoint, e *entry, pl *placement) bool {
-	perToken := c.tokenTimeOn(ep)
 	if c.isUnproven(ep, &ep.speed.decode) {
-		perToken = c.unprovenTokenTime(ep)
+		return bears(ep, e, pl, c.unprovenTokenTime(ep), noMargin)
 	}
+	if c.isProbeDue(ep, &ep.speed.decode, len(ep.decoding)) {
+		return bears(ep, e, pl, c.tokenTimeOn(ep), noMargin)
+	}
+	return bears(ep, e, pl, c.tokenTimeOn(ep), margin{gapPercent: maxGapPercent, lengthPercent: lengthPercent})
+}
+
+// margin is what isSound allows for errors of its estimates.
+type margin struct {
+	gapPercent    int64 // of the target for the pause, which the mean pause may reach
+	lengthPercent int64 // of the expected output, with which the run must end in time
+}
+
+// noMargin takes the estimates as they are.
+var noMargin = margin{gapPercent: 100, lengthPercent: 100}
+
+// bears reports whether a run of e meets its targets at a time per output token.
+func bears(ep *endpoint, e *entry, pl *placement, perToken time.Duration, m margin) bool {
 	gap := perToken * time.Duration(max(ep.EventTokens, 1))
-	if e.maxEventGap > 0 && gap > e.maxEventGap*maxGapPercent/100 {
+	if e.maxEventGap > 0 && gap > e.maxEventGap*time.Duration(m.gapPercent)/100 {
 		return false
 	}
-	tokens := min(e.expected*lengthPercent/100, e.output)
+	tokens := min(e.expected*m.lengthPercent/100, e.output)
 	end := pl.prefillEnd + time.Duration(tokens)*perToken
 	return e.callerUntil == 0 || end <= e.callerUntil
 }
--- a/fleet/schedule/speed.go
+++ b/fleet/schedule/speed.go
@@ -245,8 +245,8 @@
 	return 0
 }
 
-// medianPace returns the median of the known speeds of the endpoints. Without any it
-// returns 0.
+// medianPace returns the median of the known speeds of the endpoints: of two the shorter
+// time, so that the other engine can be slow. Without any it returns 0.
 func (c *Cell) medianPace(eps []*endpoint, known func(*Cell, *endpoint) time.Duration) time.Duration {
 	list := c.speeds.buffer[:0]
 	for _, ep := range eps {
@@ -259,7 +259,7 @@
 		return 0
 	}
 	slices.Sort(list)
-	return list[len(list)/2]
+	return list[(len(list)-1)/2]
 }
 
 // updateUneven finds out whether the speeds of a role differ. After the last difference
