--- a/fleet/schedule/speed_test.go
+++ b/fleet/schedule/speed_test.go
@@ -276,3 +276,26 @@
 	assert.Equal(t, changes[0].Role, table.RolePrefill)
 	assert.Assert(t, changes[0].Endpoint[2]%2 == 1, "%s is slow", changes[0].Endpoint)
 }
+
+// TestSurplusBySpeed guards against a balance that counts engines of a third of the speed as
+// whole ones, and that releases the fast prefill engines.
+func TestSurplusBySpeed(t *testing.T) {
+	reports := make([]time.Duration, 56)
+	for i := range reports {
+		reports[i] = projectedTokenTime * time.Duration(3-2*(i%2)) // e00, e02 and so on are slow
+	}
+	c := speedCell(t, 0, reports...)
+	now := time.Second
+	for range 100 {
+		now += 200 * ms
+		report(c, now, 0, reports...)
+	}
+	schedule.SetEndpoints(c, at(now), engines(20, 36))
+	changes := balanceAfterDelay(c, serveRequests(c, now, promptTokens, outputMean))
+	// In TestSurplusPrefills, 4 to 8 of 56 equal engines are released: with 37 times their speed
+	// in total, at least 2.6 times that of a typical one.
+	assert.Assert(t, len(changes) >= 8, "%+v", changes)
+	for _, change := range changes[:8] {
+		assert.Assert(t, change.Role == table.RoleDecode && change.Endpoint[2]%2 == 0, "%+v", changes)
+	}
+}
