--- a/fleet/core/slot.go
+++ b/fleet/core/slot.go
@@ -175,6 +175,8 @@
 		ElapsedBeforeEntry: r.earlierWait(),
 		AZ:                 s.cfg.AZ,
 		Level:              r.level,
+		TimeLeft:           s.timeLeft(r),
+		EventGap:           r.eventGapTarget(),
 	})
 }
 
@@ -245,6 +247,7 @@
 	}
 	r.schedulerHost = from
 	r.prefill, r.decode = m.Prefill, m.Decode
+	r.grantedTokenTime = m.TokenTime
 	r.triedCells = nil
 	s.startPrefill(r, m.Valid)
 }
--- a/fleet/schedule/bench_test.go
+++ b/fleet/schedule/bench_test.go
@@ -86,3 +86,53 @@
 		b.Fatalf("the queue has %d requests", q)
 	}
 }
+
+// BenchmarkPlacement measures one request from slot request to end on 90 engines of the
+// size that the users run, whose memory is short, with a Tick for every five requests. With
+// uneven speeds, a quarter of the engines runs at half the speed.
+func BenchmarkPlacement(b *testing.B) {
+	for _, queue := range []int{0, 100} {
+		for _, uneven := range []bool{false, true} {
+			b.Run(fmt.Sprintf("queue=%d/uneven=%t", queue, uneven), func(b *testing.B) {
+				b.ReportAllocs()
+				benchmarkPlacement(b, queue, uneven)
+			})
+		}
+	}
+}
+
+func benchmarkPlacement(b *testing.B, queue int, uneven bool) {
+	c := schedule.New(speedConfig(true), "m", t0, false)
+	schedule.SetEndpoints(c, t0, engines(24, 66))
+	now := t0
+	sent, started := 0, 0
+	var running []message.SlotGrant
+	collect := func(acts []schedule.Action) { running = append(running, grants(acts)...) }
+	step := func() {
+		now = now.Add(5 * time.Millisecond)
+		sent++
+		collect(schedule.HandleSlotRequest(c, now, "h", memoryRequest(0, func(m *message.SlotRequest) {
+			m.Request, m.Account = id.Request(fmt.Sprintf("r%08d", sent)), id.Account(fmt.Sprintf("a%d", sent%16))
+			m.PromptTokens = 1000 + int64(sent*7919%4400)
+			m.FirstToken, m.MaxWait = time.Hour, time.Hour
+		})))
+		for ; started < len(running); started++ {
+			g := running[started]
+			collect(start(c, now.Add(ms), string(g.Request)))
+			if uneven && g.Decode[len(g.Decode)-1]%4 == 0 {
+				schedule.HandlePace(c, now.Add(ms), g.Decode, 2*projectedTokenTime)
+			}
+		}
+		if sent%5 == 0 {
+			collect(schedule.Tick(c, now.Add(2*ms)))
+		}
+	}
+	for sent < 500 && len(running) <= 400 || schedule.Load(c, now).Queued < queue {
+		step()
+	}
+	b.ResetTimer()
+	for head := range b.N {
+		collect(schedule.HandleUpdate(c, now, "h", update(string(running[head].Request), message.PhaseDone, outputMean)))
+		step()
+	}
+}
--- a/fleet/schedule/burst_test.go
+++ b/fleet/schedule/burst_test.go
@@ -44,6 +44,14 @@
 	prefillEnd   time.Duration // 0 until the prefill starts
 	produced     float64       // output tokens
 	retried      bool
+
+	// For speedSim.
+	prefilled  float64 // prompt tokens
+	events     int     // that the caller has received
+	lastEvent  time.Duration
+	paces      []time.Duration // times per token since the last report
+	pausedLong bool
+	host       string
 }
 
 // callerTimeout returns the time after which the caller disconnects.
@@ -167,6 +175,7 @@
 	s.retryMin, s.retryMax = min(s.retryMin, retry), max(s.retryMax, retry)
 	v.slotRequest.Request += "-2"
 	v.slotRequest.ElapsedBeforeEntry = v.arrival - v.firstArrival
+	v.slotRequest.TimeLeft = max(v.slotRequest.TimeLeft-v.slotRequest.ElapsedBeforeEntry, 0)
 	s.retries = append(s.retries, v)
 }
 
@@ -284,15 +293,7 @@
 				s.arrive()
 			}
 		}
-		retries := s.retries
-		s.retries = nil
-		for _, v := range retries {
-			if v.arrival <= s.now {
-				s.slotRequest(v)
-				continue
-			}
-			s.retries = append(s.retries, v)
-		}
+		s.sendRetries()
 		s.stepPrefill()
 		s.stepDecode()
 		if s.now%(20*time.Millisecond) == 0 {
@@ -304,6 +305,19 @@
 	}
 }
 
+// sendRetries sends the refused requests again whose time has come.
+func (s *burstSim) sendRetries() {
+	retries := s.retries
+	s.retries = nil
+	for _, v := range retries {
+		if v.arrival <= s.now {
+			s.slotRequest(v)
+			continue
+		}
+		s.retries = append(s.retries, v)
+	}
+}
+
 // value returns the total value of the answers divided by the number of requests.
 func (s *burstSim) value() float64 {
 	return (float64(s.onTime) + lateValue*float64(s.late)) / float64(s.requested)
--- a/fleet/schedule/level.go
+++ b/fleet/schedule/level.go
@@ -102,7 +102,7 @@
 // when a burst begins. For a model with levels, the rate that follows from the current
 // runs and their expected time is used if it is higher.
 func (c *Cell) drainRate() float64 {
-	rate := max(c.slotReleases.perSecond, 1)
+	rate := c.releasesPerSecond()
 	if c.levels == 0 || c.runAverages.samples < minBalanceSamples {
 		return rate
 	}
