schedule: bound the hold of lower levels for the cell

Cause: each urgent request that lacked memory held back the lower levels for half a second from its own arrival. A series of them that never found memory kept smaller requests from free memory for as long as it lasted; the new TestHoldIsBounded failed. The hold is now a state of the cell, which begins again only after a grant at its level or when no request lacks memory.

--- a/fleet/schedule/config.go
+++ b/fleet/schedule/config.go
@@ -65,7 +65,7 @@
 	MaxDeferrableDebt   time.Duration // bound of the endpoint time owed to deferrable requests
 	LowerLevelShare     int64         // minimum percentage of the endpoint time that less urgent levels get together while they wait
 	MaxLevelDebt        time.Duration // bound of the endpoint time owed to less urgent levels
-	MaxHold             time.Duration // a request that lacks memory holds back less urgent levels for at most this time
+	MaxHold             time.Duration // requests that lack memory hold back less urgent levels for at most this time, until one is granted
 	ShedInterval        time.Duration // interval of the search for queued requests that can no longer start in time
 	ShedLimit           int           // requests that one such search refuses per level at most
 	LargePrefillTime    time.Duration // a prompt whose prefill takes longer is large
--- a/fleet/schedule/grant.go
+++ b/fleet/schedule/grant.go
@@ -13,6 +13,7 @@
 	largeBlocked  bool  // large prompts cannot be granted
 	blockedTokens int64 // requests of this many prompt and output tokens or more lack memory; 0 if none is known
 	turnFailed    bool  // the less urgent level whose turn it is cannot be granted
+	lacksMemory   bool  // an interactive request lacks memory
 	held          bool  // a request of heldLevel lacks memory and holds back the levels below
 	heldLevel     int
 }
@@ -22,6 +23,7 @@
 func (c *Cell) grantQueued(acts []Action) []Action {
 	acts = c.handleQueueDeadlines(acts)
 	if c.queued() == 0 || len(c.prefills) == 0 || len(c.decodes) == 0 {
+		c.hold.active = false
 		return acts
 	}
 	if e := c.pin.entry; e != nil {
@@ -48,6 +50,7 @@
 		r.turnFailed = true
 	}
 	c.restoreSkippedLanes()
+	c.hold.active = c.hold.active && r.lacksMemory
 	return acts
 }
 
@@ -150,6 +153,7 @@
 // grant reserves a placement for a queued request.
 func (c *Cell) grant(e *entry, pl placement) Action {
 	c.dequeue(e)
+	c.hold.active = c.hold.active && e.level > c.hold.level
 	e.grantedHere = true
 	e.state = stateGranted
 	e.phase = message.PhasePrefill
--- a/fleet/schedule/level.go
+++ b/fleet/schedule/level.go
@@ -20,6 +20,14 @@
 	served [message.MaxLevels]time.Duration // endpoint time granted in turns
 }
 
+// hold is the state in which a request that lacks memory holds back the levels below. It
+// ends with a grant at its level or above, or when no request lacks memory.
+type hold struct {
+	active bool
+	level  int
+	since  time.Duration
+}
+
 // SetLevels sets the number of priority levels of the model; 0 means that it has none.
 // Queued requests move to the queues of their levels.
 func SetLevels(c *Cell, now time.Time, levels int) {
@@ -34,6 +42,7 @@
 	c.levels = levels
 	c.levelDebt = 0
 	c.levelTurns = levelTurns{}
+	c.hold = hold{}
 	c.arrivals = [message.MaxLevels]releaseRate{}
 	c.retries = retrySchedule{}
 	queued := make([]*entry, len(c.queueDeadlines))
@@ -264,12 +273,18 @@
 
 // holdLowerLevels keeps less urgent requests from taking the memory that e waits for.
 // They are often smaller, and would take each part of it that becomes free. A hold costs
-// little, because e needs only the first endpoint of the cell that has room.
+// little, because e needs only the first endpoint of the cell that has room. It is bounded
+// for the cell, because a series of requests that never find memory would otherwise keep
+// the less urgent ones from memory that is free.
 func (c *Cell) holdLowerLevels(r *passState, e *entry) {
 	if c.levels == 0 || r.held || c.classIndex(e.class) == deferrable || c.pin.entry == e {
 		return
 	}
-	if c.now-e.requestedAt < c.cfg.MaxHold {
+	r.lacksMemory = true
+	if !c.hold.active {
+		c.hold = hold{active: true, level: e.level, since: c.now}
+	}
+	if c.now-c.hold.since < c.cfg.MaxHold {
 		r.held, r.heldLevel = true, e.level
 	}
 }
--- a/fleet/schedule/level_test.go
+++ b/fleet/schedule/level_test.go
@@ -226,3 +226,22 @@
 	}
 	assert.DeepEqual(t, serveAll(c, 2*time.Second), []id.Request{"a", "b", "c"})
 }
+
+// TestHoldIsBounded guards against a series of urgent requests that never find memory and
+// that, one after the other, keep smaller requests of a lower level from the memory that
+// is free.
+func TestHoldIsBounded(t *testing.T) {
+	c := cell(func(cfg *schedule.Config) { cfg.ShedInterval = time.Hour }, prefill("p"), decode("d", 20, 4))
+	schedule.SetLevels(c, t0, 2)
+	schedule.HandleSlotRequest(c, t0, "h", slotRequest("long", output(2900)))
+	start(c, t0, "long")
+	var granted []id.Request
+	for now := ms; now < 2*time.Second; now += 100 * ms {
+		if now%(300*ms) == ms { // each is refused before its hold ends
+			schedule.HandleSlotRequest(c, at(now), "h", slotRequest(fmt.Sprintf("u%v", now), level(0), output(2000), target(460*ms)))
+		}
+		schedule.HandleSlotRequest(c, at(now), "h", slotRequest("small", level(1), target(time.Minute)))
+		granted = append(granted, names(schedule.Tick(c, at(now)))...)
+	}
+	assert.DeepEqual(t, granted, []id.Request{"small"})
+}
--- a/fleet/schedule/schedule.go
+++ b/fleet/schedule/schedule.go
@@ -80,6 +80,7 @@
 	levelDebt      time.Duration // endpoint time owed to less urgent levels; see updateLevelDebt
 	levelTurns     levelTurns
 	arrivals       [message.MaxLevels]releaseRate // interactive requests that were queued
+	hold           hold
 	retries        retrySchedule
 	lastShed       time.Duration
 	queueDeadlines queueDeadlineHeap
