Evacuated zones get no new requests

Cause: objects of the kind evacuations were not read. Requests went on to endpoints of a zone that the operator had evacuated.

Endpoints that are in use again get a growing part of their calls and slots for 5 s.

Messages name three revisions only if an evacuation has been read, as hosts of older versions ignore any number but two.

--- a/fleet/core/cell.go
+++ b/fleet/core/cell.go
@@ -102,6 +102,7 @@
 	for i, ep := range eps {
 		c.endpoints[ep.Name] = true
 		eps[i].Leaving = ep.Leaving || s.changesRole(ep.Name) || !s.takesRequests(ep.Name)
+		eps[i].SlowStart = s.slowStartLeft(ep.Name)
 		eps[i].PerSecond, eps[i].Limited = throttle.PerSecond(s.throttle, ep.Name)
 	}
 	s.cellActions(k, schedule.SetEndpoints(c.cell, s.now, eps))
--- a/fleet/core/core.go
+++ b/fleet/core/core.go
@@ -199,6 +199,7 @@
 	engineProgress   map[id.Endpoint]time.Time     // time of the last event of each decode engine
 	engineGaps       map[id.Endpoint]time.Duration // average time between two events of a stream
 	notices          map[id.Endpoint]notice        // what endpoints have said; relay mode only
+	returnedAt       map[id.Endpoint]time.Time     // end of the evacuation of endpoints that get little load yet
 	hostsReadAt      time.Time
 	rolesBalancedAt  time.Time // last time that the balance of roles was checked
 	lastTick         time.Time
@@ -243,6 +244,7 @@
 		engineProgress:   make(map[id.Endpoint]time.Time),
 		engineGaps:       make(map[id.Endpoint]time.Duration),
 		notices:          make(map[id.Endpoint]notice),
+		returnedAt:       make(map[id.Endpoint]time.Time),
 		finished:         make([]Record, 0, cfg.FinishedRecords),
 	}
 }
--- a/fleet/core/event.go
+++ b/fleet/core/event.go
@@ -187,6 +187,7 @@
 const (
 	SourceConfig ConfigSource = iota
 	SourceEndpoints
+	SourceEvacuations // evacuated zones; only where the settings ask for it
 	SourceCount
 )
 
--- a/fleet/core/follow.go
+++ b/fleet/core/follow.go
@@ -126,7 +126,7 @@
 func (s *step) announceContact(lost bool) {
 	s.table.announcedAt = s.now
 	s.table.announcedLost = lost
-	update := message.PlatformUpdate{Lost: lost, SeenRevisions: s.table.seenRevisions[:], StoreEra: s.storeEra}
+	update := message.PlatformUpdate{Lost: lost, SeenRevisions: s.namedRevisions(), StoreEra: s.storeEra}
 	if s.table.upUntil.Equal(s.now) { // after an outage, revisions are reported before contact
 		update.Contact = s.now.Sub(s.table.upSince)
 	}
@@ -224,10 +224,25 @@
 	return m.StoreEra == 0
 }
 
+// namedRevisions returns the revisions that this host has read, as messages carry them.
+// Without evacuations they are those of the sources that hosts of older versions know, which
+// ignore any other number of them.
+func (s *step) namedRevisions() []uint64 {
+	if s.table.seenRevisions[SourceEvacuations] == 0 {
+		return s.table.seenRevisions[:SourceEvacuations]
+	}
+	return s.table.seenRevisions[:]
+}
+
+// isNumberOfSources reports whether a message can name n revisions.
+func isNumberOfSources(n int) bool {
+	return n == int(SourceEvacuations) || n == int(SourceCount)
+}
+
 // handlePeerRevisions requests another read of the platform's configuration if a peer has
 // read a newer revision, or has seen a newer era of the store.
 func (s *step) handlePeerRevisions(era uint64, seenRevisions []uint64) {
-	if !s.cfg.Relay || len(seenRevisions) != int(SourceCount) {
+	if !s.cfg.Relay || !isNumberOfSources(len(seenRevisions)) {
 		return
 	}
 	restored := s.restoredEra
--- a/fleet/core/peers.go
+++ b/fleet/core/peers.go
@@ -256,7 +256,7 @@
 		hb.State = message.HostLeaving
 	}
 	if s.cfg.Relay {
-		hb.SeenRevisions = s.table.seenRevisions[:]
+		hb.SeenRevisions = s.namedRevisions()
 		hb.StoreEra = s.storeEra
 	}
 	return hb
--- a/fleet/core/relayfleet_test.go
+++ b/fleet/core/relayfleet_test.go
@@ -59,6 +59,7 @@
 	engines      map[id.Endpoint]string // live engines with their addresses
 	azs          map[string]id.Zone     // by address
 	prefills     int                    // prefill engines
+	evacuated    []id.Endpoint          // endpoints of evacuated zones
 	truncated    bool                   // the hosts don't know all segments of crashing prompts
 	running      map[id.Endpoint]map[id.Request]decodeRun
 	pending      []pendingCall
@@ -177,6 +178,11 @@
 		ep.Name, ep.Address = id.Endpoint(fmt.Sprintf("p%d", i+1)), fmt.Sprintf("10.0.0.%d:1", 100+i)
 		s.Endpoints[ep.Name] = ep
 	}
+	for _, name := range f.evacuated {
+		ep := s.Endpoints[name]
+		ep.State = table.StateLeaving
+		s.Endpoints[name] = ep
+	}
 	return s
 }
 
--- a/fleet/core/service.go
+++ b/fleet/core/service.go
@@ -144,7 +144,7 @@
 }
 
 func (s *step) chooseService(r *request) (table.Endpoint, bool) {
-	eps := s.withinLimits(s.callableEndpoints(r))
+	eps := s.withoutReturning(r, s.withinLimits(s.callableEndpoints(r)))
 	sort.Slice(eps, func(i, j int) bool { return s.serviceBefore(r, eps[i], eps[j]) })
 	if len(eps) == 0 {
 		return table.Endpoint{}, false
--- a/fleet/core/tablesync.go
+++ b/fleet/core/tablesync.go
@@ -237,8 +237,7 @@
 	prev := s.table.snapshot
 	s.table.snapshot = snap
 	s.table.endpointCounts = countEndpoints(snap)
-	s.forgetEngines()
-	s.forgetNotices()
+	s.forgetEndpoints(prev)
 	s.invalidateViews()
 	s.table.manifest = manifest
 	s.table.segments = usedSegments(manifest, segments)
--- a/fleet/schedule/endpoint.go
+++ b/fleet/schedule/endpoint.go
@@ -22,6 +22,10 @@
 	Leaving     bool
 	Limited     bool    // the endpoint has announced a request rate limit
 	PerSecond   float64 // the limit, in requests per second, for all hosts together
+
+	// SlowStart is the time during which the endpoint gets only a growing part of its slots,
+	// at most SlowStartTime.
+	SlowStart time.Duration
 }
 
 // endpoint is an Endpoint with its reservations and its health.
@@ -39,7 +43,8 @@
 	reportedRunning                   int64 // requests, from the last report
 	hasReport                         bool
 
-	limit rateLimit
+	limit          rateLimit
+	slowStartUntil time.Duration
 
 	failures     int // since the last success
 	backoffUntil time.Duration
@@ -78,6 +83,7 @@
 			c.startRateLimit(ep)
 		}
 		ep.Endpoint = e
+		ep.slowStartUntil = c.now + e.SlowStart
 		ep.member = true
 		ep.updateGrantLimits()
 	}
--- a/fleet/schedule/limit.go
+++ b/fleet/schedule/limit.go
@@ -21,8 +21,25 @@
 	ep.limit = rateLimit{refilledAt: c.now}
 }
 
+// SlowStartTime is the time after which an endpoint that is in use again gets all of its slots.
+// Engines need some seconds to fill with runs of usual length.
+const SlowStartTime = 5 * time.Second
+
+// inSlowStart reports whether the endpoint has the part of its slots that it gets by now.
+func (c *Cell) inSlowStart(ep *endpoint) bool {
+	left := ep.slowStartUntil - c.now
+	if left <= 0 {
+		return false
+	}
+	part := 1 - left.Seconds()/SlowStartTime.Seconds()
+	return float64(ep.grantedSlots) >= max(1, float64(ep.Slots)*part)
+}
+
 // withinRate reports whether the endpoint takes another request now.
 func (c *Cell) withinRate(ep *endpoint) bool {
+	if c.inSlowStart(ep) {
+		return false
+	}
 	if !ep.Limited {
 		return true
 	}
--- a/router/internal/app/adapters.go
+++ b/router/internal/app/adapters.go
@@ -69,6 +69,7 @@
 	Refresh(e core.RefreshPlatform)
 	Apply(e core.ApplyPlatform)
 	RecordPeerContact(e core.PeerContact)
+	EvacuatedZones() int
 	Run(ctx context.Context)
 }
 
@@ -122,6 +123,7 @@
 	objects := store.New(lifetime, s.PlatformURL, clock, log, r)
 	params := deployment.HostParams{
 		Fencing: s.Fencing(), Domain: s.SchedulingDomain(), PrefillRate: s.PrefillRate, BlockTokens: s.BlockTokens,
+		Evacuation: s.Evacuation,
 	}
 	feed := store.NewFeed(objects, params, c.SetView)
 	return Adapters{
--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -226,6 +226,9 @@
 			r.metrics.Gauge("decision-events", float64(processed))
 			r.metrics.Gauge("decision-seconds", busy.Seconds())
 			r.metrics.Gauge("open-requests", float64(r.adapters.Caller.ActiveRequests()))
+			if r.settings.Evacuation > 0 && r.adapters.Feed != nil {
+				r.metrics.Gauge("evacuated-zones", float64(r.adapters.Feed.EvacuatedZones()))
+			}
 		}
 	}
 }
--- a/router/internal/settings/field.go
+++ b/router/internal/settings/field.go
@@ -72,6 +72,8 @@
 		s.ChecksFences, err = strconv.ParseBool(text)
 		return err
 	}},
+	{"platform", "evacuation", "0s", "Time within which a zone that the operator evacuates gets no new requests, 0s to 1h; 0s: the platform evacuates no zones, and is not asked for them.", duration(
+		func(s *Settings) *time.Duration { return &s.Evacuation }, 0, time.Hour)},
 	{"limit", "lease-groups", "64", "Lease groups per zone, 1 to 4096; the same on every host.", setLeaseGroups},
 	{"limit", "slot-rate", "20000", "Rate in tokens per second that one share slot of an account carries; the same on every host.", integer(
 		func(s *Settings) *int64 { return &s.SlotRate }, 1, maxRate)},
--- a/router/internal/settings/settings.go
+++ b/router/internal/settings/settings.go
@@ -51,6 +51,7 @@
 
 	PlatformURL     string
 	PlatformTimeout time.Duration
+	Evacuation      time.Duration // time within which an evacuated zone gets no new requests; 0: zones are not evacuated
 
 	MaxBodyBytes     int64 // bytes
 	DefaultMaxTokens int64 // tokens; output limit of a request that states none
