Bound the requests to cold endpoints

Cause: cold_remaining_ms and cold_per_s were dropped. A cold endpoint got any number of requests.

Change: the table says which endpoints are cold and what they take.

--- a/fleet/core/cell.go
+++ b/fleet/core/cell.go
@@ -11,7 +11,6 @@
 	"ragwortshunt.example/fleet/message"
 	"ragwortshunt.example/fleet/schedule"
 	"ragwortshunt.example/fleet/table"
-	"ragwortshunt.example/fleet/throttle"
 )
 
 // idleCellTimeout is how long this host keeps a cell that another host owns after the
@@ -20,6 +19,7 @@
 
 // scheduledCell is a cell that this host schedules.
 type scheduledCell struct {
+	schedulers  int // among which cold engines are divided; see schedulersOf
 	cell        *schedule.Cell
 	lastMessage time.Time
 	lastPoll    time.Time // last time that load reports were requested
@@ -99,11 +99,12 @@
 	schedule.SetWeights(c.cell, weights)
 	eps := cellEndpoints(snap, k, s.cfg.CellEndpoints, s.cfg.Relay)
 	c.endpoints = make(map[id.Endpoint]bool, len(eps))
+	c.schedulers = s.schedulersOf(k)
 	for i, ep := range eps {
 		c.endpoints[ep.Name] = true
 		eps[i].Leaving = ep.Leaving || s.changesRole(ep.Name) || !s.takesRequests(ep.Name)
 		eps[i].SlowStart = s.slowStartLeft(ep.Name)
-		eps[i].PerSecond, eps[i].Limited = throttle.PerSecond(s.throttle, ep.Name)
+		s.limitEngine(&eps[i], c.schedulers)
 	}
 	s.cellActions(k, schedule.SetEndpoints(c.cell, s.now, eps))
 }
--- a/fleet/core/core.go
+++ b/fleet/core/core.go
@@ -199,6 +199,8 @@
 	engineProgress   map[id.Endpoint]time.Time     // time of the last event of each decode engine
 	engineGaps       map[id.Endpoint]time.Duration // average time between two events of a stream
 	notices          map[id.Endpoint]notice        // what endpoints have said; relay mode only
+	hostsKnown       bool                          // the list of hosts has been read
+	endpointZones    int                           // number of availability zones with endpoints
 	returnedAt       map[id.Endpoint]time.Time     // end of the evacuation of endpoints that get little load yet
 	hostsReadAt      time.Time
 	rolesBalancedAt  time.Time // last time that the balance of roles was checked
--- a/fleet/core/peers.go
+++ b/fleet/core/peers.go
@@ -18,6 +18,7 @@
 const partOrder = "order"
 
 func (s *step) hostsListed(ev HostsListed) {
+	s.hostsKnown = s.hostsKnown || len(ev.Hosts) > 0
 	member.SetList(s.member, s.now, ev.Hosts)
 	s.applyHosts()
 	s.mergePublishedQuarantine(ev.Hosts)
--- a/fleet/core/relayfleet_test.go
+++ b/fleet/core/relayfleet_test.go
@@ -59,8 +59,9 @@
 	engines      map[id.Endpoint]string // live engines with their addresses
 	azs          map[string]id.Zone     // by address
 	prefills     int                    // prefill engines
-	evacuated    []id.Endpoint          // endpoints of evacuated zones
-	truncated    bool                   // the hosts don't know all segments of crashing prompts
+	editTable    func(*table.Snapshot)
+	sides        map[id.Host]int // hosts of different sides exchange no messages
+	truncated    bool            // the hosts don't know all segments of crashing prompts
 	running      map[id.Endpoint]map[id.Request]decodeRun
 	pending      []pendingCall
 	sent         int
@@ -112,6 +113,7 @@
 		served: make(map[id.Request]bool), limits: make(map[id.Endpoint]float64), arrivals: make(map[id.Endpoint][]arrival),
 		told: make(map[toldLimit]time.Time), limited: make(map[toldLimit]bool),
 		cutOff: make(map[id.Host]bool), leaving: make(map[id.Host]bool), restart: engineRestart, azs: make(map[string]id.Zone), prefills: 1,
+		sides: make(map[id.Host]int), editTable: func(*table.Snapshot) {},
 	}
 	for i := range hosts {
 		name := id.Host(fmt.Sprintf("h%d", i))
@@ -133,8 +135,8 @@
 func (f *relayFleet) startHost(name id.Host, inc id.Incarnation) {
 	f.incarnations[name] = inc
 	cfg := core.DefaultConfig(name, inc, relayDomain, []id.Zone{relayDomain})
-	cfg.Relay = true
-	cfg.LoadInterval = 0
+	cfg.Relay, cfg.LoadInterval = true, 0
+	cfg.Throttle.Cold = coldBound
 	f.hosts[name] = core.New(cfg, f.now)
 	f.reduce(name, core.HostsListed{Hosts: f.list})
 	f.reduce(name, core.TableOpened{Snapshot: f.table()})
@@ -178,11 +180,7 @@
 		ep.Name, ep.Address = id.Endpoint(fmt.Sprintf("p%d", i+1)), fmt.Sprintf("10.0.0.%d:1", 100+i)
 		s.Endpoints[ep.Name] = ep
 	}
-	for _, name := range f.evacuated {
-		ep := s.Endpoints[name]
-		ep.State = table.StateLeaving
-		s.Endpoints[name] = ep
-	}
+	f.editTable(s)
 	return s
 }
 
@@ -206,7 +204,7 @@
 	for _, e := range core.Reduce(f.hosts[name], core.Input{Now: f.now, Wall: f.now, Event: ev}) {
 		switch e := e.(type) {
 		case core.SendPeer:
-			if f.cutOff[name] || f.cutOff[e.To] {
+			if f.cutOff[name] || f.cutOff[e.To] || f.sides[name] != f.sides[e.To] {
 				continue
 			}
 			f.reduce(e.To, core.PeerMessage{From: name, Incarnation: f.incarnations[name], Message: e.Message})
--- a/fleet/core/slowstart.go
+++ b/fleet/core/slowstart.go
@@ -13,12 +13,13 @@
 // slowStartSteps is the resolution at which calls are admitted to a returning endpoint.
 const slowStartSteps = 1024
 
-// forgetEndpoints drops what is known about endpoints that have left the table, and records
-// those that are in use again.
-func (s *step) forgetEndpoints(prev *table.Snapshot) {
+// endpointsChanged drops what is known about endpoints that have left the table, and records
+// those that are in use again or cold.
+func (s *step) endpointsChanged(prev *table.Snapshot) {
 	s.forgetEngines()
 	s.forgetNotices()
 	s.recordReturns(prev)
+	s.setCold()
 }
 
 // recordReturns records the endpoints that were leaving in the previous table and are not any
--- a/fleet/core/slowstart_test.go
+++ b/fleet/core/slowstart_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/table"
 )
 
 // arrivalsSince returns how many requests have reached an endpoint since a time.
@@ -23,7 +24,13 @@
 
 // evacuate sets the endpoints of evacuated zones on all hosts.
 func (f *relayFleet) evacuate(eps ...id.Endpoint) {
-	f.evacuated = eps
+	f.editTable = func(s *table.Snapshot) {
+		for _, name := range eps {
+			ep := s.Endpoints[name]
+			ep.State = table.StateLeaving
+			s.Endpoints[name] = ep
+		}
+	}
 	f.publishTable()
 }
 
--- a/fleet/core/tablesync.go
+++ b/fleet/core/tablesync.go
@@ -237,7 +237,7 @@
 	prev := s.table.snapshot
 	s.table.snapshot = snap
 	s.table.endpointCounts = countEndpoints(snap)
-	s.forgetEndpoints(prev)
+	s.endpointsChanged(prev)
 	s.invalidateViews()
 	s.table.manifest = manifest
 	s.table.segments = usedSegments(manifest, segments)
--- a/fleet/core/throttle.go
+++ b/fleet/core/throttle.go
@@ -18,7 +18,7 @@
 }
 
 // limitedRetryAfter is the Retry-After of a call that this host may send to no endpoint,
-// because other hosts use the limited ones. The caller's next attempt may reach one of these.
+// because other hosts use the limited or cold ones. The caller's next attempt may reach one of these.
 const limitedRetryAfter = 500 * time.Millisecond
 
 // endpointLimited records the limit that an endpoint has named, and tells the other hosts.
@@ -53,6 +53,7 @@
 	for _, ep := range throttle.Expire(s.throttle, s.now) {
 		s.limitChanged(ep)
 	}
+	s.tickCold()
 }
 
 // limitChanged passes the limit of an endpoint, or its notice, to the cell that schedules it.
@@ -80,6 +81,9 @@
 // withinLimits removes the endpoints that take no further call of this host now.
 func (s *step) withinLimits(eps []table.Endpoint) []table.Endpoint {
 	return slices.DeleteFunc(eps, func(ep table.Endpoint) bool {
+		if !s.allowsCold(ep.Name) {
+			return true
+		}
 		perSecond, limited := throttle.PerSecond(s.throttle, ep.Name)
 		if !limited {
 			return false
@@ -89,11 +93,15 @@
 	})
 }
 
-// nextCallAfter returns the time until one of the limited endpoints takes a call of this host,
-// and false if none of the endpoints is limited.
+// nextCallAfter returns the time until one of the limited or cold endpoints takes a call of this host,
+// and false if none of the endpoints is.
 func (s *step) nextCallAfter(eps []table.Endpoint) (time.Duration, bool) {
 	next, limited := limitedRetryAfter, false
 	for _, ep := range eps {
+		if after, cold := s.nextColdCall(ep.Name); cold {
+			next, limited = min(next, after), true
+			continue
+		}
 		perSecond, ok := throttle.PerSecond(s.throttle, ep.Name)
 		if !ok {
 			continue
--- a/fleet/core/views.go
+++ b/fleet/core/views.go
@@ -32,6 +32,7 @@
 	arbiter       id.Host                      // decides about quarantines; empty if there is no live host
 	allLive       []id.Host                    // live hosts of all zones without suspects
 	limitedShares map[id.Endpoint]limitedShare // of limited service endpoints
+	coldShares    map[id.Endpoint]coldShare    // of cold service endpoints
 }
 
 // hostViews returns the views. It rebuilds them if they are invalid, if the membership
@@ -61,6 +62,7 @@
 		cells:       make(map[id.Model][]cellKey),
 
 		limitedShares: make(map[id.Endpoint]limitedShare),
+		coldShares:    make(map[id.Endpoint]coldShare),
 	}
 	for z, hosts := range member.Live(s.member) {
 		s.views.liveHosts[z] = s.withoutSuspects(hosts)
--- a/fleet/registry/grace_test.go
+++ b/fleet/registry/grace_test.go
@@ -86,3 +86,17 @@
 	assert.Assert(t, !registry.Expire(s, at(14500*time.Millisecond)))
 	assert.DeepEqual(t, names(s), []string{"a"})
 }
+
+// TestColdOverRestore guards against an endpoint that gets any number of requests while it is cold,
+// because a restored platform lists what it said before, and against one that stays cold.
+func TestColdOverRestore(t *testing.T) {
+	cold := entry("a")
+	cold.Cold = true
+	s := registry.New(registry.DefaultConfig())
+	registry.Replace(s, at(10*time.Second), []registry.Entry{cold})
+	registry.RecordRestore(s, at(11*time.Second))
+	registry.Replace(s, at(11*time.Second), []registry.Entry{entry("a")})
+	assert.Assert(t, registry.Entries(s)[0].Cold)
+	assert.Assert(t, registry.Apply(s, at(17*time.Second), []registry.Change{{Entry: entry("a")}}))
+	assert.Assert(t, !registry.Entries(s)[0].Cold)
+}
--- a/fleet/registry/registry.go
+++ b/fleet/registry/registry.go
@@ -48,6 +48,7 @@
 	Service string
 	Role    table.Role
 	Slots   int64
+	Cold    bool // the endpoint takes a limited rate of requests
 	table.Endpoint
 }
 
@@ -206,6 +207,11 @@
 	if ok && old.Endpoint.Name != e.Endpoint.Name {
 		s.gone[old.Endpoint.Name] = now
 	}
+	// The copy from which the platform was restored may be older than the entry that said so.
+	// The endpoint renews its entry, which then tells.
+	if ok && old.Cold && old.Endpoint.Name == e.Endpoint.Name && now.Before(s.holdUntil) {
+		e.Cold = true
+	}
 	s.entries[e.Name] = &record{Entry: e}
 	return !ok || old.Entry != e
 }
--- a/fleet/schedule/endpoint.go
+++ b/fleet/schedule/endpoint.go
@@ -22,6 +22,7 @@
 	Leaving     bool
 	Limited     bool    // the endpoint has announced a request rate limit
 	PerSecond   float64 // the limit, in requests per second, for all hosts together
+	Burst       float64 // most requests that may be saved up under the limit; 0 stands for a default
 
 	// SlowStart is the time during which the endpoint gets only a growing part of its slots,
 	// at most SlowStartTime.
--- a/fleet/schedule/limit.go
+++ b/fleet/schedule/limit.go
@@ -43,7 +43,10 @@
 	if !ep.Limited {
 		return true
 	}
-	most := min(max(1, ep.PerSecond*maxLimitTime.Seconds()), maxLimitBurst)
+	most := ep.Burst
+	if most == 0 {
+		most = min(max(1, ep.PerSecond*maxLimitTime.Seconds()), maxLimitBurst)
+	}
 	ep.limit.tokens = min(most, ep.limit.tokens+(c.now-ep.limit.refilledAt).Seconds()*ep.PerSecond)
 	ep.limit.refilledAt = c.now
 	return ep.limit.tokens >= 1
--- a/fleet/schedule/limit_test.go
+++ b/fleet/schedule/limit_test.go
@@ -75,3 +75,23 @@
 	assert.Equal(t, len(schedule.Tick(c, at(10900*ms))), 0)
 	assert.Equal(t, len(schedule.Tick(c, at(11100*ms))), 1)
 }
+
+// TestBurst guards against a cell that saves up more requests for an engine than it may.
+func TestBurst(t *testing.T) {
+	for burst, want := range map[float64]int{0: 3, 1: 1} {
+		c := schedule.New(schedule.DefaultConfig(), "m", t0, false)
+		d := limited(decode("d", 24, 100), 2)
+		d.Burst = burst
+		schedule.SetEndpoints(c, t0, []schedule.Endpoint{prefill("p"), d})
+		granted := 0
+		for i := range 4 {
+			m := slotRequest(fmt.Sprint(i), func(m *message.SlotRequest) { m.MaxWait, m.CanWait = time.Second, true })
+			for _, a := range schedule.HandleSlotRequest(c, at(10*time.Second+time.Duration(i)*ms), "h", m) {
+				if _, ok := a.(schedule.Send).Message.(message.SlotGrant); ok {
+					granted++
+				}
+			}
+		}
+		assert.Equal(t, granted, want, "burst %g", burst)
+	}
+}
--- a/fleet/table/table.go
+++ b/fleet/table/table.go
@@ -78,6 +78,11 @@
 	// AZ is the availability zone of the endpoint if Zone is a larger scheduling
 	// domain. Otherwise it is empty.
 	AZ id.Zone
+
+	// ColdPerSecond is the number of requests per second that the endpoint takes from all hosts
+	// together while it is cold, that is for a time after its start. It is 0 if the endpoint is
+	// not cold or takes any number. It is not part of the operators' table.
+	ColdPerSecond float64
 }
 
 // Route is what a caller addresses: the "model" field of a model request, or
--- a/fleet/throttle/share.go
+++ b/fleet/throttle/share.go
@@ -29,6 +29,9 @@
 	if l, ok := s.limits[ep]; ok {
 		l.tokens--
 	}
+	if c, ok := s.cold[ep]; ok {
+		c.calls.tokens--
+	}
 }
 
 // NextAfter returns the time until this host may send the next request to the endpoint.
@@ -37,6 +40,11 @@
 	if !ok {
 		return 0
 	}
+	return s.next(now, l, hosts)
+}
+
+// next returns the time until a limit has a token for this host.
+func (s *State) next(now time.Time, l *limit, hosts int) time.Duration {
 	l.refill(now, hosts)
 	seconds := (1 - l.tokens) / l.rate(hosts)
 	if math.IsNaN(seconds) || seconds > s.cfg.TTL.Seconds() {
--- a/fleet/throttle/throttle.go
+++ b/fleet/throttle/throttle.go
@@ -8,6 +8,9 @@
 // endpoint and divide its limit evenly (Hosts, Allows, Take). The others do not use it, so
 // that the sum stays within the limit however many hosts there are.
 //
+// Cold endpoints have a limit too. All hosts know it from the platform, and it is a hard bound:
+// see ColdBound.
+//
 // The functions are not safe for concurrent use.
 package throttle
 
@@ -31,6 +34,8 @@
 	// its rate. Each may send one request at any time, so that together they may send that
 	// many at the same moment.
 	Spread time.Duration
+	// Cold bounds the requests to cold endpoints.
+	Cold ColdBound
 }
 
 // DefaultConfig returns the default parameters.
@@ -45,6 +50,7 @@
 type State struct {
 	cfg    Config
 	limits map[id.Endpoint]*limit
+	cold   map[id.Endpoint]*coldEndpoint
 }
 
 type limit struct {
@@ -59,7 +65,7 @@
 
 // New returns a State without limits.
 func New(cfg Config) *State {
-	return &State{cfg: cfg, limits: make(map[id.Endpoint]*limit)}
+	return &State{cfg: cfg, limits: make(map[id.Endpoint]*limit), cold: make(map[id.Endpoint]*coldEndpoint)}
 }
 
 // Observe records what an answer of an endpoint says: the rate that it takes, or that it is
--- a/router/internal/app/adapters.go
+++ b/router/internal/app/adapters.go
@@ -70,6 +70,7 @@
 	Apply(e core.ApplyPlatform)
 	RecordPeerContact(e core.PeerContact)
 	EvacuatedZones() int
+	ColdEndpoints() int
 	Run(ctx context.Context)
 }
 
--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -226,9 +226,21 @@
 			r.metrics.Gauge("decision-events", float64(processed))
 			r.metrics.Gauge("decision-seconds", busy.Seconds())
 			r.metrics.Gauge("open-requests", float64(r.adapters.Caller.ActiveRequests()))
-			if r.settings.Evacuation > 0 && r.adapters.Feed != nil {
-				r.metrics.Gauge("evacuated-zones", float64(r.adapters.Feed.EvacuatedZones()))
-			}
+			r.updateFeedGauges()
 		}
 	}
 }
+
+// updateFeedGauges updates the gauges of deployments whose zones may be evacuated or whose
+// endpoints are limited while they are cold.
+func (r *Router) updateFeedGauges() {
+	if r.adapters.Feed == nil {
+		return
+	}
+	if r.settings.Evacuation > 0 {
+		r.metrics.Gauge("evacuated-zones", float64(r.adapters.Feed.EvacuatedZones()))
+	}
+	if r.settings.ColdOverrun > 0 {
+		r.metrics.Gauge("cold-endpoints", float64(r.adapters.Feed.ColdEndpoints()))
+	}
+}
--- a/router/internal/app/relay.go
+++ b/router/internal/app/relay.go
@@ -5,6 +5,7 @@
 
 	"ragwortshunt.example/fleet/core"
 	"ragwortshunt.example/fleet/retry"
+	"ragwortshunt.example/fleet/throttle"
 	"ragwortshunt.example/router/internal/settings"
 )
 
@@ -77,6 +78,7 @@
 	cfg.Schedule.MinRetry = relayMinRetry
 	cfg.Schedule.MaxRetry = 2 * relayMinRetry
 	cfg.Schedule.RetrySpread = relayMinRetry / 2
+	cfg.Throttle.Cold = throttle.ColdBound{Overrun: s.ColdOverrun, Slack: s.ColdSlack}
 	cfg.Limit.Reclaim = true
 	cfg.Limit.SettleDelay = relaySettleDelay
 	cfg.Retry = retry.Config{Ratio: s.RetryRatio, Window: s.RetryWindow, ExtraRetries: s.RetryExtra}
--- a/router/internal/settings/field.go
+++ b/router/internal/settings/field.go
@@ -36,7 +36,9 @@
 	maxTokensLimit = 1 << 20  // tokens
 	maxBodyLimit   = 64 << 20 // bytes
 	maxCapacity    = 1024     // processor cores
-	maxRate        = 1 << 40  // also the limit of the other counts without a stated range
+	maxColdOverrun = 1000
+	maxColdSlack   = 100_000 // requests
+	maxRate        = 1 << 40 // also the limit of the other counts without a stated range
 )
 
 var fields = []Field{
@@ -96,6 +98,12 @@
 	{"schedule", "prefill-rate", "24000", "Prompt tokens per second of an engine whose platform does not state it.", integer(
 		func(s *Settings) *int64 { return &s.PrefillRate }, 1, maxRate)},
 	{"schedule", "cell-endpoints", "16", "Most endpoints in one cell, 2 to 256; the same on every host.", setCellEndpoints},
+	{"cold-start", "overrun", "0", "Requests that a cold endpoint may get in any second from all hosts together, in multiples of the rate that its service states, 0 to 1000; 0: cold endpoints are not limited; the same on every host.", func(s *Settings, text string) error {
+		return setNumber(&s.ColdOverrun, text, maxColdOverrun)
+	}},
+	{"cold-start", "slack", "0", "Requests that a cold endpoint may get in any second on top of that, 0 to 100000; the same on every host.", func(s *Settings, text string) error {
+		return setNumber(&s.ColdSlack, text, maxColdSlack)
+	}},
 	{"retry", "ratio", "0.2", "Repeated dispatches per request of a service, over all hosts, 0 to 1.", setRetryRatio},
 	{"retry", "window", "10s", "Span over which repeated dispatches are counted, 1s to 10m.", duration(
 		func(s *Settings) *time.Duration { return &s.RetryWindow }, time.Second, 10*time.Minute)},
--- a/router/internal/settings/settings.go
+++ b/router/internal/settings/settings.go
@@ -65,6 +65,8 @@
 	OverrunWindow time.Duration
 	PooledLease   time.Duration // short lease, of the pooled part of a rate share
 	ReserveLease  time.Duration // long lease, of the reserved part
+	ColdOverrun   float64       // requests to a cold endpoint in any second, in multiples of the rate that it takes; 0: not limited
+	ColdSlack     float64       // requests in addition to ColdOverrun
 	CellEndpoints int
 	ClaimShards   int
 	Retention     time.Duration // how long claims are kept
