--- a/fleet/core/core.go
+++ b/fleet/core/core.go
@@ -200,6 +200,9 @@
 	engineGaps       map[id.Endpoint]time.Duration // average time between two events of a stream
 	enginePaces      enginePaces                   // relay mode only
 	notices          map[id.Endpoint]notice        // what endpoints have said; relay mode only
+	hostsKnown       bool                          // the list of hosts has been read
+	endpointZones    int                           // number of availability zones with endpoints
+	returnedAt       map[id.Endpoint]time.Time     // end of the evacuation of endpoints that get little load yet
 	hostsReadAt      time.Time
 	rolesBalancedAt  time.Time // last time that the balance of roles was checked
 	lastTick         time.Time
@@ -245,6 +248,7 @@
 		engineGaps:       make(map[id.Endpoint]time.Duration),
 		enginePaces:      make(enginePaces),
 		notices:          make(map[id.Endpoint]notice),
+		returnedAt:       make(map[id.Endpoint]time.Time),
 		finished:         make([]Record, 0, cfg.FinishedRecords),
 	}
 }
--- a/fleet/core/peers.go
+++ b/fleet/core/peers.go
@@ -18,6 +18,7 @@
 const partOrder = "order"
 
 func (s *step) hostsListed(ev HostsListed) {
+	s.hostsKnown = s.hostsKnown || len(ev.Hosts) > 0
 	member.SetList(s.member, s.now, ev.Hosts)
 	s.applyHosts()
 	s.mergePublishedQuarantine(ev.Hosts)
@@ -258,7 +259,7 @@
 		hb.State = message.HostLeaving
 	}
 	if s.cfg.Relay {
-		hb.SeenRevisions = s.table.seenRevisions[:]
+		hb.SeenRevisions = s.namedRevisions()
 		hb.StoreEra = s.storeEra
 	}
 	return hb
--- a/fleet/schedule/endpoint.go
+++ b/fleet/schedule/endpoint.go
@@ -23,6 +23,11 @@
 	Leaving     bool
 	Limited     bool    // the endpoint has announced a request rate limit
 	PerSecond   float64 // the limit, in requests per second, for all hosts together
+	Burst       float64 // most requests that may be saved up under the limit; 0 stands for a default
+
+	// SlowStart is the time during which the endpoint gets only a growing part of its slots,
+	// at most SlowStartTime.
+	SlowStart time.Duration
 }
 
 // endpoint is an Endpoint with its reservations and its health.
@@ -40,8 +45,9 @@
 	reportedRunning                   int64 // requests, from the last report
 	hasReport                         bool
 
-	limit rateLimit
-	speed engineSpeed
+	limit          rateLimit
+	speed          engineSpeed
+	slowStartUntil time.Duration
 
 	failures     int // since the last success
 	backoffUntil time.Duration
@@ -84,6 +90,7 @@
 			ep.speed.changeRole()
 		}
 		ep.Endpoint = e
+		ep.slowStartUntil = c.now + e.SlowStart
 		ep.member = true
 		ep.updateGrantLimits()
 	}
--- a/router/internal/app/adapters.go
+++ b/router/internal/app/adapters.go
@@ -69,6 +69,8 @@
 	Refresh(e core.RefreshPlatform)
 	Apply(e core.ApplyPlatform)
 	RecordPeerContact(e core.PeerContact)
+	EvacuatedZones() int
+	ColdEndpoints() int
 	Run(ctx context.Context)
 }
 
@@ -122,6 +124,7 @@
 	objects := store.New(lifetime, s.PlatformURL, clock, log, r)
 	params := deployment.HostParams{
 		Fencing: s.Fencing(), Domain: s.SchedulingDomain(), PrefillRate: s.PrefillRate, BlockTokens: s.BlockTokens,
+		Evacuation: s.Evacuation,
 	}
 	feed := store.NewFeed(objects, params, c.SetView)
 	return Adapters{
--- a/router/internal/settings/field.go
+++ b/router/internal/settings/field.go
@@ -36,7 +36,9 @@
 	maxTokensLimit = 1 << 20  // tokens
 	maxBodyLimit   = 64 << 20 // bytes
 	maxCapacity    = 1024     // processor cores
-	maxRate        = 1 << 40  // also the limit of the other counts without a stated range
+	maxColdOverrun = 1000
+	maxColdSlack   = 100_000 // requests
+	maxRate        = 1 << 40 // also the limit of the other counts without a stated range
 )
 
 var fields = []Field{
@@ -72,6 +74,8 @@
 		s.ChecksFences, err = strconv.ParseBool(text)
 		return err
 	}},
+	{"platform", "evacuation", "0s", "Time within which a zone that the operator evacuates gets no new requests, 0s to 1h; 0s: the platform evacuates no zones, and is not asked for them.", duration(
+		func(s *Settings) *time.Duration { return &s.Evacuation }, 0, time.Hour)},
 	{"limit", "lease-groups", "64", "Lease groups per zone, 1 to 4096; the same on every host.", setLeaseGroups},
 	{"limit", "slot-rate", "20000", "Rate in tokens per second that one share slot of an account carries; the same on every host.", integer(
 		func(s *Settings) *int64 { return &s.SlotRate }, 1, maxRate)},
@@ -94,6 +98,12 @@
 	{"schedule", "prefill-rate", "24000", "Prompt tokens per second of an engine whose platform does not state it.", integer(
 		func(s *Settings) *int64 { return &s.PrefillRate }, 1, maxRate)},
 	{"schedule", "cell-endpoints", "16", "Most endpoints in one cell, 2 to 256; the same on every host.", setCellEndpoints},
+	{"cold-start", "overrun", "0", "Requests that a cold endpoint may get in any second from all hosts together, in multiples of the rate that its service states, 0 to 1000; 0: cold endpoints are not limited; the same on every host.", func(s *Settings, text string) error {
+		return setNumber(&s.ColdOverrun, text, maxColdOverrun)
+	}},
+	{"cold-start", "slack", "0", "Requests that a cold endpoint may get in any second on top of that, 0 to 100000; the same on every host.", func(s *Settings, text string) error {
+		return setNumber(&s.ColdSlack, text, maxColdSlack)
+	}},
 	{"retry", "ratio", "0.2", "Repeated dispatches per request of a service, over all hosts, 0 to 1.", setRetryRatio},
 	{"retry", "window", "10s", "Span over which repeated dispatches are counted, 1s to 10m.", duration(
 		func(s *Settings) *time.Duration { return &s.RetryWindow }, time.Second, 10*time.Minute)},
--- a/router/internal/settings/settings.go
+++ b/router/internal/settings/settings.go
@@ -51,6 +51,7 @@
 
 	PlatformURL     string
 	PlatformTimeout time.Duration
+	Evacuation      time.Duration // time within which an evacuated zone gets no new requests; 0: zones are not evacuated
 
 	MaxBodyBytes     int64 // bytes
 	DefaultMaxTokens int64 // tokens; output limit of a request that states none
@@ -64,6 +65,8 @@
 	OverrunWindow time.Duration
 	PooledLease   time.Duration // short lease, of the pooled part of a rate share
 	ReserveLease  time.Duration // long lease, of the reserved part
+	ColdOverrun   float64       // requests to a cold endpoint in any second, in multiples of the rate that it takes; 0: not limited
+	ColdSlack     float64       // requests in addition to ColdOverrun
 	CellEndpoints int
 	ClaimShards   int
 	Retention     time.Duration // how long claims are kept
