pace, core: learn speed and failures of service endpoints over all hosts

Cause: 87 hosts share 200 calls/s, so that each sees an endpoint less than once in two seconds and learns too late that it is slow, failing or silent. Change: package pace (reports, collector, summaries, choice) and its integration in core, off by default.

--- a/fleet/core/broadcast.go
+++ b/fleet/core/broadcast.go
@@ -7,9 +7,9 @@
 	"ragwortshunt.example/fleet/message"
 )
 
-// broadcast sends a heartbeat, a platform update, a crash report or an endpoint's limit to
-// all hosts of a zone that are not dead. An empty zone stands for all zones. Small groups get it directly, large ones by way
-// of relays.
+// broadcast sends a heartbeat, a platform update, a crash report, an endpoint's limit or a
+// summary of a service to all hosts of a zone that are not dead. An empty zone stands for all
+// zones. Small groups get it directly, large ones by way of relays.
 func (s *step) broadcast(zone id.Zone, m message.Message) {
 	b := message.Broadcast{Origin: s.cfg.Host, Incarnation: s.cfg.Incarnation, Zone: zone}
 	switch m := m.(type) {
@@ -21,6 +21,8 @@
 		b.Crashes = []message.CrashReport{m}
 	case message.EndpointLimit:
 		b.Limits = []message.EndpointLimit{m}
+	case message.PaceSummary:
+		b.PaceSummaries = []message.PaceSummary{m}
 	}
 	for _, c := range s.planCopies(member.Reachable(s.member, zone)) {
 		if c.Range.IsEmpty() {
@@ -62,6 +64,9 @@
 	for _, l := range b.Limits {
 		s.handleEndpointLimit(l)
 	}
+	for _, p := range b.PaceSummaries {
+		s.handlePaceSummary(b.Origin, p)
+	}
 }
 
 func (s *step) forwardBroadcast(b message.Broadcast) {
--- a/fleet/core/core.go
+++ b/fleet/core/core.go
@@ -27,6 +27,7 @@
 	"ragwortshunt.example/fleet/member"
 	"ragwortshunt.example/fleet/message"
 	"ragwortshunt.example/fleet/order"
+	"ragwortshunt.example/fleet/pace"
 	"ragwortshunt.example/fleet/quarantine"
 	"ragwortshunt.example/fleet/retry"
 	"ragwortshunt.example/fleet/schedule"
@@ -60,6 +61,7 @@
 
 	Quarantine quarantine.Config
 	Throttle   throttle.Config
+	Pace       pace.Config // has an effect in relay mode only
 
 	CellEndpoints            int           // maximum number of endpoints in one cell
 	SlotRequestRetryInterval time.Duration // retry interval of an unanswered SlotRequest
@@ -98,6 +100,7 @@
 		Order:                    order.DefaultConfig(),
 		Quarantine:               quarantine.DefaultConfig(),
 		Throttle:                 throttle.DefaultConfig(),
+		Pace:                     pace.DefaultConfig(),
 		CellEndpoints:            16,
 		SlotRequestRetryInterval: 500 * time.Millisecond,
 		HoldRefreshInterval:      15 * time.Second,
@@ -178,6 +181,7 @@
 	retries    *retry.State
 	quarantine *quarantine.State
 	throttle   *throttle.State
+	pace       *pace.State // of service endpoints
 	scheduler  schedulerState
 	cells      map[cellKey]cellWaitReport // cells as seen from the entry host
 
@@ -217,6 +221,7 @@
 
 // New returns the state of a host that has just started.
 func New(cfg Config, now time.Time) *State {
+	cfg.Pace.Enabled = cfg.Pace.Enabled && cfg.Relay
 	return &State{
 		cfg:              cfg,
 		started:          now,
@@ -227,6 +232,7 @@
 		retries:          retry.New(cfg.Retry),
 		quarantine:       quarantine.New(cfg.Quarantine),
 		throttle:         throttle.New(cfg.Throttle),
+		pace:             pace.New(cfg.Pace),
 		scheduler:        newSchedulerState(),
 		cells:            make(map[cellKey]cellWaitReport),
 		requests:         make(map[id.Request]*request),
--- a/fleet/core/peers.go
+++ b/fleet/core/peers.go
@@ -131,6 +131,10 @@
 		s.handleCrashRebuttal(m)
 	case message.EndpointLimit:
 		s.handleEndpointLimit(m)
+	case message.PaceReport:
+		s.handlePaceReport(m)
+	case message.PaceSummary:
+		s.handlePaceSummary(from, m)
 	default:
 		s.dispatchTokens(from, m)
 	}
--- a/fleet/core/pick.go
+++ b/fleet/core/pick.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/pace"
 	"ragwortshunt.example/fleet/table"
 )
 
@@ -59,12 +60,18 @@
 }
 
 // expectedLatency returns the expected latency of a call to an endpoint, with jitter by
-// request and endpoint so that hosts do not all choose the same endpoint.
+// request and endpoint so that hosts do not all choose the same endpoint. An endpoint without
+// statistics is tried first, unless the calls of other hosts tell its latency.
 func (s *step) expectedLatency(r *request, ep table.Endpoint) time.Duration {
 	meanLatency, failureRate := baseLatency, 0.0
-	if p, ok := s.serviceStats[ep.Name]; ok && s.now.Sub(p.lastCall) <= callStatsTTL {
+	p, ok := s.serviceStats[ep.Name]
+	ok = ok && s.now.Sub(p.lastCall) <= callStatsTTL
+	if ok {
 		meanLatency, failureRate = baseLatency+p.meanLatency, p.failureRate
 	}
+	if shared := pace.Latency(s.pace, s.now, ep.Pool, ep.Name); !ok && shared > 0 {
+		meanLatency = baseLatency + shared
+	}
 	if ep.AZ != s.cfg.AZ {
 		meanLatency += remoteAZPenalty
 	}
--- a/fleet/core/relay.go
+++ b/fleet/core/relay.go
@@ -6,6 +6,7 @@
 	"ragwortshunt.example/fleet/id"
 	"ragwortshunt.example/fleet/member"
 	"ragwortshunt.example/fleet/message"
+	"ragwortshunt.example/fleet/pace"
 	"ragwortshunt.example/fleet/retry"
 	"ragwortshunt.example/fleet/table"
 )
@@ -158,7 +159,7 @@
 	if !r.relayed || !r.route.Idempotent {
 		return false
 	}
-	s.endCall(r)
+	s.endCall(r, pace.Abandoned)
 	s.cancelRun(r.Request, r.attempt, r.decode)
 	return true
 }
@@ -166,7 +167,7 @@
 // abandonCall cancels the running call of a request that ends without its answer. The call may
 // have run.
 func (s *step) abandonCall(r *request) {
-	s.endCall(r)
+	s.endCall(r, pace.Failed)
 	s.cancelRun(r.Request, r.attempt, r.decode)
 	r.ranEarlier = true
 	r.dispatched = false
--- a/fleet/core/relayfleet_test.go
+++ b/fleet/core/relayfleet_test.go
@@ -76,6 +76,16 @@
 	arrivals map[id.Endpoint][]arrival // calls, prefills and decodes
 	told     map[toldLimit]time.Time   // first answer with a limit that a host has received
 	limited  map[toldLimit]bool        // the last answer that a host has received names a limit
+
+	options
+}
+
+// options change a relayFleet before its start. A nil function changes nothing.
+type options struct {
+	configure func(host id.Host, cfg *core.Config)
+	edit      func(snap *table.Snapshot)
+	serve     func(host id.Host, e core.CallService) // takes the place of the sound service endpoints
+	observe   func(host id.Host, e core.Effect)
 }
 
 // arrival is a request that has reached an endpoint.
@@ -103,8 +113,13 @@
 func newRelayFleet(t *testing.T) *relayFleet { return newRelayFleetOf(t, relayHosts) }
 
 func newRelayFleetOf(t *testing.T, hosts int) *relayFleet {
+	return newRelayFleetWith(t, hosts, options{})
+}
+
+func newRelayFleetWith(t *testing.T, hosts int, opts options) *relayFleet {
 	f := &relayFleet{
-		t: t, rng: rand.New(rand.NewPCG(1, 2)), now: time.Unix(1, 0), version: 1,
+		options: opts,
+		t:       t, rng: rand.New(rand.NewPCG(1, 2)), now: time.Unix(1, 0), version: 1,
 		hosts: make(map[id.Host]*core.State), incarnations: make(map[id.Host]id.Incarnation), engines: make(map[id.Endpoint]string),
 		running: make(map[id.Endpoint]map[id.Request]decodeRun),
 		begun:   make(map[id.Request]time.Time), refused: make(map[string]int), sentAt: make(map[id.Request]time.Time),
@@ -134,6 +149,9 @@
 	cfg := core.DefaultConfig(name, inc, relayDomain, []id.Zone{relayDomain})
 	cfg.Relay = true
 	cfg.LoadInterval = 0
+	if f.configure != nil {
+		f.configure(name, &cfg)
+	}
 	f.hosts[name] = core.New(cfg, f.now)
 	f.reduce(name, core.HostsListed{Hosts: f.list})
 	f.reduce(name, core.TableOpened{Snapshot: f.table()})
@@ -177,6 +195,9 @@
 		ep.Name, ep.Address = id.Endpoint(fmt.Sprintf("p%d", i+1)), fmt.Sprintf("10.0.0.%d:1", 100+i)
 		s.Endpoints[ep.Name] = ep
 	}
+	if f.edit != nil {
+		f.edit(s)
+	}
 	return s
 }
 
@@ -198,6 +219,9 @@
 		return
 	}
 	for _, e := range core.Reduce(f.hosts[name], core.Input{Now: f.now, Wall: f.now, Event: ev}) {
+		if f.observe != nil {
+			f.observe(name, e)
+		}
 		switch e := e.(type) {
 		case core.SendPeer:
 			if f.cutOff[name] || f.cutOff[e.To] {
@@ -236,6 +260,10 @@
 
 // call answers a call to a service after callTime.
 func (f *relayFleet) call(host id.Host, e core.CallService) {
+	if f.serve != nil {
+		f.serve(host, e)
+		return
+	}
 	f.arrive(host, e.Endpoint)
 	f.after(callTime, func() {
 		f.served[e.Request] = true
--- a/fleet/core/request.go
+++ b/fleet/core/request.go
@@ -48,6 +48,7 @@
 	CodeCallerGone     = "caller-gone"
 	CodeQuarantined    = "prompt-quarantined"
 	CodeLimited        = "endpoints-limited"
+	CodeServiceSlow    = "service-slow"
 	CodeInternal       = "internal-error" // an unexpected error of this host
 )
 
--- a/fleet/core/service.go
+++ b/fleet/core/service.go
@@ -8,6 +8,7 @@
 	"ragwortshunt.example/fleet/claim"
 	"ragwortshunt.example/fleet/id"
 	"ragwortshunt.example/fleet/message"
+	"ragwortshunt.example/fleet/pace"
 	"ragwortshunt.example/fleet/table"
 	"ragwortshunt.example/fleet/throttle"
 )
@@ -83,6 +84,9 @@
 		s.refuseLeaving(r)
 		return
 	}
+	if s.refuseSlowService(r) {
+		return
+	}
 	ep, ok := s.chooseService(r)
 	if !ok {
 		s.settleClaim(r, message.ClaimNotRun, nil)
@@ -97,6 +101,7 @@
 	r.prefill = ""
 	r.decode = ep.Name
 	s.outstandingCalls[ep.Name]++
+	pace.Started(s.pace, s.now, r.route.Pool, ep.Name)
 	r.callStarted = s.now
 	r.addTrace(s.now, "attempt %d: call on %s", r.attempt, ep.Name)
 	s.emit(CallService{
@@ -145,7 +150,8 @@
 
 func (s *step) chooseService(r *request) (table.Endpoint, bool) {
 	eps := s.withinLimits(s.callableEndpoints(r))
-	sort.Slice(eps, func(i, j int) bool { return s.serviceBefore(r, eps[i], eps[j]) })
+	paced := s.isPaced(r, eps)
+	sort.Slice(eps, func(i, j int) bool { return s.serviceBefore(r, eps[i], eps[j], paced) })
 	if len(eps) == 0 {
 		return table.Endpoint{}, false
 	}
@@ -153,12 +159,15 @@
 }
 
 // serviceBefore reports whether a is preferred to b. Endpoints that failed lately come
-// last. In relay mode the shortest expected latency wins; otherwise this host's zone, then
-// the fewest outstanding calls of this host, then the name.
-func (s *step) serviceBefore(r *request, a, b table.Endpoint) bool {
+// last. In relay mode the shortest expected latency wins, or the lowest score of package pace;
+// otherwise this host's zone, then the fewest outstanding calls of this host, then the name.
+func (s *step) serviceBefore(r *request, a, b table.Endpoint, paced bool) bool {
 	if fa, fb := s.isAvoided(a.Name), s.isAvoided(b.Name); fa != fb {
 		return fb
 	}
+	if paced {
+		return s.paceScore(r, a) < s.paceScore(r, b)
+	}
 	if r.relayed {
 		return s.expectedLatency(r, a) < s.expectedLatency(r, b)
 	}
@@ -181,7 +190,7 @@
 	if !ok {
 		return
 	}
-	s.endCall(r)
+	s.endCall(r, pace.Answered)
 	s.recordCall(r.decode, s.now.Sub(r.callStarted), false, false)
 	s.recordDuration(r.retryBudgetKey(), s.now.Sub(r.callStarted))
 	r.addTrace(s.now, "reply %d", ev.Status)
@@ -194,7 +203,8 @@
 	s.close(r, "finished "+http.StatusText(ev.Status))
 }
 
-func (s *step) endCall(r *request) {
+func (s *step) endCall(r *request, outcome pace.Outcome) {
+	s.recordPace(r, outcome)
 	s.outstandingCalls[r.decode]--
 	if s.outstandingCalls[r.decode] <= 0 {
 		delete(s.outstandingCalls, r.decode)
@@ -205,7 +215,7 @@
 // idempotent. Otherwise it refuses the request; the outcome is unknown if an attempt
 // may have run.
 func (s *step) serviceFailed(r *request, ev RunFailed) {
-	s.endCall(r)
+	s.endCall(r, paceOutcome(ev))
 	s.recordCall(ev.Endpoint, s.now.Sub(r.callStarted), true, ev.Unreachable)
 	r.addTrace(s.now, "call failed on %s: %s (not-run %t)", ev.Endpoint, ev.Code, ev.NotRun)
 	if !ev.HasReply {
--- a/fleet/core/silence.go
+++ b/fleet/core/silence.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/pace"
 	"ragwortshunt.example/fleet/retry"
 )
 
@@ -27,6 +28,7 @@
 		return
 	}
 	s.resumedAt = s.now
+	pace.Discard(s.pace, s.now)
 	for _, r := range s.requests {
 		if resumed := r.lastProgress.Add(pause); resumed.Before(s.now) {
 			r.lastProgress = resumed
--- a/fleet/core/tick.go
+++ b/fleet/core/tick.go
@@ -45,6 +45,7 @@
 	s.tickRoles()
 	s.tickQuarantine()
 	s.tickThrottle()
+	s.tickPace()
 	s.tickNotices()
 	s.tickRequests()
 	s.tickDrain()
--- a/fleet/core/views.go
+++ b/fleet/core/views.go
@@ -29,6 +29,8 @@
 	cells       map[id.Model][]cellKey
 	watcher     bool // this host watches the manifest
 
+	allStrong     []id.Host                    // strong hosts of all zones
+	collectors    map[id.Pool]id.Host          // collect the reports about plain services
 	arbiter       id.Host                      // decides about quarantines; empty if there is no live host
 	allLive       []id.Host                    // live hosts of all zones without suspects
 	limitedShares map[id.Endpoint]limitedShare // of limited service endpoints
@@ -60,18 +62,18 @@
 		claimOwners: make(map[string]id.Host),
 		cells:       make(map[id.Model][]cellKey),
 
+		collectors:    make(map[id.Pool]id.Host),
 		limitedShares: make(map[id.Endpoint]limitedShare),
 	}
 	for z, hosts := range member.Live(s.member) {
 		s.views.liveHosts[z] = s.withoutSuspects(hosts)
 		s.views.strongHosts[z] = member.Strong(s.member, s.views.liveHosts[z])
 	}
-	var allStrong []id.Host
 	for _, z := range s.cfg.Zones {
 		s.views.allLive = append(s.views.allLive, s.views.liveHosts[z]...)
-		allStrong = append(allStrong, s.views.strongHosts[z]...)
+		s.views.allStrong = append(s.views.allStrong, s.views.strongHosts[z]...)
 	}
-	s.views.arbiter = member.Owner(allStrong, "quarantine")
+	s.views.arbiter = member.Owner(s.views.allStrong, "quarantine")
 	for _, h := range member.Owners(s.views.strongHosts[s.cfg.Zone], "table-watch", s.cfg.Watchers) {
 		if h == s.cfg.Host {
 			s.views.watcher = true
--- a/fleet/message/envelope.go
+++ b/fleet/message/envelope.go
@@ -30,6 +30,9 @@
 	EndpointLimits []EndpointLimit `cbor:"21,keyasint,omitempty"`
 
 	SlotQueries []SlotQuery `cbor:"22,keyasint,omitempty"`
+
+	PaceReports   []PaceReport  `cbor:"23,keyasint,omitempty"`
+	PaceSummaries []PaceSummary `cbor:"24,keyasint,omitempty"`
 }
 
 // Add appends m to the list of its type.
@@ -75,6 +78,10 @@
 		e.EndpointLimits = append(e.EndpointLimits, m)
 	case SlotQuery:
 		e.SlotQueries = append(e.SlotQueries, m)
+	case PaceReport:
+		e.PaceReports = append(e.PaceReports, m)
+	case PaceSummary:
+		e.PaceSummaries = append(e.PaceSummaries, m)
 	}
 }
 
@@ -144,5 +151,11 @@
 	for _, m := range e.ClaimSettles {
 		out = append(out, m)
 	}
+	for _, m := range e.PaceReports {
+		out = append(out, m)
+	}
+	for _, m := range e.PaceSummaries {
+		out = append(out, m)
+	}
 	return out
 }
--- a/fleet/message/message.go
+++ b/fleet/message/message.go
@@ -94,11 +94,13 @@
 	Last        id.Host        `cbor:"5,keyasint,omitempty"`
 	Relays      []id.Host      `cbor:"6,keyasint,omitempty"` // relays that the message has passed
 
-	// One of the four holds the message.
+	// One of the five holds the message.
 	Heartbeats []Heartbeat      `cbor:"7,keyasint,omitempty"`
 	Updates    []PlatformUpdate `cbor:"8,keyasint,omitempty"`
 	Crashes    []CrashReport    `cbor:"9,keyasint,omitempty"`
 	Limits     []EndpointLimit  `cbor:"10,keyasint,omitempty"`
+
+	PaceSummaries []PaceSummary `cbor:"11,keyasint,omitempty"`
 }
 
 // SlotRequest requests prefill, transfer and decode capacity from a scheduler.
--- /dev/null
+++ b/fleet/pace/judge.go
@@ -0,0 +1,267 @@
+package pace
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/message"
+)
+
+const (
+	// recentCalls is the number of calls that a measurement of the present speed needs.
+	recentCalls = 4
+	// minRecentIntervals and maxRecentIntervals bound the time of such a measurement. Reports
+	// of one interval alone do not cover all hosts.
+	minRecentIntervals = 2
+	maxRecentIntervals = 4
+	// changedRatio is the ratio of the recent to the average service time above which the
+	// recent one counts. Smaller differences are noise of few calls.
+	changedRatio = 1.4
+	// differingRatio is the ratio of service times below which endpoints count as equal.
+	differingRatio = 1.2
+	// certainRatio is the ratio above which one evaluation is enough to tell that an endpoint
+	// differs. Below it, and for the end of a difference, votesNeeded agree.
+	certainRatio = 1.5
+	votesNeeded  = 2
+	// failingExcess is the excess failure rate above which an endpoint is failing, and
+	// recoveredExcess that below which it is no longer.
+	failingExcess   = 0.15
+	recoveredExcess = 0.1
+	// failingCalls is the number of calls from which the failure rate of an endpoint is
+	// judged, and recoveredCalls the same for its recovery.
+	failingCalls   = 10
+	recoveredCalls = 8
+	// failingDeviations is the number of standard deviations by which the failure rate must
+	// exceed that of the others. With 3, sound endpoints of a service with a base failure rate
+	// would be taken for failing about once a minute.
+	failingDeviations = 4
+	// minFailureRate is the least failure rate that is assumed for the standard deviation.
+	minFailureRate = 0.05
+	// hangTime is the outstanding time without an end of a call from which an endpoint counts
+	// as slow.
+	hangTime = 500 * time.Millisecond
+	// defaultSlots is assumed for endpoints whose registration does not state their slots.
+	defaultSlots = 8
+)
+
+// judgement is what a collector thinks of an endpoint.
+type judgement struct {
+	serviceTime time.Duration // without queueing; 0 is unknown
+	failureRate float64
+	differs     bool // its service time differs from that of the others
+	slow        bool // it differs and is slower
+	failing     bool
+	votes       int     // evaluations in a row that contradict differs
+	failVotes   int     // evaluations in a row that contradict failing
+	cap         float64 // largest share as a multiple of an even share; 0 means none
+}
+
+// measurement holds counts with the time that they cover.
+type measurement struct {
+	message.EndpointCalls
+	span  time.Duration
+	slots int64
+}
+
+// ended returns the number of calls that the endpoint has worked on.
+func (m measurement) ended() int64 { return m.Answered + m.Failed }
+
+func (m measurement) perSecond() float64 { return float64(m.ended()) / m.span.Seconds() }
+
+func (m measurement) concurrency() float64 { return m.Outstanding.Seconds() / m.span.Seconds() }
+
+// isEmpty reports whether the counts tell nothing about the speed.
+func (m measurement) isEmpty() bool { return m.ended() == 0 && m.Outstanding < hangTime }
+
+// latency returns the mean time that calls take. By Little's law it is the outstanding time for
+// each call that has ended. The durations of the answered calls count beside it, because quick
+// failures say nothing about the speed.
+func (m measurement) latency() time.Duration {
+	if m.isEmpty() {
+		return 0
+	}
+	out := m.Outstanding / time.Duration(max(m.ended(), 1))
+	if m.Answered > 0 {
+		out = max(out, m.AnswerTime/time.Duration(m.Answered))
+	}
+	return out
+}
+
+// serviceTime returns the latency without queueing. While there are no more calls than slots,
+// it is the whole latency. Otherwise all slots are busy, and their number over the rate of ends
+// is the time of one call.
+func (m measurement) serviceTime() time.Duration {
+	if m.concurrency() <= float64(m.slots) {
+		return m.latency()
+	}
+	busy := m.span * time.Duration(m.slots) / time.Duration(max(m.ended(), 1))
+	return min(busy, m.latency())
+}
+
+// over returns the measurement of the last intervals.
+func (e *endpoint) over(intervals int, interval time.Duration) measurement {
+	slots := e.slots
+	if slots <= 0 {
+		slots = defaultSlots
+	}
+	return measurement{EndpointCalls: e.sum(intervals), span: time.Duration(intervals) * interval, slots: slots}
+}
+
+// recent returns the shortest measurement that has enough calls.
+func (e *endpoint) recent(interval time.Duration) measurement {
+	m := e.over(minRecentIntervals, interval)
+	for n := minRecentIntervals + 1; n <= maxRecentIntervals && m.ended() < recentCalls; n++ {
+		m = e.over(n, interval)
+	}
+	return m
+}
+
+// judge judges all endpoints by the counts of the last intervals.
+func (sv *service) judge(interval time.Duration) []Change {
+	names := sv.names()
+	for _, name := range names {
+		sv.endpoints[name].measure(interval)
+	}
+	typical, base := sv.typicalServiceTime(), sv.baseFailureRate(interval)
+	var out []Change
+	for _, name := range names {
+		e := sv.endpoints[name]
+		slow, failing := e.slow, e.failing
+		e.judgeSpeed(typical)
+		e.judgeFailures(interval, base)
+		e.adjustCap(slow && (!e.slow || e.votes > 0) || failing && !e.failing)
+		out = appendChange(out, name, Slow, slow, e.slow)
+		out = appendChange(out, name, Failing, failing, e.failing)
+	}
+	return out
+}
+
+func appendChange(out []Change, name id.Endpoint, kind ChangeKind, was, is bool) []Change {
+	if was == is {
+		return out
+	}
+	return append(out, Change{Endpoint: name, Kind: kind, Began: is})
+}
+
+// ends returns the changes of an endpoint that leaves.
+func (e *endpoint) ends(name id.Endpoint) []Change {
+	out := appendChange(nil, name, Slow, e.slow, false)
+	return appendChange(out, name, Failing, e.failing, false)
+}
+
+// measure updates the service time. The average over the history has less noise; the recent one
+// is used if it differs much.
+func (e *endpoint) measure(interval time.Duration) {
+	recent, average := e.recent(interval).serviceTime(), e.over(historyLength, interval).serviceTime()
+	switch {
+	case recent == 0 && average == 0:
+		return
+	case recent == 0:
+		e.serviceTime = average
+	case ratio(recent, average) > changedRatio || ratio(average, recent) > changedRatio:
+		e.serviceTime = recent
+	default:
+		e.serviceTime = average
+	}
+}
+
+func ratio(a, b time.Duration) float64 { return float64(a) / float64(max(b, 1)) }
+
+// typicalServiceTime returns the lower quartile of the known service times, or 0.
+func (sv *service) typicalServiceTime() time.Duration {
+	var known []time.Duration
+	for _, e := range sv.endpoints {
+		if e.serviceTime > 0 {
+			known = append(known, e.serviceTime)
+		}
+	}
+	if len(known) == 0 {
+		return 0
+	}
+	slices.Sort(known)
+	return known[(len(known)-1)/4]
+}
+
+// baseFailureRate returns the lower quartile of the failure rates of endpoints with enough
+// calls, or 0. Calls fail at this rate on sound endpoints too.
+func (sv *service) baseFailureRate(interval time.Duration) float64 {
+	var known []float64
+	for _, e := range sv.endpoints {
+		if rate, n := e.over(historyLength, interval).failures(); n >= failingCalls {
+			known = append(known, rate)
+		}
+	}
+	if len(known) == 0 {
+		return 0
+	}
+	slices.Sort(known)
+	return known[(len(known)-1)/4]
+}
+
+// failures returns the part of the calls that have failed or were refused, and their number.
+func (m measurement) failures() (rate float64, n int64) {
+	n = m.ended() + m.Refused
+	return float64(m.Failed+m.Refused) / float64(max(n, 1)), n
+}
+
+// judgeSpeed decides whether the service time differs from the typical one.
+func (e *endpoint) judgeSpeed(typical time.Duration) {
+	if e.serviceTime == 0 || typical == 0 {
+		return
+	}
+	slower := ratio(e.serviceTime, typical)
+	factor := max(slower, 1/slower)
+	switch differs := factor > differingRatio; {
+	case differs == e.differs:
+		e.votes = 0
+	case differs && factor > certainRatio:
+		e.votes = votesNeeded
+	default:
+		e.votes++
+	}
+	if e.votes >= votesNeeded {
+		e.differs, e.votes = !e.differs, 0
+	}
+	e.slow = e.differs && slower > 1
+}
+
+// judgeFailures decides whether the failure rate exceeds the base rate noticeably, either
+// lately or on average.
+func (e *endpoint) judgeFailures(interval time.Duration, base float64) {
+	average := e.over(historyLength, interval)
+	e.failureRate, _ = average.failures()
+	if !e.failing {
+		e.failing = exceeds(e.over(minRecentIntervals, interval), base) || exceeds(average, base)
+		e.failVotes = 0
+		return
+	}
+	if !e.isSound(interval, base) {
+		e.failVotes = 0
+		return
+	}
+	e.failVotes++
+	if e.failVotes >= votesNeeded {
+		e.failing, e.failVotes = false, 0
+	}
+}
+
+// exceeds reports whether the failure rate exceeds the base rate by more than chance explains.
+func exceeds(m measurement, base float64) bool {
+	rate, n := m.failures()
+	p := max(base, minFailureRate)
+	noise := failingDeviations * math.Sqrt(p*(1-p)/float64(max(n, 1)))
+	return n >= failingCalls && rate-base > max(failingExcess, noise)
+}
+
+// isSound reports whether the last calls to an endpoint do not fail noticeably more than others.
+func (e *endpoint) isSound(interval time.Duration, base float64) bool {
+	for intervals := 1; intervals <= historyLength; intervals++ {
+		rate, n := e.over(intervals, interval).failures()
+		if n >= recoveredCalls {
+			return rate-base < recoveredExcess
+		}
+	}
+	return false
+}
--- a/fleet/table/table.go
+++ b/fleet/table/table.go
@@ -78,6 +78,10 @@
 	// AZ is the availability zone of the endpoint if Zone is a larger scheduling
 	// domain. Otherwise it is empty.
 	AZ id.Zone
+
+	// Slots is the number of calls that a plain service runs concurrently, as its
+	// registration states it. 0 is unknown. It has no column in the table.
+	Slots int64
 }
 
 // Route is what a caller addresses: the "model" field of a model request, or
