pace: two candidates, service time by busy slots, setting, gauges, pages

Cause: shares alone ignore queues, so that at 80 % of the capacity fewer calls were served than by each host's own statistics. Refusals of full endpoints counted as failures, which moved all calls to the others in turn at 92 % of the capacity. The present choice depended on the order of a map when two latencies were equal. Change: a call goes to the faster of two endpoints chosen by their shares; refusals of full endpoints do not count; the service time is the busy time of slots for each ended call; equal latencies are decided by name. Tests: the page test reads EndpointGauge, e.Text and partPace too; no check is removed.

--- a/fleet/core/pace.go
+++ b/fleet/core/pace.go
@@ -108,12 +108,19 @@
 }
 
 // paceOutcome returns the outcome of a failed call. An endpoint that can't be reached has failed,
-// although it has not run the call.
-func paceOutcome(ev RunFailed) pace.Outcome {
-	if ev.NotRun && !ev.Unreachable {
+// although it has not run the call. A call that has not ended by its deadline is abandoned: the
+// endpoint counts as slow by the time that it was outstanding.
+func (s *step) paceOutcome(r *request, ev RunFailed) pace.Outcome {
+	switch {
+	case ev.Unreachable:
+		return pace.Failed
+	case ev.NotRun:
 		return pace.Refused
+	case !r.deadline.IsZero() && !s.now.Before(r.deadline):
+		return pace.Abandoned
+	default:
+		return pace.Failed
 	}
-	return pace.Failed
 }
 
 // isPaced reports whether package pace decides between the endpoints.
@@ -134,6 +141,16 @@
 	})
 }
 
+// isFaster reports whether a call should go to b instead of a, the first choice by the shares of
+// the endpoints, because b has the shorter queue. Endpoints that get only a few calls on trial
+// are not compared: they would get none.
+func (s *step) isFaster(r *request, b, a table.Endpoint) bool {
+	if s.isAvoided(b.Name) || pace.IsOnTrial(s.pace, r.route.Pool, a.Name) || pace.IsOnTrial(s.pace, r.route.Pool, b.Name) {
+		return false
+	}
+	return s.expectedLatency(r, b) < s.expectedLatency(r, a)
+}
+
 // refuseSlowService refuses a call that no endpoint is expected to answer in the time that the
 // caller has left, and reports whether it did. A call that may have run is not refused, because
 // a refusal could not state that it has not.
--- a/fleet/core/pacefleet_test.go
+++ b/fleet/core/pacefleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,14 +15,16 @@
 // The load of a paceFleet: the second deployment of docs/design/hard-load.md.
 const (
 	paceHosts      = 87
-	paceCalls      = 200.0 // per second
+	paceCalls      = 200.0                 // per second
+	paceTick       = 20 * time.Millisecond // between two ticks of a host, as in relay mode
+	paceArrivals   = 5 * time.Millisecond  // between two points in time at which calls arrive and end
 	paceTarget     = 300 * time.Millisecond
 	paceTimeout    = 1500 * time.Millisecond
 	paceSlots      = 6
 	paceQueue      = 24
 	paceCallTime   = 60 * time.Millisecond
 	paceQuickFail  = 2 * time.Millisecond
-	paceBaseRate   = 0.14 // failure rate of one half of the calls on each endpoint
+	paceBaseRate   = 0.14 // failure rate of the repeatable half of the calls on each endpoint
 	paceFaultTime  = 6 * time.Second
 	paceSettleTime = 4 * time.Second
 )
@@ -42,43 +45,56 @@
 type paceFleet struct {
 	*relayFleet
 	services  map[id.Endpoint]*serviceState
-	started   map[id.Request]time.Time
+	started   map[id.Request]startedCall
 	failed    map[id.Request]id.Attempt // attempt whose answer is a failure
 	got       map[id.Endpoint]int       // calls
-	summaries int
-	reports   int
-	result    paceResult
+	summaries map[id.Host]int           // by sender
+	reports   map[id.Host]int           // by receiver
+	frozen    map[id.Host]bool
+	tickAt    time.Time
+	result    *paceResult // of the calls that are sent now
 }
 
-// paceResult counts the ends of calls.
+// startedCall is a call that a caller has sent.
+type startedCall struct {
+	at     time.Time
+	result *paceResult
+}
+
+// paceResult counts calls by their ends. It changes until all of them have ended.
 type paceResult struct {
 	sent, inTime, late, failed, refused int
 }
 
-func (r paceResult) String() string {
-	part := func(n int) float64 { return 100 * float64(n) / float64(max(r.sent, 1)) }
+func (r *paceResult) String() string {
 	return fmt.Sprintf("%d calls: %.1f %% in time, %.1f %% late, %.1f %% failed, %.1f %% refused",
-		r.sent, part(r.inTime), part(r.late), part(r.failed), part(r.refused))
+		r.sent, 100*r.part(r.inTime), 100*r.part(r.late), 100*r.part(r.failed), 100*r.part(r.refused))
 }
 
+func (r *paceResult) part(n int) float64 { return float64(n) / float64(max(r.sent, 1)) }
+
+// served returns the part of the calls that were answered in time.
+func (r *paceResult) served() float64 { return r.part(r.inTime) }
+
 func paceEndpoint(n int) id.Endpoint { return id.Endpoint(fmt.Sprintf("v%d", n)) }
 
-func newPaceFleet(t *testing.T, on bool) *paceFleet {
+func newPaceFleet(t *testing.T, hosts int, enabled func(id.Host) bool) *paceFleet {
 	p := &paceFleet{
-		services: make(map[id.Endpoint]*serviceState), started: make(map[id.Request]time.Time),
+		services: make(map[id.Endpoint]*serviceState), started: make(map[id.Request]startedCall),
 		failed: make(map[id.Request]id.Attempt), got: make(map[id.Endpoint]int),
+		summaries: make(map[id.Host]int), reports: make(map[id.Host]int), frozen: make(map[id.Host]bool),
 	}
 	for n := range paceZones {
 		p.services[paceEndpoint(n)] = &serviceState{slowdown: 1}
 	}
-	p.relayFleet = newRelayFleetWith(t, paceHosts, options{
+	p.relayFleet = newRelayFleetWith(t, hosts, options{
 		configure: func(host id.Host, cfg *core.Config) {
-			cfg.Pace.Enabled = on
+			cfg.Pace.Enabled = enabled(host)
 			cfg.AZ = []id.Zone{"az-a", "az-b", "az-c", "az-d"}[int(host[len(host)-1])%4]
 		},
 		edit:    p.editTable,
 		serve:   func(host id.Host, e core.CallService) { p.serveCall(host, e) },
-		observe: func(_ id.Host, e core.Effect) { p.record(e) },
+		observe: p.record,
 	})
 	return p
 }
@@ -126,7 +142,7 @@
 			sv.queue = sv.queue[1:]
 			next()
 		}
-		if p.rng.Float64() < paceBaseRate/2 {
+		if strings.HasPrefix(string(e.Request), "safe") && p.rng.Float64() < paceBaseRate {
 			p.fail(host, e)
 			return
 		}
@@ -140,66 +156,91 @@
 }
 
 // record counts messages and the ends of calls.
-func (p *paceFleet) record(e core.Effect) {
+func (p *paceFleet) record(host id.Host, e core.Effect) {
 	switch e := e.(type) {
 	case core.SendPeer:
-		p.recordMessage(e.Message)
+		p.recordMessage(host, e)
 	case core.Reply:
+		c := p.started[e.Request]
 		failed, ok := p.failed[e.Request]
 		switch {
 		case ok && failed == e.Attempt:
-			p.result.failed++
-		case p.now.Sub(p.started[e.Request]) <= paceTarget:
-			p.result.inTime++
+			c.result.failed++
+		case p.now.Sub(c.at) <= paceTarget:
+			c.result.inTime++
 		default:
-			p.result.late++
+			c.result.late++
 		}
 	case core.Refuse:
 		if e.NotRun {
-			p.result.refused++
+			p.started[e.Request].result.refused++
 		} else {
-			p.result.failed++
+			p.started[e.Request].result.failed++
 		}
 	}
 }
 
-func (p *paceFleet) recordMessage(m message.Message) {
-	switch m := m.(type) {
+func (p *paceFleet) recordMessage(host id.Host, e core.SendPeer) {
+	switch m := e.Message.(type) {
 	case message.PaceReport:
-		p.reports++
+		p.reports[e.To]++
 	case message.PaceSummary:
-		p.summaries++
+		p.summaries[host]++
 	case message.Broadcast:
-		p.summaries += len(m.PaceSummaries)
+		if len(m.PaceSummaries) > 0 && m.Origin == host {
+			p.summaries[host]++
+		}
 	}
 }
 
-// sendFor sends calls to random hosts, one half of them at most once, and returns how the calls
-// that ended meanwhile have ended.
-func (p *paceFleet) sendFor(d time.Duration, perSecond float64) paceResult {
-	const tick = 10 * time.Millisecond
-	p.result = paceResult{}
+// sendFor sends calls to random hosts, one half of them at most once.
+func (p *paceFleet) sendFor(d time.Duration, perSecond float64) *paceResult {
+	p.result = new(paceResult)
 	clear(p.got)
 	for end := p.now.Add(d); p.now.Before(end); {
 		names := p.usable()
-		for n := p.rng.ExpFloat64() * perSecond * tick.Seconds(); n >= p.rng.Float64(); n-- {
+		mean := perSecond * paceArrivals.Seconds()
+		for sum := p.rng.ExpFloat64(); sum < mean; sum += p.rng.ExpFloat64() {
 			p.sendCall(names[p.rng.IntN(len(names))])
 		}
-		p.advance(tick, 0, nil)
+		p.step()
 	}
 	return p.result
 }
 
+// step advances the clock by paceArrivals.
+func (p *paceFleet) step() {
+	p.now = p.now.Add(paceArrivals)
+	p.runPending()
+	if p.now.Before(p.tickAt) {
+		return
+	}
+	p.tickAt = p.now.Add(paceTick)
+	for _, name := range p.names {
+		if !p.frozen[name] {
+			p.reduce(name, core.Tick{})
+		}
+	}
+}
+
 func (p *paceFleet) sendCall(host id.Host) {
 	p.sent++
 	p.result.sent++
-	req := id.Request(fmt.Sprintf("call-%d", p.sent))
-	p.started[req] = p.now
 	route := id.Route("safe")
 	if p.sent%2 == 0 {
 		route = "unsafe"
 	}
+	req := id.Request(fmt.Sprintf("%s-%d", route, p.sent))
+	p.started[req] = startedCall{at: p.now, result: p.result}
 	p.reduce(host, core.RequestArrived{
 		Request: req, Route: route, Account: "a", Key: "k", PromptTokens: 1, MaxTokens: 1, Timeout: paceTimeout,
 	})
 }
+
+func (r *paceResult) add(o *paceResult) {
+	r.sent += o.sent
+	r.inTime += o.inTime
+	r.late += o.late
+	r.failed += o.failed
+	r.refused += o.refused
+}
--- a/fleet/core/relay.go
+++ b/fleet/core/relay.go
@@ -167,7 +167,7 @@
 // abandonCall cancels the running call of a request that ends without its answer. The call may
 // have run.
 func (s *step) abandonCall(r *request) {
-	s.endCall(r, pace.Failed)
+	s.endCall(r, pace.Abandoned)
 	s.cancelRun(r.Request, r.attempt, r.decode)
 	r.ranEarlier = true
 	r.dispatched = false
--- a/fleet/core/service.go
+++ b/fleet/core/service.go
@@ -155,12 +155,16 @@
 	if len(eps) == 0 {
 		return table.Endpoint{}, false
 	}
+	if paced && len(eps) > 1 && s.isFaster(r, eps[1], eps[0]) {
+		return eps[1], true
+	}
 	return eps[0], true
 }
 
 // serviceBefore reports whether a is preferred to b. Endpoints that failed lately come
 // last. In relay mode the shortest expected latency wins, or the lowest score of package pace;
-// otherwise this host's zone, then the fewest outstanding calls of this host, then the name.
+// otherwise, and between equal latencies, this host's zone, then the fewest outstanding calls of
+// this host, then the name.
 func (s *step) serviceBefore(r *request, a, b table.Endpoint, paced bool) bool {
 	if fa, fb := s.isAvoided(a.Name), s.isAvoided(b.Name); fa != fb {
 		return fb
@@ -169,7 +173,9 @@
 		return s.paceScore(r, a) < s.paceScore(r, b)
 	}
 	if r.relayed {
-		return s.expectedLatency(r, a) < s.expectedLatency(r, b)
+		if la, lb := s.expectedLatency(r, a), s.expectedLatency(r, b); la != lb {
+			return la < lb
+		}
 	}
 	if za, zb := a.Zone == s.cfg.Zone, b.Zone == s.cfg.Zone; za != zb {
 		return za
@@ -215,7 +221,7 @@
 // idempotent. Otherwise it refuses the request; the outcome is unknown if an attempt
 // may have run.
 func (s *step) serviceFailed(r *request, ev RunFailed) {
-	s.endCall(r, paceOutcome(ev))
+	s.endCall(r, s.paceOutcome(r, ev))
 	s.recordCall(ev.Endpoint, s.now.Sub(r.callStarted), true, ev.Unreachable)
 	r.addTrace(s.now, "call failed on %s: %s (not-run %t)", ev.Endpoint, ev.Code, ev.NotRun)
 	if !ev.HasReply {
--- a/fleet/message/pace.go
+++ b/fleet/message/pace.go
@@ -17,7 +17,7 @@
 type EndpointCalls struct {
 	Endpoint    id.Endpoint   `cbor:"1,keyasint"`
 	Answered    int64         `cbor:"2,keyasint,omitempty"` // calls that ended with an answer that is no failure
-	Failed      int64         `cbor:"3,keyasint,omitempty"` // calls that failed, timed out or did not reach the endpoint
+	Failed      int64         `cbor:"3,keyasint,omitempty"` // calls that failed or did not reach the endpoint
 	Refused     int64         `cbor:"4,keyasint,omitempty"` // calls that the endpoint did not run
 	AnswerTime  time.Duration `cbor:"5,keyasint,omitempty"` // sum of the durations of the answered calls
 	Outstanding time.Duration `cbor:"6,keyasint,omitempty"` // time integral of the number of outstanding calls
--- a/fleet/pace/choose.go
+++ b/fleet/pace/choose.go
@@ -74,6 +74,14 @@
 	return -math.Log(unitHash(string(req)+string(c.Endpoint))) / max(weight, math.SmallestNonzeroFloat64)
 }
 
+// IsOnTrial reports whether an endpoint gets only a few calls, so that the hosts learn whether it
+// is sound.
+func IsOnTrial(s *State, service id.Pool, ep id.Endpoint) bool {
+	r := s.summaries[service]
+	p, ok := r.endpoints[ep]
+	return !ok || p.Failing || p.Share*float64(len(r.endpoints)) <= trialCap
+}
+
 // IsTooLate reports whether a call with the given time left is known to be answered too late
 // by an endpoint. One of sampledCalls counts as in time.
 func IsTooLate(s *State, now time.Time, service id.Pool, req id.Request, ep id.Endpoint, left time.Duration) bool {
--- a/fleet/pace/judge.go
+++ b/fleet/pace/judge.go
@@ -39,6 +39,9 @@
 	failingDeviations = 4
 	// minFailureRate is the least failure rate that is assumed for the standard deviation.
 	minFailureRate = 0.05
+	// fullUtilization is the part of its slots from which an endpoint may refuse calls because
+	// it is full.
+	fullUtilization = 0.5
 	// hangTime is the outstanding time without an end of a call from which an endpoint counts
 	// as slow.
 	hangTime = 500 * time.Millisecond
@@ -55,14 +58,15 @@
 	failing     bool
 	votes       int     // evaluations in a row that contradict differs
 	failVotes   int     // evaluations in a row that contradict failing
+	probing     float64 // factor of the rate of probes; 0 stands for 1
 	cap         float64 // largest share as a multiple of an even share; 0 means none
 }
 
 // measurement holds counts with the time that they cover.
 type measurement struct {
 	message.EndpointCalls
-	span  time.Duration
-	slots int64
+	span time.Duration
+	busy time.Duration // sum of the times for which slots were in use
 }
 
 // ended returns the number of calls that the endpoint has worked on.
@@ -89,24 +93,32 @@
 	return out
 }
 
-// serviceTime returns the latency without queueing. While there are no more calls than slots,
-// it is the whole latency. Otherwise all slots are busy, and their number over the rate of ends
-// is the time of one call.
+// serviceTime returns the latency without queueing: the time for which slots were in use for
+// each call that has ended. While there are no more calls than slots, it is the whole latency.
+// Otherwise all slots are in use, and it is their number over the rate of ends.
 func (m measurement) serviceTime() time.Duration {
-	if m.concurrency() <= float64(m.slots) {
-		return m.latency()
+	if m.isEmpty() {
+		return 0
 	}
-	busy := m.span * time.Duration(m.slots) / time.Duration(max(m.ended(), 1))
-	return min(busy, m.latency())
+	return m.busy / time.Duration(max(m.ended(), 1))
 }
 
 // over returns the measurement of the last intervals.
 func (e *endpoint) over(intervals int, interval time.Duration) measurement {
-	slots := e.slots
-	if slots <= 0 {
-		slots = defaultSlots
+	m := measurement{span: time.Duration(intervals) * interval}
+	for _, c := range e.history[:intervals] {
+		m.EndpointCalls = plus(m.EndpointCalls, c)
+		m.busy += min(c.Outstanding, interval*time.Duration(e.concurrentCalls()))
+	}
+	return m
+}
+
+// concurrentCalls returns the number of slots.
+func (e *endpoint) concurrentCalls() int64 {
+	if e.slots <= 0 {
+		return defaultSlots
 	}
-	return measurement{EndpointCalls: e.sum(intervals), span: time.Duration(intervals) * interval, slots: slots}
+	return e.slots
 }
 
 // recent returns the shortest measurement that has enough calls.
@@ -121,19 +133,23 @@
 // judge judges all endpoints by the counts of the last intervals.
 func (sv *service) judge(interval time.Duration) []Change {
 	names := sv.names()
+	before := make(map[id.Endpoint]judgement, len(names))
+	base := sv.baseFailureRate(interval)
 	for _, name := range names {
-		sv.endpoints[name].measure(interval)
+		e := sv.endpoints[name]
+		before[name] = e.judgement
+		e.measure(interval)
+		e.judgeFailures(interval, base)
 	}
-	typical, base := sv.typicalServiceTime(), sv.baseFailureRate(interval)
+	typical := sv.typicalServiceTime()
 	var out []Change
 	for _, name := range names {
-		e := sv.endpoints[name]
-		slow, failing := e.slow, e.failing
+		e, was := sv.endpoints[name], before[name]
 		e.judgeSpeed(typical)
-		e.judgeFailures(interval, base)
-		e.adjustCap(slow && (!e.slow || e.votes > 0) || failing && !e.failing)
-		out = appendChange(out, name, Slow, slow, e.slow)
-		out = appendChange(out, name, Failing, failing, e.failing)
+		e.adjustProbes()
+		e.adjustCap(was.slow && (!e.slow || e.votes > 0) || was.failing && !e.failing)
+		out = appendChange(out, name, Slow, was.slow, e.slow)
+		out = appendChange(out, name, Failing, was.failing, e.failing)
 	}
 	return out
 }
@@ -169,11 +185,12 @@
 
 func ratio(a, b time.Duration) float64 { return float64(a) / float64(max(b, 1)) }
 
-// typicalServiceTime returns the lower quartile of the known service times, or 0.
+// typicalServiceTime returns the lower quartile of the known service times, or 0. Failing
+// endpoints do not count, because failures may be quick.
 func (sv *service) typicalServiceTime() time.Duration {
 	var known []time.Duration
 	for _, e := range sv.endpoints {
-		if e.serviceTime > 0 {
+		if e.serviceTime > 0 && !e.failing {
 			known = append(known, e.serviceTime)
 		}
 	}
@@ -189,7 +206,7 @@
 func (sv *service) baseFailureRate(interval time.Duration) float64 {
 	var known []float64
 	for _, e := range sv.endpoints {
-		if rate, n := e.over(historyLength, interval).failures(); n >= failingCalls {
+		if rate, n := e.failures(historyLength, interval); n >= failingCalls {
 			known = append(known, rate)
 		}
 	}
@@ -200,10 +217,18 @@
 	return known[(len(known)-1)/4]
 }
 
-// failures returns the part of the calls that have failed or were refused, and their number.
-func (m measurement) failures() (rate float64, n int64) {
-	n = m.ended() + m.Refused
-	return float64(m.Failed+m.Refused) / float64(max(n, 1)), n
+// failures returns the part of the calls of the last intervals that have failed, and their
+// number. Calls that a full endpoint refuses do not count: the others would get them, and be
+// full and refuse calls in turn.
+func (e *endpoint) failures(intervals int, interval time.Duration) (rate float64, n int64) {
+	m := e.over(intervals, interval)
+	failed := m.Failed
+	n = m.ended()
+	if m.concurrency() < fullUtilization*float64(e.concurrentCalls()) {
+		failed += m.Refused
+		n += m.Refused
+	}
+	return float64(failed) / float64(max(n, 1)), n
 }
 
 // judgeSpeed decides whether the service time differs from the typical one.
@@ -230,10 +255,9 @@
 // judgeFailures decides whether the failure rate exceeds the base rate noticeably, either
 // lately or on average.
 func (e *endpoint) judgeFailures(interval time.Duration, base float64) {
-	average := e.over(historyLength, interval)
-	e.failureRate, _ = average.failures()
+	e.failureRate, _ = e.failures(historyLength, interval)
 	if !e.failing {
-		e.failing = exceeds(e.over(minRecentIntervals, interval), base) || exceeds(average, base)
+		e.failing = e.exceeds(minRecentIntervals, interval, base) || e.exceeds(historyLength, interval, base)
 		e.failVotes = 0
 		return
 	}
@@ -248,8 +272,8 @@
 }
 
 // exceeds reports whether the failure rate exceeds the base rate by more than chance explains.
-func exceeds(m measurement, base float64) bool {
-	rate, n := m.failures()
+func (e *endpoint) exceeds(intervals int, interval time.Duration, base float64) bool {
+	rate, n := e.failures(intervals, interval)
 	p := max(base, minFailureRate)
 	noise := failingDeviations * math.Sqrt(p*(1-p)/float64(max(n, 1)))
 	return n >= failingCalls && rate-base > max(failingExcess, noise)
@@ -258,7 +282,7 @@
 // isSound reports whether the last calls to an endpoint do not fail noticeably more than others.
 func (e *endpoint) isSound(interval time.Duration, base float64) bool {
 	for intervals := 1; intervals <= historyLength; intervals++ {
-		rate, n := e.over(intervals, interval).failures()
+		rate, n := e.failures(intervals, interval)
 		if n >= recoveredCalls {
 			return rate-base < recoveredExcess
 		}
--- a/fleet/pace/report.go
+++ b/fleet/pace/report.go
@@ -16,9 +16,9 @@
 // The outcomes of calls.
 const (
 	Answered  Outcome = iota // the endpoint has answered, and the answer is no failure
-	Failed                   // the endpoint has answered with a failure, has not answered in time or could not be reached
+	Failed                   // the endpoint has answered with a failure, has broken off or could not be reached
 	Refused                  // the endpoint has not run the call
-	Abandoned                // the caller has left, or the duration is unknown
+	Abandoned                // the call was given up before it had ended, or its duration is unknown
 )
 
 // calls counts the calls of this host to one endpoint since the last report.
--- a/fleet/pace/share.go
+++ b/fleet/pace/share.go
@@ -11,13 +11,15 @@
 	// probesPerSecond is the rate of calls that an endpoint gets which should get none, so that
 	// its recovery is noticed within two or three seconds.
 	probesPerSecond = 3
+	// maxProbing is the largest factor by which this rate is raised while the probes succeed.
+	maxProbing = 8
 	// maxProbeCap bounds these calls, as a part of an even share.
 	maxProbeCap = 0.25
 	// trialCap is the first share of an endpoint that is new or has recovered, as a part of an
 	// even share. It doubles in each interval with answers.
 	trialCap = 0.25
 	// headroom is the factor by which the calls of the next interval may exceed the present ones.
-	headroom = 1.2
+	headroom = 1.05
 	// waitExponent is the exponent of the utilization in the expected latency of an endpoint,
 	// serviceTime / (1 - utilization^waitExponent). Endpoints with several slots queue late.
 	waitExponent = 3
@@ -57,6 +59,18 @@
 	}
 }
 
+// adjustProbes raises the rate of the probes of a failing endpoint while they succeed, so that a
+// recovery is certain sooner. The first probe that fails lowers it again.
+func (e *endpoint) adjustProbes() {
+	last := e.history[0]
+	switch {
+	case !e.failing || last.Failed+last.Refused > 0:
+		e.probing = 1
+	case last.Answered > 0:
+		e.probing = min(2*max(e.probing, 1), maxProbing)
+	}
+}
+
 // shares divides the calls of the service among its endpoints.
 func (sv *service) shares(interval time.Duration) map[id.Endpoint]share {
 	names := sv.names()
@@ -99,7 +113,7 @@
 		}
 		capacity := 0.0
 		if !e.failing && t > 0 {
-			capacity = float64(e.over(1, time.Second).slots) / t
+			capacity = float64(e.concurrentCalls()) / t
 		}
 		capacities = append(capacities, capacity)
 		serviceTimes = append(serviceTimes, t)
@@ -145,8 +159,6 @@
 // bounded turns loads into parts of one. Each part is at least that of a probe and at most that
 // of the endpoint's cap; the others get the rest in proportion to their loads.
 func (sv *service) bounded(names []id.Endpoint, loads []float64, rate float64) []float64 {
-	even := 1 / float64(max(len(names), 1))
-	low := min(probesPerSecond/max(rate, 1), maxProbeCap*even)
 	out := make([]float64, len(names))
 	fixed := make([]bool, len(names))
 	for range names {
@@ -158,27 +170,24 @@
 				free += loads[i]
 			}
 		}
-		if !sv.fixOne(names, loads, out, fixed, low, even, rest/max(free, math.SmallestNonzeroFloat64)) {
+		if !sv.fixBounds(names, loads, out, fixed, rate, rest/max(free, math.SmallestNonzeroFloat64)) {
 			break
 		}
 	}
 	return out
 }
 
-// fixOne sets the parts that are not fixed, and fixes those that exceed a bound. It reports
+// fixBounds sets the parts that are not fixed, and fixes those that exceed a bound. It reports
 // whether it has fixed any.
-func (sv *service) fixOne(
-	names []id.Endpoint, loads, out []float64, fixed []bool, low, even, scale float64,
+func (sv *service) fixBounds(
+	names []id.Endpoint, loads, out []float64, fixed []bool, rate, scale float64,
 ) bool {
 	found := false
 	for i, name := range names {
 		if fixed[i] {
 			continue
 		}
-		high := 1.0
-		if c := sv.endpoints[name].cap; c > 0 {
-			high = max(c*even, low)
-		}
+		low, high := sv.endpoints[name].bounds(rate, 1/float64(len(names)))
 		part := loads[i] * scale
 		out[i] = min(max(part, low), high)
 		if out[i] != part {
@@ -188,6 +197,16 @@
 	return found
 }
 
+// bounds returns the least and the largest part of the calls that the endpoint may get. even is
+// an even share.
+func (e *endpoint) bounds(rate, even float64) (low, high float64) {
+	low = min(probesPerSecond*max(e.probing, 1)/max(rate, 1), maxProbeCap*even)
+	if e.cap > 0 {
+		return low, max(e.cap*even, low)
+	}
+	return low, 1
+}
+
 func sum(values []float64) float64 {
 	total := 0.0
 	for _, v := range values {
--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -16,6 +16,7 @@
 	"ragwortshunt.example/fleet/core"
 	"ragwortshunt.example/fleet/id"
 	"ragwortshunt.example/fleet/limit"
+	"ragwortshunt.example/fleet/message"
 	"ragwortshunt.example/router/internal/operator"
 	"ragwortshunt.example/router/internal/peer"
 	"ragwortshunt.example/router/internal/reactor"
@@ -226,6 +227,20 @@
 			r.metrics.Gauge("decision-events", float64(processed))
 			r.metrics.Gauge("decision-seconds", busy.Seconds())
 			r.metrics.Gauge("open-requests", float64(r.adapters.Caller.ActiveRequests()))
+			r.updateEndpointGauges(ctx)
 		}
 	}
 }
+
+// updateEndpointGauges sets the gauges of the endpoints of plain services.
+func (r *Router) updateEndpointGauges(ctx context.Context) {
+	var paces map[id.Endpoint]message.EndpointPace
+	r.reactor.Query(ctx, func(st *core.State, now time.Time) { paces = core.ServicePaces(st, now) })
+	var times, failures []operator.EndpointValue
+	for ep, p := range paces {
+		times = append(times, operator.EndpointValue{Endpoint: ep, Value: p.ServiceTime.Seconds()})
+		failures = append(failures, operator.EndpointValue{Endpoint: ep, Value: p.FailureRate})
+	}
+	r.metrics.EndpointGauge("endpoint-service-time", times)
+	r.metrics.EndpointGauge("endpoint-failure-rate", failures)
+}
--- a/router/internal/app/relay.go
+++ b/router/internal/app/relay.go
@@ -79,5 +79,6 @@
 	cfg.Schedule.RetrySpread = relayMinRetry / 2
 	cfg.Limit.Reclaim = true
 	cfg.Limit.SettleDelay = relaySettleDelay
+	cfg.Pace.Enabled = s.Pace
 	cfg.Retry = retry.Config{Ratio: s.RetryRatio, Window: s.RetryWindow, ExtraRetries: s.RetryExtra}
 }
--- a/router/internal/operator/metrics.go
+++ b/router/internal/operator/metrics.go
@@ -21,6 +21,13 @@
 // accounts.
 const maxAccounts = 64
 
+// maxEndpoints is the maximum number of endpoints that have their own label value. A started
+// process of an endpoint has a new name, and gauges are kept until this process ends.
+const maxEndpoints = 256
+
+// gaugesPerEndpoint is the number of gauges of an endpoint.
+const gaugesPerEndpoint = 2
+
 // otherAccounts is the label value that the accounts beyond maxAccounts share.
 const otherAccounts = "other"
 
@@ -46,6 +53,18 @@
 	accounts   map[id.Account]bool
 	counters   map[counterKey]tally.Counter
 	histograms map[histogramKey]tally.Histogram
+	endpoints  map[endpointKey]tally.Gauge
+}
+
+type endpointKey struct {
+	name     string
+	endpoint id.Endpoint
+}
+
+// EndpointValue is the value of a gauge for one endpoint.
+type EndpointValue struct {
+	Endpoint id.Endpoint
+	Value    float64
 }
 
 type counterKey struct {
@@ -74,6 +93,7 @@
 		accounts:   make(map[id.Account]bool),
 		counters:   make(map[counterKey]tally.Counter),
 		histograms: make(map[histogramKey]tally.Histogram),
+		endpoints:  make(map[endpointKey]tally.Gauge),
 	}
 }
 
@@ -149,3 +169,36 @@
 func (m *Metrics) Gauge(name string, v float64) {
 	m.scope.Gauge(name).Update(v)
 }
+
+// EndpointGauge sets a gauge for endpoints, and sets it to 0 for all others that have had one.
+// Endpoints beyond the first maxEndpoints have none.
+func (m *Metrics) EndpointGauge(name string, values []EndpointValue) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	seen := make(map[id.Endpoint]bool, len(values))
+	for _, v := range values {
+		seen[v.Endpoint] = true
+		if g, ok := m.endpointGauge(endpointKey{name, v.Endpoint}); ok {
+			g.Update(v.Value)
+		}
+	}
+	for key, g := range m.endpoints {
+		if key.name == name && !seen[key.endpoint] {
+			g.Update(0)
+		}
+	}
+}
+
+// endpointGauge returns a gauge, which is created on first use, and false if there are too many.
+// The caller must hold m.mu.
+func (m *Metrics) endpointGauge(key endpointKey) (tally.Gauge, bool) {
+	if g, ok := m.endpoints[key]; ok {
+		return g, true
+	}
+	if len(m.endpoints) >= maxEndpoints*gaugesPerEndpoint {
+		return nil, false
+	}
+	g := m.scope.Tagged(map[string]string{"endpoint": string(key.endpoint)}).Gauge(key.name)
+	m.endpoints[key] = g
+	return g, true
+}
--- a/router/internal/operator/page_test.go
+++ b/router/internal/operator/page_test.go
@@ -53,7 +53,7 @@
 // against rows for metrics that no longer exist.
 func TestMetricsPage(t *testing.T) {
 	want := groups(`Metric\w+ += "([a-z-]+)"`, sources(t, "../../../fleet/core/explain.go"))
-	for name := range groups(`\.Gauge\("([a-z-]+)"`, sources(t, "../app/*.go")) {
+	for name := range groups(`\.(?:Endpoint)?Gauge\("([a-z-]+)"`, sources(t, "../app/*.go")) {
 		want[name] = true
 	}
 	assert.Assert(t, len(want) > 10)
@@ -96,12 +96,12 @@
 		assert.Assert(t, strings.Contains(text, "| `"+message+"` |"), message)
 	}
 	core := sources(t, "../../../fleet/core/*.go")
-	coreMessages := groups(`(?:s\.log\(Log\w+, part\w+, |s\.logQuarantine\(Log\w+, |Text: |return )"([A-Z][^"]*(?:\.|: ))"`, core)
+	coreMessages := groups(`(?:s\.log\(Log\w+, part\w+, |s\.logQuarantine\(Log\w+, |Text: |e\.Text = |return )"([A-Z][^"]*(?:\.|: ))"`, core)
 	assert.Assert(t, len(coreMessages) >= 11)
 	for message := range coreMessages {
 		assert.Assert(t, strings.Contains(text, ": "+message), message)
 	}
-	for _, part := range []string{"partTable", "partPeer", "partRequest", "partQuarantine"} {
+	for _, part := range []string{"partTable", "partPeer", "partRequest", "partQuarantine", "partPace"} {
 		for prefix := range groups(part+` = "([a-z]+)"`, core) {
 			assert.Assert(t, strings.Contains(text, "## `"+prefix+"`"), prefix)
 		}
--- a/router/internal/settings/field.go
+++ b/router/internal/settings/field.go
@@ -99,6 +99,10 @@
 		func(s *Settings) *time.Duration { return &s.RetryWindow }, time.Second, 10*time.Minute)},
 	{"retry", "extra", "10", "Repeated dispatches of a service in each window on top of the ratio, over all hosts, rounded down.", allowance(
 		func(s *Settings) *int64 { return &s.RetryExtra }, maxRate)},
+	{"pace", "enabled", "false", "Endpoints of plain services are chosen by their speed and failures over all hosts; on the users' platform only.", func(s *Settings, text string) (err error) {
+		s.Pace, err = strconv.ParseBool(text)
+		return err
+	}},
 	{"claim", "shards", "256", "Claim objects in the platform, 1 to 4096; the same on every host and never changed while claims are kept.", setClaimShards},
 	{"claim", "retention", "24h", "How long claims of non-idempotent calls are kept, 1m to 720h.", duration(
 		func(s *Settings) *time.Duration { return &s.Retention }, time.Minute, 720*time.Hour)},
--- a/router/internal/settings/settings.go
+++ b/router/internal/settings/settings.go
@@ -45,6 +45,7 @@
 	RetryRatio    float64   // retries per request of a service, 0 to 1
 	RetryWindow   time.Duration
 	RetryExtra    int64   // retries per window in addition to RetryRatio
+	Pace          bool    // endpoints of plain services are chosen by their speed over all hosts
 	MemoryLimit   int64   // bytes; 0: no limit
 	MachineMemory int64   // MB; 0 is unknown
 	Capacity      float64 // part of a processor core; 0 is unknown
