--- a/fleet/core/pace_test.go
+++ b/fleet/core/pace_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"ragwortshunt.example/fleet/core"
 	"ragwortshunt.example/fleet/id"
 )
 
@@ -65,6 +66,118 @@
 	p.sendFor(2*time.Second, paceCalls)
 	out.again = p.got["v1"]
 	out.fault.add(later)
-	t.Logf("on %t: fault %s; then %s; calls to the endpoint: %d late in the fault, %d later", enabled(""), out.fault, out.after, out.noticed, out.again)
+	t.Logf("on %t: during the fault %s; 4 s after it %s", enabled(""), out.fault, out.after)
+	t.Logf("on %t: %d calls to the endpoint in the last 4 s of the fault, %d in 2 s later", enabled(""), out.noticed, out.again)
 	return out
 }
+
+// The load of a small paceFleet.
+const (
+	fewPaceHosts = 18
+	fewPaceCalls = 120.0
+)
+
+// TestPaceCollectorFault guards against hosts that learn nothing more of slow endpoints once the
+// collector has ended, is frozen, has started again or is behind a cut link.
+func TestPaceCollectorFault(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		fault func(p *paceFleet, collector id.Host)
+		moves bool // the collector changes
+	}{
+		{"none", func(*paceFleet, id.Host) {}, false},
+		{"ended", func(p *paceFleet, c id.Host) { p.endHost(c) }, true},
+		{"frozen", func(p *paceFleet, c id.Host) { p.setFrozen(c, true) }, true},
+		{"woken up", func(p *paceFleet, c id.Host) {
+			p.setFrozen(c, true)
+			p.sendFor(4*time.Second, fewPaceCalls)
+			p.setFrozen(c, false)
+		}, false},
+		{"started again", func(p *paceFleet, c id.Host) {
+			p.endHost(c)
+			p.sendFor(200*time.Millisecond, fewPaceCalls)
+			p.startHost(c, 2)
+		}, false},
+		{"cut link", func(p *paceFleet, _ id.Host) {
+			for n, name := range p.names {
+				p.halves[name] = n%2 == 0
+			}
+		}, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			p := newPaceFleet(t, fewPaceHosts, paceOn)
+			p.sendFor(3*time.Second, fewPaceCalls)
+			before := p.collector()
+			tt.fault(p, before)
+			p.sendFor(4*time.Second, fewPaceCalls)
+			p.collector()
+			p.services["v1"].slowdown = 8
+			p.sendFor(2*time.Second, fewPaceCalls)
+			clear(p.summaries)
+			r := p.sendFor(3*time.Second, fewPaceCalls)
+			got := p.got["v1"]
+			assert.Equal(t, p.collector() != before, tt.moves)
+			p.sendFor(paceTimeout, 0)
+			t.Logf("%s; %d calls to the slow endpoint; summaries %v", r, got, p.summaries)
+			// At most half an even share, on both sides of a cut link together.
+			assert.Assert(t, got < int(fewPaceCalls*3)/len(paceZones)/2, "%d calls to a slow endpoint", got)
+		})
+	}
+}
+
+// TestPaceOldHosts guards against the need for all hosts to have the same version: those that
+// have package pace use the reports of one another, and the others choose as before.
+func TestPaceOldHosts(t *testing.T) {
+	p := newPaceFleet(t, fewPaceHosts, func(h id.Host) bool { return h >= "h5" })
+	p.sendFor(3*time.Second, fewPaceCalls)
+	p.services["v1"].failShare = 0.9
+	p.sendFor(2*time.Second, fewPaceCalls)
+	p.sendFor(2*time.Second, fewPaceCalls)
+	assert.Assert(t, p.got["v1"] > 0)
+	for name := range p.summaries {
+		assert.Assert(t, name >= "h5", "%s sends summaries", name)
+	}
+}
+
+// TestPaceCost guards against more than one report per host and interval, more than one summary
+// per interval, and messages while the service gets no calls.
+func TestPaceCost(t *testing.T) {
+	p := newPaceFleet(t, fewPaceHosts, paceOn)
+	p.sendFor(2*time.Second, 2000)
+	clear(p.summaries)
+	p.collector()
+	p.services["v1"].slowdown = 5
+	p.sendFor(4*time.Second, 500)
+	reports := 0
+	for _, n := range p.reports {
+		reports += n
+	}
+	assert.Assert(t, reports <= 8*(fewPaceHosts-1) && reports > 7*(fewPaceHosts-1), "%d reports", reports)
+	assert.Equal(t, len(p.summaries), 1, "%v", p.summaries)
+	p.sendFor(8*time.Second, 0)
+	clear(p.summaries)
+	p.collector()
+	p.sendFor(3*time.Second, 0)
+	assert.Equal(t, len(p.summaries)+len(p.reports), 0)
+}
+
+// TestPaceRefusal guards against calls that wait for endpoints which answer none in time, against
+// a refusal without a time for the next attempt, and against hosts that go on refusing.
+func TestPaceRefusal(t *testing.T) {
+	p := newPaceFleet(t, fewPaceHosts, paceOn)
+	p.sendFor(2*time.Second, fewPaceCalls)
+	for _, sv := range p.services {
+		sv.silent = true
+	}
+	p.sendFor(3*time.Second, fewPaceCalls)
+	clear(p.refused)
+	r := p.sendFor(2*time.Second, fewPaceCalls)
+	assert.Assert(t, r.part(p.refused[core.CodeServiceSlow]) > 0.7, "refused %v, %s", p.refused, r)
+	for _, sv := range p.services {
+		sv.silent = false
+	}
+	p.sendFor(4*time.Second, fewPaceCalls)
+	r = p.sendFor(2*time.Second, fewPaceCalls)
+	p.sendFor(paceTimeout, 0)
+	assert.Assert(t, r.served() > 0.95, "%s", r)
+}
--- a/fleet/core/pacefleet_test.go
+++ b/fleet/core/pacefleet_test.go
@@ -26,7 +26,7 @@
 	paceQuickFail  = 2 * time.Millisecond
 	paceBaseRate   = 0.14 // failure rate of the repeatable half of the calls on each endpoint
 	paceFaultTime  = 6 * time.Second
-	paceSettleTime = 4 * time.Second
+	paceSettleTime = 4 * time.Second // before and after the fault
 )
 
 // paceZones are the zones of the endpoints.
@@ -50,7 +50,8 @@
 	got       map[id.Endpoint]int       // calls
 	summaries map[id.Host]int           // by sender
 	reports   map[id.Host]int           // by receiver
-	frozen    map[id.Host]bool
+	frozen    map[id.Host]bool          // get no ticks, messages and calls
+	halves    map[id.Host]bool          // side of a cut link; all hosts are on one side without it
 	tickAt    time.Time
 	result    *paceResult // of the calls that are sent now
 }
@@ -82,7 +83,7 @@
 	p := &paceFleet{
 		services: make(map[id.Endpoint]*serviceState), started: make(map[id.Request]startedCall),
 		failed: make(map[id.Request]id.Attempt), got: make(map[id.Endpoint]int),
-		summaries: make(map[id.Host]int), reports: make(map[id.Host]int), frozen: make(map[id.Host]bool),
+		summaries: make(map[id.Host]int), reports: make(map[id.Host]int), frozen: make(map[id.Host]bool), halves: make(map[id.Host]bool),
 	}
 	for n := range paceZones {
 		p.services[paceEndpoint(n)] = &serviceState{slowdown: 1}
@@ -92,9 +93,10 @@
 			cfg.Pace.Enabled = enabled(host)
 			cfg.AZ = []id.Zone{"az-a", "az-b", "az-c", "az-d"}[int(host[len(host)-1])%4]
 		},
-		edit:    p.editTable,
-		serve:   func(host id.Host, e core.CallService) { p.serveCall(host, e) },
-		observe: p.record,
+		edit:      p.editTable,
+		serve:     func(host id.Host, e core.CallService) { p.serveCall(host, e) },
+		observe:   p.record,
+		separated: func(a, b id.Host) bool { return p.halves[a] != p.halves[b] },
 	})
 	return p
 }
@@ -244,3 +246,19 @@
 	r.failed += o.failed
 	r.refused += o.refused
 }
+
+// collector returns the host that has got most reports, and forgets the reports.
+func (p *paceFleet) collector() id.Host {
+	var best id.Host
+	for _, name := range p.names {
+		if best == "" || p.reports[name] > p.reports[best] {
+			best = name
+		}
+	}
+	clear(p.reports)
+	return best
+}
+
+func (p *paceFleet) setFrozen(name id.Host, frozen bool) {
+	p.frozen[name], p.cutOff[name] = frozen, frozen
+}
--- a/fleet/core/relayfleet_test.go
+++ b/fleet/core/relayfleet_test.go
@@ -86,6 +86,7 @@
 	edit      func(snap *table.Snapshot)
 	serve     func(host id.Host, e core.CallService) // takes the place of the sound service endpoints
 	observe   func(host id.Host, e core.Effect)
+	separated func(a, b id.Host) bool // two hosts exchange no messages
 }
 
 // arrival is a request that has reached an endpoint.
@@ -224,7 +225,7 @@
 		}
 		switch e := e.(type) {
 		case core.SendPeer:
-			if f.cutOff[name] || f.cutOff[e.To] {
+			if f.cutOff[name] || f.cutOff[e.To] || f.separated != nil && f.separated(name, e.To) {
 				continue
 			}
 			f.reduce(e.To, core.PeerMessage{From: name, Incarnation: f.incarnations[name], Message: e.Message})
--- a/fleet/pace/judge.go
+++ b/fleet/pace/judge.go
@@ -261,13 +261,15 @@
 		e.failVotes = 0
 		return
 	}
-	if !e.isSound(interval, base) {
+	intervals, sound := e.isSound(interval, base)
+	if !sound {
 		e.failVotes = 0
 		return
 	}
 	e.failVotes++
 	if e.failVotes >= votesNeeded {
 		e.failing, e.failVotes = false, 0
+		clear(e.history[intervals:]) // its failures would make it failing again
 	}
 }
 
@@ -279,13 +281,14 @@
 	return n >= failingCalls && rate-base > max(failingExcess, noise)
 }
 
-// isSound reports whether the last calls to an endpoint do not fail noticeably more than others.
-func (e *endpoint) isSound(interval time.Duration, base float64) bool {
-	for intervals := 1; intervals <= historyLength; intervals++ {
+// isSound reports whether the last calls to an endpoint do not fail noticeably more than others,
+// and the number of the intervals in which there are enough of them.
+func (e *endpoint) isSound(interval time.Duration, base float64) (intervals int, sound bool) {
+	for intervals = 1; intervals <= historyLength; intervals++ {
 		rate, n := e.failures(intervals, interval)
 		if n >= recoveredCalls {
-			return rate-base < recoveredExcess
+			return intervals, rate-base < recoveredExcess
 		}
 	}
-	return false
+	return 0, false
 }
