pace: differences beyond chance only

Cause: with random durations, services with few calls were never even: at 10 calls/s the summaries of 30 s named slow endpoints 194 times, at 50 calls/s 88 times, at 200 calls/s 6 times (87 hosts, 6 sound endpoints, durations 0.3 to 1 exponential). Change: a difference must exceed four standard deviations of a mean of that many calls; failure rates assume a base rate of 10 % at least; intervals do not drift with late ticks; gauges only with pace.enabled. Tests of summaries and reports of wrong hosts, gauges, slots.

--- a/fleet/core/pace_test.go
+++ b/fleet/core/pace_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -8,6 +9,9 @@
 
 	"ragwortshunt.example/fleet/core"
 	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/member"
+	"ragwortshunt.example/fleet/message"
+	"ragwortshunt.example/fleet/object"
 )
 
 func paceOn(id.Host) bool  { return true }
@@ -42,6 +46,7 @@
 			assert.Assert(t, on.fault.served() > off.fault.served(), "served %.3f, off %.3f", on.fault.served(), off.fault.served())
 			assert.Assert(t, on.fault.part(on.fault.failed) <= off.fault.part(off.fault.failed))
 			assert.Assert(t, on.noticed < evenShare(4*time.Second)/4, "%d calls to a faulty endpoint", on.noticed)
+			assert.Assert(t, on.logs >= 2 && on.logs <= 12, "%d log lines", on.logs)
 			assert.Assert(t, on.again > evenShare(2*time.Second)/2, "%d calls to a recovered endpoint", on.again)
 		})
 	}
@@ -52,6 +57,7 @@
 	fault, after *paceResult
 	noticed      int // calls to the endpoint in the last 4 s of the fault
 	again        int // calls to the endpoint in 2 s, from 4 s after the fault on
+	logs         int // lines that an endpoint is slow or failing, or no longer
 }
 
 func measureFault(t *testing.T, fault serviceState, enabled func(id.Host) bool) faultFigures {
@@ -61,13 +67,17 @@
 	out := faultFigures{fault: p.sendFor(2*time.Second, paceCalls)}
 	later := p.sendFor(paceFaultTime-2*time.Second, paceCalls)
 	out.noticed = p.got["v1"]
+	out.fault.add(later)
+	if !enabled("") {
+		t.Logf("off: %s; %d calls to the endpoint in the last 4 s", out.fault, out.noticed)
+		return out
+	}
 	*p.services["v1"] = serviceState{slowdown: 1}
 	out.after = p.sendFor(paceSettleTime, paceCalls)
 	p.sendFor(2*time.Second, paceCalls)
-	out.again = p.got["v1"]
-	out.fault.add(later)
-	t.Logf("on %t: during the fault %s; 4 s after it %s", enabled(""), out.fault, out.after)
-	t.Logf("on %t: %d calls to the endpoint in the last 4 s of the fault, %d in 2 s later", enabled(""), out.noticed, out.again)
+	out.again, out.logs = p.got["v1"], p.logs
+	t.Logf("on: %s; %d calls to the endpoint in the last 4 s", out.fault, out.noticed)
+	t.Logf("on, after the fault: %s; %d calls to the endpoint in 2 s", out.after, out.again)
 	return out
 }
 
@@ -181,3 +191,54 @@
 	p.sendFor(paceTimeout, 0)
 	assert.Assert(t, r.served() > 0.95, "%s", r)
 }
+
+// TestPaceMessages guards against summaries of hosts that do not collect, such as a former
+// collector that covers its own calls only, against the collection of reports that belong to
+// another host, and against the time of a pause of this host in its reports.
+func TestPaceMessages(t *testing.T) {
+	h := newRelayHostWith(t, func(cfg *core.Config) { cfg.Pace.Enabled = true })
+	collector := id.Host("h2")
+	for n := 3; member.Owner([]id.Host{"h1", "other", collector}, "pace/rack") != collector; n++ {
+		collector = id.Host(fmt.Sprintf("h%d", n))
+	}
+	list := []object.Host{{Host: "h1", Zone: relayDomain, Address: "127.0.0.1:1"}}
+	for _, name := range []id.Host{"other", collector} {
+		list = append(list, object.Host{Host: name, Zone: relayDomain, Address: "127.0.0.1:2"})
+	}
+	h.reduce(core.HostsListed{Hosts: list})
+	receive := func(from id.Host, m message.Message) []core.Effect {
+		return h.reduce(core.PeerMessage{From: from, Incarnation: 1, Message: m})
+	}
+	receive("other", message.Heartbeat{Zone: relayDomain})
+	receive(collector, message.Heartbeat{Zone: relayDomain})
+	summary := message.PaceSummary{Service: "rack", Endpoints: []message.EndpointPace{{Endpoint: "s1", Share: 1, ServiceTime: 1}}}
+	receive("other", summary)
+	assert.Equal(t, len(core.ServicePaces(h.st, h.now)), 0)
+	receive(collector, summary)
+	assert.Equal(t, len(core.ServicePaces(h.st, h.now)), 1)
+	calls := []message.EndpointCalls{{Endpoint: "s1", Answered: 50}}
+	receive("other", message.PaceReport{Service: "rack", Endpoints: calls})
+	assert.Assert(t, len(paceMessages(h.advance(1600*time.Millisecond))) == 0)
+	receive(collector, message.Heartbeat{Zone: relayDomain})
+
+	h.sendRequest("r", "unsafe")
+	h.now = h.now.Add(400 * time.Millisecond)
+	reports := paceMessages(h.advance(300 * time.Millisecond))
+	assert.Equal(t, len(reports), 1)
+	outstanding := reports[0].(message.PaceReport).Endpoints[0].Outstanding
+	assert.Assert(t, outstanding < 200*time.Millisecond, "%s", outstanding)
+}
+
+// paceMessages returns the messages of package pace that a host sends.
+func paceMessages(effects []core.Effect) []message.Message {
+	var out []message.Message
+	for _, e := range effects {
+		if e, ok := e.(core.SendPeer); ok {
+			switch m := e.Message.(type) {
+			case message.PaceReport, message.PaceSummary:
+				out = append(out, m)
+			}
+		}
+	}
+	return out
+}
--- a/fleet/core/pacefleet_test.go
+++ b/fleet/core/pacefleet_test.go
@@ -53,6 +53,7 @@
 	frozen    map[id.Host]bool          // get no ticks, messages and calls
 	halves    map[id.Host]bool          // side of a cut link; all hosts are on one side without it
 	tickAt    time.Time
+	logs      int // lines of package pace
 	result    *paceResult // of the calls that are sent now
 }
 
@@ -162,6 +163,10 @@
 	switch e := e.(type) {
 	case core.SendPeer:
 		p.recordMessage(host, e)
+	case core.Log:
+		if e.Component == "pace" {
+			p.logs++
+		}
 	case core.Reply:
 		c := p.started[e.Request]
 		failed, ok := p.failed[e.Request]
--- a/fleet/pace/collect.go
+++ b/fleet/pace/collect.go
@@ -89,7 +89,7 @@
 			delete(s.services, name) // this host does not collect, or has paused: the counts are incomplete
 			continue
 		}
-		sv.shift(now)
+		sv.shift(s.cfg.Interval)
 		changes = append(changes, sv.setEndpoints(eps)...)
 		if sv.isIdle() {
 			delete(s.services, name)
@@ -130,9 +130,9 @@
 // names returns the names of the endpoints, sorted.
 func (sv *service) names() []id.Endpoint { return slices.Sorted(maps.Keys(sv.endpoints)) }
 
-// shift ends an interval.
-func (sv *service) shift(now time.Time) {
-	sv.evaluatedAt = now
+// shift ends an interval. The next one begins at its end, also if the tick was late.
+func (sv *service) shift(interval time.Duration) {
+	sv.evaluatedAt = sv.evaluatedAt.Add(interval)
 	sv.intervals = min(sv.intervals+1, historyLength)
 	for _, e := range sv.endpoints {
 		copy(e.history[1:], e.history[:])
--- a/fleet/pace/judge.go
+++ b/fleet/pace/judge.go
@@ -19,8 +19,16 @@
 	// changedRatio is the ratio of the recent to the average service time above which the
 	// recent one counts. Smaller differences are noise of few calls.
 	changedRatio = 1.4
+	// changedDeviations is the number of standard deviations by which it must differ besides.
+	changedDeviations = 2
 	// differingRatio is the ratio of service times below which endpoints count as equal.
 	differingRatio = 1.2
+	// durationSpread is the standard deviation of the durations of calls, as a part of their
+	// mean, that is assumed. A mean of n calls deviates by durationSpread/sqrt(n).
+	durationSpread = 0.7
+	// differingDeviations is the number of such deviations above which endpoints differ. With 3,
+	// services with few calls had several false alarms a minute.
+	differingDeviations = 4
 	// certainRatio is the ratio above which one evaluation is enough to tell that an endpoint
 	// differs. Below it, and for the end of a difference, votesNeeded agree.
 	certainRatio = 1.5
@@ -31,14 +39,15 @@
 	recoveredExcess = 0.1
 	// failingCalls is the number of calls from which the failure rate of an endpoint is
 	// judged, and recoveredCalls the same for its recovery.
-	failingCalls   = 10
+	failingCalls   = 12
 	recoveredCalls = 8
 	// failingDeviations is the number of standard deviations by which the failure rate must
-	// exceed that of the others. With 3, sound endpoints of a service with a base failure rate
+	// exceed that of the others. With 3, a sound endpoint of a service with a base failure rate
 	// would be taken for failing about once a minute.
 	failingDeviations = 4
-	// minFailureRate is the least failure rate that is assumed for the standard deviation.
-	minFailureRate = 0.05
+	// minFailureRate is the least failure rate that is assumed for the standard deviation. With
+	// half of it, a service with 8 calls per second and endpoint had false alarms.
+	minFailureRate = 0.1
 	// fullUtilization is the part of its slots from which an endpoint may refuse calls because
 	// it is full.
 	fullUtilization = 0.5
@@ -52,6 +61,7 @@
 // judgement is what a collector thinks of an endpoint.
 type judgement struct {
 	serviceTime time.Duration // without queueing; 0 is unknown
+	measured    int64         // calls that serviceTime is the mean of
 	failureRate float64
 	differs     bool // its service time differs from that of the others
 	slow        bool // it differs and is slower
@@ -170,19 +180,24 @@
 // measure updates the service time. The average over the history has less noise; the recent one
 // is used if it differs much.
 func (e *endpoint) measure(interval time.Duration) {
-	recent, average := e.recent(interval).serviceTime(), e.over(historyLength, interval).serviceTime()
+	recent, average := e.recent(interval), e.over(historyLength, interval)
+	now, before := recent.serviceTime(), average.serviceTime()
 	switch {
-	case recent == 0 && average == 0:
+	case now == 0 && before == 0:
 		return
-	case recent == 0:
-		e.serviceTime = average
-	case ratio(recent, average) > changedRatio || ratio(average, recent) > changedRatio:
-		e.serviceTime = recent
+	case now > 0 && max(ratio(now, before), ratio(before, now)) > max(changedRatio, noise(recent.ended(), changedDeviations)):
+		e.serviceTime, e.measured = now, recent.ended()
 	default:
-		e.serviceTime = average
+		e.serviceTime, e.measured = before, average.ended()
 	}
 }
 
+// noise returns the ratio by which a mean of n calls exceeds that of many by chance, at the given
+// number of standard deviations.
+func noise(n int64, deviations int) float64 {
+	return 1 + float64(deviations)*durationSpread/math.Sqrt(float64(max(n, 1)))
+}
+
 func ratio(a, b time.Duration) float64 { return float64(a) / float64(max(b, 1)) }
 
 // typicalServiceTime returns the lower quartile of the known service times, or 0. Failing
@@ -231,14 +246,19 @@
 	return float64(failed) / float64(max(n, 1)), n
 }
 
-// judgeSpeed decides whether the service time differs from the typical one.
+// judgeSpeed decides whether the service time differs from the typical one by more than chance
+// explains.
 func (e *endpoint) judgeSpeed(typical time.Duration) {
 	if e.serviceTime == 0 || typical == 0 {
 		return
 	}
 	slower := ratio(e.serviceTime, typical)
 	factor := max(slower, 1/slower)
-	switch differs := factor > differingRatio; {
+	deviations := differingDeviations
+	if e.differs {
+		deviations = 1
+	}
+	switch differs := factor > max(differingRatio, noise(e.measured, deviations)); {
 	case differs == e.differs:
 		e.votes = 0
 	case differs && factor > certainRatio:
--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -234,6 +234,9 @@
 
 // updateEndpointGauges sets the gauges of the endpoints of plain services.
 func (r *Router) updateEndpointGauges(ctx context.Context) {
+	if !r.settings.Pace {
+		return
+	}
 	var paces map[id.Endpoint]message.EndpointPace
 	r.reactor.Query(ctx, func(st *core.State, now time.Time) { paces = core.ServicePaces(st, now) })
 	var times, failures []operator.EndpointValue
--- a/router/internal/operator/operator_test.go
+++ b/router/internal/operator/operator_test.go
@@ -136,6 +136,24 @@
 	assert.Equal(t, count(`go_goroutines `), 1)
 }
 
+// TestEndpointGauges guards against gauges of endpoints that grow with the number of their
+// restarts, and that keep their last value after the endpoint has left.
+func TestEndpointGauges(t *testing.T) {
+	h, m := newServer(t, newCore())
+	for i := range 1000 {
+		ep := id.Endpoint(fmt.Sprintf("e-%d", i))
+		m.EndpointGauge("endpoint-service-time", []operator.EndpointValue{{Endpoint: ep, Value: 1}})
+		m.EndpointGauge("endpoint-failure-rate", []operator.EndpointValue{{Endpoint: ep, Value: 1}})
+	}
+	m.EndpointGauge("endpoint-service-time", []operator.EndpointValue{{Endpoint: "e-7", Value: 0.5}})
+	assert.NilError(t, m.Close())
+	_, page := get(h, "/metrics")
+	count := func(pattern string) int { return len(regexp.MustCompile("(?m)^"+pattern).FindAllString(page, -1)) }
+	assert.Equal(t, count(`ragwortshunt_endpoint_service_time\{`), 256)
+	assert.Equal(t, count(`ragwortshunt_endpoint_service_time\{endpoint="e-7",host="h-1",zone="a"\} 0.5$`), 1)
+	assert.Equal(t, count(`ragwortshunt_endpoint_service_time\{.*\} 0$`), 255)
+}
+
 // TestLogLine guards against log lines of the decision core without the name of the
 // component as a prefix, with another level, or with missing or empty fields.
 func TestLogLine(t *testing.T) {
