pace: silent services

The shares of endpoints without any rate were not numbers. Change: a changed latency ends the calm interval; calls that have not ended only raise a service time; no division by a load of zero.

--- a/fleet/core/pace_test.go
+++ b/fleet/core/pace_test.go
@@ -67,8 +67,9 @@
 	out := faultFigures{fault: p.sendFor(2*time.Second, paceCalls)}
 	later := p.sendFor(paceFaultTime-2*time.Second, paceCalls)
 	out.noticed = p.got["v1"]
-	out.fault.add(later)
 	if !enabled("") {
+		p.sendFor(paceTimeout, 0)
+		out.fault.add(later)
 		t.Logf("off: %s; %d calls to the endpoint in the last 4 s", out.fault, out.noticed)
 		return out
 	}
@@ -76,6 +77,7 @@
 	out.after = p.sendFor(paceSettleTime, paceCalls)
 	p.sendFor(2*time.Second, paceCalls)
 	out.again, out.logs = p.got["v1"], p.logs
+	out.fault.add(later)
 	t.Logf("on: %s; %d calls to the endpoint in the last 4 s", out.fault, out.noticed)
 	t.Logf("on, after the fault: %s; %d calls to the endpoint in 2 s", out.after, out.again)
 	return out
--- a/fleet/core/pacefleet_test.go
+++ b/fleet/core/pacefleet_test.go
@@ -53,7 +53,7 @@
 	frozen    map[id.Host]bool          // get no ticks, messages and calls
 	halves    map[id.Host]bool          // side of a cut link; all hosts are on one side without it
 	tickAt    time.Time
-	logs      int // lines of package pace
+	logs      int         // lines of package pace
 	result    *paceResult // of the calls that are sent now
 }
 
--- a/fleet/pace/collect.go
+++ b/fleet/pace/collect.go
@@ -42,8 +42,9 @@
 // service is what a collector knows of a service.
 type service struct {
 	evaluatedAt time.Time
-	summaryAt   time.Time // earliest time of the next summary that changes nothing
-	intervals   int       // evaluations so far, at most historyLength
+	summaryAt   time.Time     // earliest time of the next summary that changes nothing
+	latency     time.Duration // mean of the endpoints in the last summary
+	intervals   int           // evaluations so far, at most historyLength
 	endpoints   map[id.Endpoint]*endpoint
 	even        bool
 }
@@ -174,25 +175,41 @@
 // summary returns the summary to send, and false if none is due. A new collector waits until
 // the reports of all hosts have arrived.
 func (sv *service) summary(now time.Time, cfg Config) (message.PaceSummary, bool) {
-	calm := sv.even
-	sv.even = sv.isEven()
-	if sv.intervals < firstSummaryAfter || calm && sv.even && now.Before(sv.summaryAt) {
+	m := message.PaceSummary{Even: sv.isEven(), Endpoints: sv.paces(now, cfg.Interval)}
+	latency := meanLatency(m.Endpoints)
+	changed := max(ratio(latency, sv.latency), ratio(sv.latency, latency)) > changedRatio
+	calm := sv.even && m.Even && !changed
+	if sv.intervals < firstSummaryAfter || calm && now.Before(sv.summaryAt) {
 		return message.PaceSummary{}, false
 	}
+	sv.even, sv.latency = m.Even, latency
 	sv.summaryAt = now.Add(cfg.CalmInterval)
-	m := message.PaceSummary{Even: sv.even}
-	shares := sv.shares(cfg.Interval)
+	return m, true
+}
+
+// paces describes all endpoints, sorted by name.
+func (sv *service) paces(now time.Time, interval time.Duration) []message.EndpointPace {
+	var out []message.EndpointPace
+	shares := sv.shares(interval)
 	for _, name := range sv.names() {
 		e := sv.endpoints[name]
-		recent := e.recent(cfg.Interval)
-		m.Endpoints = append(m.Endpoints, message.EndpointPace{
+		recent := e.recent(interval)
+		out = append(out, message.EndpointPace{
 			Endpoint: name, PerSecond: recent.perSecond(), Concurrency: recent.concurrency(),
 			ServiceTime: e.serviceTime, FailureRate: e.failureRate, Age: e.age(now),
 			Share: shares[name].part, Room: shares[name].room, Slow: e.slow, Failing: e.failing,
 			Latency: max(e.serviceTime, recent.latency()),
 		})
 	}
-	return m, true
+	return out
+}
+
+func meanLatency(paces []message.EndpointPace) time.Duration {
+	var total time.Duration
+	for _, p := range paces {
+		total += p.Latency
+	}
+	return total / time.Duration(max(len(paces), 1))
 }
 
 // add adds counts of one host.
--- a/fleet/pace/judge.go
+++ b/fleet/pace/judge.go
@@ -183,8 +183,8 @@
 	recent, average := e.recent(interval), e.over(historyLength, interval)
 	now, before := recent.serviceTime(), average.serviceTime()
 	switch {
-	case now == 0 && before == 0:
-		return
+	case recent.ended() == 0:
+		e.serviceTime = max(e.serviceTime, now) // calls that have not ended tell the least time only
 	case now > 0 && max(ratio(now, before), ratio(before, now)) > max(changedRatio, noise(recent.ended(), changedDeviations)):
 		e.serviceTime, e.measured = now, recent.ended()
 	default:
--- a/fleet/pace/share.go
+++ b/fleet/pace/share.go
@@ -170,7 +170,11 @@
 				free += loads[i]
 			}
 		}
-		if !sv.fixBounds(names, loads, out, fixed, rate, rest/max(free, math.SmallestNonzeroFloat64)) {
+		scale := 0.0
+		if free > 0 {
+			scale = rest / free
+		}
+		if !sv.fixBounds(names, loads, out, fixed, rate, scale) {
 			break
 		}
 	}
