pace: simulation keeps the queue of an endpoint across a fault, herding check

Cause: the simulation replaced the state of the endpoint, so that it had more slots afterwards. Change: only the fault is replaced; no endpoint may get more than three even shares in 500 ms.

--- a/fleet/core/pace_test.go
+++ b/fleet/core/pace_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -20,21 +22,26 @@
 // paceNoise is the difference of the served parts that chance causes.
 const paceNoise = 0.02
 
+// paceWindow is the time for which hosts that all choose the same endpoint do so at least: the
+// interval of the summaries.
+const paceWindow = 500 * time.Millisecond
+
 // evenShare returns the calls of one endpoint if all get as many.
 func evenShare(d time.Duration) int { return int(paceCalls*d.Seconds()) / len(paceZones) }
 
 // TestPaceLoad guards against hosts that send calls to an endpoint which other hosts have found
-// slow, failing or silent, against endpoints that get no calls after their recovery, and against
-// a choice that serves fewer calls than the statistics of each host alone.
+// slow, failing or silent, against hosts that choose the same endpoint at the same time, against
+// endpoints that get no calls after their recovery, and against a choice that serves fewer calls
+// than the statistics of each host alone.
 func TestPaceLoad(t *testing.T) {
 	for _, tt := range []struct {
 		name  string
-		fault serviceState
+		fault serviceFault
 	}{
-		{"sound", serviceState{slowdown: 1}},
-		{"slow", serviceState{slowdown: 5}},
-		{"failing", serviceState{slowdown: 1, failShare: 0.45}},
-		{"silent", serviceState{slowdown: 1, silent: true}},
+		{"sound", serviceFault{slowdown: 1}},
+		{"slow", serviceFault{slowdown: 5}},
+		{"failing", serviceFault{slowdown: 1, failShare: 0.45}},
+		{"silent", serviceFault{slowdown: 1, silent: true}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			off := measureFault(t, tt.fault, paceOff)
@@ -46,6 +53,7 @@
 			assert.Assert(t, on.fault.served() > off.fault.served(), "served %.3f, off %.3f", on.fault.served(), off.fault.served())
 			assert.Assert(t, on.fault.part(on.fault.failed) <= off.fault.part(off.fault.failed))
 			assert.Assert(t, on.noticed < evenShare(4*time.Second)/4, "%d calls to a faulty endpoint", on.noticed)
+			assert.Assert(t, on.most <= 3*evenShare(paceWindow), "%d calls to one endpoint in %s", on.most, paceWindow)
 			assert.Assert(t, on.logs >= 2 && on.logs <= 12, "%d log lines", on.logs)
 			assert.Assert(t, on.again > evenShare(2*time.Second)/2, "%d calls to a recovered endpoint", on.again)
 		})
@@ -56,29 +64,34 @@
 type faultFigures struct {
 	fault, after *paceResult
 	noticed      int // calls to the endpoint in the last 4 s of the fault
+	most         int // calls to any endpoint in a paceWindow of these
 	again        int // calls to the endpoint in 2 s, from 4 s after the fault on
 	logs         int // lines that an endpoint is slow or failing, or no longer
 }
 
-func measureFault(t *testing.T, fault serviceState, enabled func(id.Host) bool) faultFigures {
+func measureFault(t *testing.T, fault serviceFault, enabled func(id.Host) bool) faultFigures {
 	p := newPaceFleet(t, paceHosts, enabled)
 	p.sendFor(paceSettleTime, paceCalls)
-	*p.services["v1"] = fault
+	p.services["v1"].serviceFault = fault
 	out := faultFigures{fault: p.sendFor(2*time.Second, paceCalls)}
-	later := p.sendFor(paceFaultTime-2*time.Second, paceCalls)
-	out.noticed = p.got["v1"]
+	var later []*paceResult
+	for end := p.now.Add(paceFaultTime - 2*time.Second); p.now.Before(end); {
+		later = append(later, p.sendFor(paceWindow, paceCalls))
+		out.noticed += p.got["v1"]
+		out.most = max(out.most, slices.Max(slices.Collect(maps.Values(p.got))))
+	}
 	if !enabled("") {
 		p.sendFor(paceTimeout, 0)
-		out.fault.add(later)
-		t.Logf("off: %s; %d calls to the endpoint in the last 4 s", out.fault, out.noticed)
+		out.fault.add(later...)
+		t.Logf("off: %s; %d calls to the endpoint in the last 4 s, at most %d to one in %s", out.fault, out.noticed, out.most, paceWindow)
 		return out
 	}
-	*p.services["v1"] = serviceState{slowdown: 1}
+	p.services["v1"].serviceFault = serviceFault{slowdown: 1}
 	out.after = p.sendFor(paceSettleTime, paceCalls)
 	p.sendFor(2*time.Second, paceCalls)
 	out.again, out.logs = p.got["v1"], p.logs
-	out.fault.add(later)
-	t.Logf("on: %s; %d calls to the endpoint in the last 4 s", out.fault, out.noticed)
+	out.fault.add(later...)
+	t.Logf("on: %s; %d calls to the endpoint in the last 4 s, at most %d to one in %s", out.fault, out.noticed, out.most, paceWindow)
 	t.Logf("on, after the fault: %s; %d calls to the endpoint in 2 s", out.after, out.again)
 	return out
 }
--- a/fleet/core/pacefleet_test.go
+++ b/fleet/core/pacefleet_test.go
@@ -32,13 +32,18 @@
 // paceZones are the zones of the endpoints.
 var paceZones = []id.Zone{"az-a", "az-a", "az-b", "az-b", "az-c", "az-d"}
 
-// serviceState is a simulated endpoint of a plain service.
-type serviceState struct {
+// serviceFault is what is wrong with an endpoint.
+type serviceFault struct {
 	slowdown  float64 // factor of the duration of a call
 	failShare float64 // of the calls that fail quickly
 	silent    bool    // calls never end
-	running   int
-	queue     []func()
+}
+
+// serviceState is a simulated endpoint of a plain service.
+type serviceState struct {
+	serviceFault
+	running int
+	queue   []func()
 }
 
 // paceFleet is a relayFleet with simulated service endpoints.
@@ -78,8 +83,6 @@
 // served returns the part of the calls that were answered in time.
 func (r *paceResult) served() float64 { return r.part(r.inTime) }
 
-func paceEndpoint(n int) id.Endpoint { return id.Endpoint(fmt.Sprintf("v%d", n)) }
-
 func newPaceFleet(t *testing.T, hosts int, enabled func(id.Host) bool) *paceFleet {
 	p := &paceFleet{
 		services: make(map[id.Endpoint]*serviceState), started: make(map[id.Request]startedCall),
@@ -87,7 +90,7 @@
 		summaries: make(map[id.Host]int), reports: make(map[id.Host]int), frozen: make(map[id.Host]bool), halves: make(map[id.Host]bool),
 	}
 	for n := range paceZones {
-		p.services[paceEndpoint(n)] = &serviceState{slowdown: 1}
+		p.services[id.Endpoint(fmt.Sprintf("v%d", n))] = &serviceState{serviceFault: serviceFault{slowdown: 1}}
 	}
 	p.relayFleet = newRelayFleetWith(t, hosts, options{
 		configure: func(host id.Host, cfg *core.Config) {
@@ -244,12 +247,14 @@
 	})
 }
 
-func (r *paceResult) add(o *paceResult) {
-	r.sent += o.sent
-	r.inTime += o.inTime
-	r.late += o.late
-	r.failed += o.failed
-	r.refused += o.refused
+func (r *paceResult) add(others ...*paceResult) {
+	for _, o := range others {
+		r.sent += o.sent
+		r.inTime += o.inTime
+		r.late += o.late
+		r.failed += o.failed
+		r.refused += o.refused
+	}
 }
 
 // collector returns the host that has got most reports, and forgets the reports.
