--- a/fleet/pace/judge.go
+++ b/fleet/pace/judge.go
@@ -42,8 +42,8 @@
 	failingCalls   = 12
 	recoveredCalls = 8
 	// failingDeviations is the number of standard deviations by which the failure rate must
-	// exceed that of the others. With 3, a sound endpoint of a service with a base failure rate
-	// would be taken for failing about once a minute.
+	// exceed that of the others. At 3, chance alone exceeds it once in 740 evaluations, which
+	// is about once a minute for six endpoints.
 	failingDeviations = 4
 	// minFailureRate is the least failure rate that is assumed for the standard deviation. With
 	// half of it, a service with 8 calls per second and endpoint had false alarms.
--- a/fleet/pace/pace.go
+++ b/fleet/pace/pace.go
@@ -8,7 +8,7 @@
 // Each host counts its calls (Started, Ended) and reports the counts once per interval to the
 // collector of the service (Reports). The collector adds up the reports (Collect), judges the
 // endpoints and decides which part of the calls each of them gets. It tells all hosts once per
-// interval (Summaries, Merge). A host chooses an endpoint for a call by these parts (Scores).
+// interval (Summaries, Merge). A host chooses an endpoint for a call by these parts (Score).
 // While the endpoints of a service do not differ noticeably, or without a recent summary, the
 // package makes no choice.
 //
