Merge the speed of plain service endpoints

The gauges of endpoints of both parts share one map with a limit for each name (EndpointGauge, EndpointGauges). enginePace and recordEnginePace are the names of what the entry host measures on engines, since pace is now a package.

--- a/fleet/core/enginepace.go
+++ b/fleet/core/enginepace.go
@@ -39,8 +39,8 @@
 // partScheduler marks log lines of the scheduler of a cell.
 const partScheduler = "scheduler"
 
-// pace is what this host has measured on one decode engine, in times per event.
-type pace struct {
+// enginePace is what this host has measured on one decode engine, in times per event.
+type enginePace struct {
 	since   time.Time // start of the window
 	gaps    int
 	total   time.Duration
@@ -49,15 +49,15 @@
 	sentAt  time.Time
 }
 
-// recordPace adds the time since the last event of a stream to the pace of its engine. It
+// recordEnginePace adds the time since the last event of a stream to the pace of its engine. It
 // must be called before the event counts as delivered.
-func (s *step) recordPace(r *request, events int) {
+func (s *step) recordEnginePace(r *request, events int) {
 	if !r.relayed || r.grantedTokenTime <= 0 || r.delivered <= r.decodeFrom || r.lastToken.IsZero() {
 		return
 	}
 	p := s.enginePaces[r.decode]
 	if s.paceWindowEnded(p) {
-		p = pace{since: r.lastToken, sent: p.sent, sentAt: p.sentAt}
+		p = enginePace{since: r.lastToken, sent: p.sent, sentAt: p.sentAt}
 	}
 	gap := s.now.Sub(r.lastToken) / time.Duration(events)
 	p.gaps += events
@@ -69,14 +69,14 @@
 
 // paceWindowEnded reports whether a measurement starts anew: after paceWindow, later if there
 // were few events, and after a pause of this host.
-func (s *step) paceWindowEnded(p pace) bool {
+func (s *step) paceWindowEnded(p enginePace) bool {
 	age := s.now.Sub(p.since)
 	return age > paceWindow && p.gaps >= minPaceGaps || age > maxPaceWindow || p.since.Before(s.resumedAt)
 }
 
 // sendPace tells the scheduler of a request the pace of its engine if it is not the
 // expected one.
-func (s *step) sendPace(r *request, p pace) {
+func (s *step) sendPace(r *request, p enginePace) {
 	if p.gaps < minPaceGaps || s.now.Sub(p.sentAt) < paceInterval || r.schedulerHost == "" {
 		return
 	}
@@ -95,7 +95,7 @@
 // unexpectedPace returns the time per event if it differs from the expected one or from the
 // one that was sent, otherwise 0. The longest pause does not count as evidence that an
 // engine is slow, because a single stream pauses while its engine lacks memory.
-func (s *step) unexpectedPace(p pace, expected time.Duration) time.Duration {
+func (s *step) unexpectedPace(p enginePace, expected time.Duration) time.Duration {
 	mean := p.total / time.Duration(p.gaps)
 	trimmed := (p.total - p.longest) / time.Duration(p.gaps-1)
 	canBeFast := p.total >= minFastWindow
@@ -200,4 +200,4 @@
 }
 
 // enginePaces holds the measured paces by decode engine.
-type enginePaces map[id.Endpoint]pace
+type enginePaces map[id.Endpoint]enginePace
--- a/fleet/core/relayfleet_test.go
+++ b/fleet/core/relayfleet_test.go
@@ -78,6 +78,8 @@
 	arrivals map[id.Endpoint][]arrival // calls, prefills and decodes
 	told     map[toldLimit]time.Time   // first answer with a limit that a host has received
 	limited  map[toldLimit]bool        // the last answer that a host has received names a limit
+
+	options
 }
 
 // arrival is a request that has reached an endpoint.
@@ -105,8 +107,13 @@
 func newRelayFleet(t *testing.T) *relayFleet { return newRelayFleetOf(t, relayHosts) }
 
 func newRelayFleetOf(t *testing.T, hosts int) *relayFleet {
+	return newRelayFleetWith(t, hosts, options{})
+}
+
+func newRelayFleetWith(t *testing.T, hosts int, opts options) *relayFleet {
 	f := &relayFleet{
-		t: t, rng: rand.New(rand.NewPCG(1, 2)), now: time.Unix(1, 0), version: 1,
+		options: opts,
+		t:       t, rng: rand.New(rand.NewPCG(1, 2)), now: time.Unix(1, 0), version: 1,
 		hosts: make(map[id.Host]*core.State), incarnations: make(map[id.Host]id.Incarnation), engines: make(map[id.Endpoint]string),
 		running: make(map[id.Endpoint]map[id.Request]decodeRun),
 		begun:   make(map[id.Request]time.Time), refused: make(map[string]int), sentAt: make(map[id.Request]time.Time),
@@ -137,6 +144,9 @@
 	cfg := core.DefaultConfig(name, inc, relayDomain, []id.Zone{relayDomain})
 	cfg.Relay, cfg.LoadInterval = true, 0
 	cfg.Throttle.Cold = coldBound
+	if f.configure != nil {
+		f.configure(name, &cfg)
+	}
 	f.hosts[name] = core.New(cfg, f.now)
 	f.reduce(name, core.HostsListed{Hosts: f.list})
 	f.reduce(name, core.TableOpened{Snapshot: f.table()})
@@ -166,31 +176,6 @@
 	})
 }
 
-func (f *relayFleet) table() *table.Snapshot {
-	s := relayTable(f.version)
-	delete(s.Endpoints, "d1")
-	delete(s.Endpoints, "d2")
-	for name, address := range f.engines {
-		s.Endpoints[name] = table.Endpoint{
-			Name: name, Pool: "m/decode", Zone: relayDomain, Address: address, State: table.StateActive, AZ: f.azs[address],
-		}
-	}
-	for i := range f.prefills {
-		ep := s.Endpoints["p1"]
-		ep.Name, ep.Address = id.Endpoint(fmt.Sprintf("p%d", i+1)), fmt.Sprintf("10.0.0.%d:1", 100+i)
-		s.Endpoints[ep.Name] = ep
-	}
-	f.editTable(s)
-	return s
-}
-
-func (f *relayFleet) publishTable() {
-	f.version++
-	for _, name := range f.names {
-		f.reduce(name, core.TableOpened{Snapshot: f.table()})
-	}
-}
-
 func (f *relayFleet) after(d time.Duration, do func()) {
 	f.pending = append(f.pending, pendingCall{f.now.Add(d), do})
 }
@@ -202,9 +187,13 @@
 		return
 	}
 	for _, e := range core.Reduce(f.hosts[name], core.Input{Now: f.now, Wall: f.now, Event: ev}) {
+		if f.observe != nil {
+			f.observe(name, e)
+		}
 		switch e := e.(type) {
 		case core.SendPeer:
-			if f.cutOff[name] || f.cutOff[e.To] || f.sides[name] != f.sides[e.To] {
+			if f.cutOff[name] || f.cutOff[e.To] || f.sides[name] != f.sides[e.To] ||
+				f.separated != nil && f.separated(name, e.To) {
 				continue
 			}
 			f.reduce(e.To, core.PeerMessage{From: name, Incarnation: f.incarnations[name], Message: e.Message})
@@ -240,6 +229,10 @@
 
 // call answers a call to a service after callTime.
 func (f *relayFleet) call(host id.Host, e core.CallService) {
+	if f.serve != nil {
+		f.serve(host, e)
+		return
+	}
 	f.arrive(host, e.Endpoint)
 	f.after(callTime, func() {
 		f.served[e.Request] = true
--- a/fleet/message/envelope.go
+++ b/fleet/message/envelope.go
@@ -31,8 +31,9 @@
 
 	SlotQueries []SlotQuery `cbor:"22,keyasint,omitempty"`
 
-	// Keys 23 and 24 are the reports and summaries of plain services.
-	EnginePaces []EnginePace `cbor:"25,keyasint,omitempty"`
+	PaceReports   []PaceReport  `cbor:"23,keyasint,omitempty"`
+	PaceSummaries []PaceSummary `cbor:"24,keyasint,omitempty"`
+	EnginePaces   []EnginePace  `cbor:"25,keyasint,omitempty"`
 }
 
 // Add appends m to the list of its type.
@@ -78,6 +79,10 @@
 		e.EndpointLimits = append(e.EndpointLimits, m)
 	case SlotQuery:
 		e.SlotQueries = append(e.SlotQueries, m)
+	case PaceReport:
+		e.PaceReports = append(e.PaceReports, m)
+	case PaceSummary:
+		e.PaceSummaries = append(e.PaceSummaries, m)
 	case EnginePace:
 		e.EnginePaces = append(e.EnginePaces, m)
 	}
@@ -152,5 +157,11 @@
 	for _, m := range e.ClaimSettles {
 		out = append(out, m)
 	}
+	for _, m := range e.PaceReports {
+		out = append(out, m)
+	}
+	for _, m := range e.PaceSummaries {
+		out = append(out, m)
+	}
 	return out
 }
--- a/fleet/table/table.go
+++ b/fleet/table/table.go
@@ -87,6 +87,9 @@
 	// together while it is cold, that is for a time after its start. It is 0 if the endpoint is
 	// not cold or takes any number. It is not part of the operators' table.
 	ColdPerSecond float64
+	// Slots is the number of calls that a plain service runs concurrently, as its
+	// registration states it. 0 is unknown. It has no column in the table.
+	Slots int64
 }
 
 // Route is what a caller addresses: the "model" field of a model request, or
--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -16,6 +16,7 @@
 	"ragwortshunt.example/fleet/core"
 	"ragwortshunt.example/fleet/id"
 	"ragwortshunt.example/fleet/limit"
+	"ragwortshunt.example/fleet/message"
 	"ragwortshunt.example/router/internal/operator"
 	"ragwortshunt.example/router/internal/peer"
 	"ragwortshunt.example/router/internal/reactor"
@@ -229,6 +230,7 @@
 			r.metrics.Gauge("open-requests", float64(r.adapters.Caller.ActiveRequests()))
 			levels.update(ctx, r)
 			r.updateFeedGauges()
+			r.updateEndpointGauges(ctx)
 		}
 	}
 }
@@ -246,3 +248,19 @@
 		r.metrics.Gauge("cold-endpoints", float64(r.adapters.Feed.ColdEndpoints()))
 	}
 }
+
+// updateEndpointGauges sets the gauges of the endpoints of plain services.
+func (r *Router) updateEndpointGauges(ctx context.Context) {
+	if !r.settings.Pace {
+		return
+	}
+	var paces map[id.Endpoint]message.EndpointPace
+	r.reactor.Query(ctx, func(st *core.State, now time.Time) { paces = core.ServicePaces(st, now) })
+	var times, failures []operator.EndpointValue
+	for ep, p := range paces {
+		times = append(times, operator.EndpointValue{Endpoint: ep, Value: p.ServiceTime.Seconds()})
+		failures = append(failures, operator.EndpointValue{Endpoint: ep, Value: p.FailureRate})
+	}
+	r.metrics.EndpointGauges("endpoint-service-time", times)
+	r.metrics.EndpointGauges("endpoint-failure-rate", failures)
+}
--- a/router/internal/app/relay.go
+++ b/router/internal/app/relay.go
@@ -82,5 +82,6 @@
 	cfg.Throttle.Cold = throttle.ColdBound{Overrun: s.ColdOverrun, Slack: s.ColdSlack}
 	cfg.Limit.Reclaim = true
 	cfg.Limit.SettleDelay = relaySettleDelay
+	cfg.Pace.Enabled = s.Pace
 	cfg.Retry = retry.Config{Ratio: s.RetryRatio, Window: s.RetryWindow, ExtraRetries: s.RetryExtra}
 }
--- a/router/internal/operator/metrics.go
+++ b/router/internal/operator/metrics.go
@@ -22,13 +22,13 @@
 // accounts.
 const maxAccounts = 64
 
+// maxEndpoints is the maximum number of endpoints that have a gauge of one name. A started
+// process of an endpoint has a new name, and gauges are kept until this process ends.
+const maxEndpoints = 256
+
 // otherAccounts is the label value that the accounts beyond maxAccounts share.
 const otherAccounts = "other"
 
-// maxEndpointGauges is the maximum number of gauges of endpoints. Endpoints come and go, and
-// a gauge is never removed.
-const maxEndpointGauges = 2048
-
 const reportInterval = time.Second
 
 // latencyBuckets are the upper bounds of the buckets of all latency histograms.
@@ -51,7 +51,19 @@
 	accounts   map[id.Account]bool
 	counters   map[counterKey]tally.Counter
 	histograms map[histogramKey]tally.Histogram
-	gauges     map[gaugeKey]tally.Gauge
+	endpoints  map[endpointKey]tally.Gauge
+	gauges     map[string]int // number of endpoints with a gauge, by its name
+}
+
+type endpointKey struct {
+	name     string
+	endpoint id.Endpoint
+}
+
+// EndpointValue is the value of a gauge for one endpoint.
+type EndpointValue struct {
+	Endpoint id.Endpoint
+	Value    float64
 }
 
 type counterKey struct {
@@ -63,11 +75,6 @@
 	name, account string
 }
 
-type gaugeKey struct {
-	name     string
-	endpoint id.Endpoint
-}
-
 // NewMetrics returns metrics that all carry the labels host and zone. The metrics of the
 // Go runtime and of the process are served too, without these labels.
 func NewMetrics(host id.Host, zone id.Zone) *Metrics {
@@ -86,7 +93,8 @@
 		accounts:   make(map[id.Account]bool),
 		counters:   make(map[counterKey]tally.Counter),
 		histograms: make(map[histogramKey]tally.Histogram),
-		gauges:     make(map[gaugeKey]tally.Gauge),
+		endpoints:  make(map[endpointKey]tally.Gauge),
+		gauges:     make(map[string]int),
 	}
 }
 
@@ -183,19 +191,44 @@
 	scope.Gauge(name).Update(v)
 }
 
-// EndpointGauge sets a gauge of one endpoint, which is created on first use. Beyond
-// maxEndpointGauges no more are created.
+// EndpointGauge sets a gauge of one endpoint, which is created on first use.
 func (m *Metrics) EndpointGauge(e core.EndpointGauge) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	key := gaugeKey{e.Name, e.Endpoint}
-	g, ok := m.gauges[key]
-	if !ok {
-		if len(m.gauges) >= maxEndpointGauges {
-			return
+	if g, ok := m.endpointGauge(endpointKey{e.Name, e.Endpoint}); ok {
+		g.Update(e.Value)
+	}
+}
+
+// EndpointGauges sets a gauge of endpoints, and sets it to 0 for all others that have had one.
+func (m *Metrics) EndpointGauges(name string, values []EndpointValue) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	seen := make(map[id.Endpoint]bool, len(values))
+	for _, v := range values {
+		seen[v.Endpoint] = true
+		if g, ok := m.endpointGauge(endpointKey{name, v.Endpoint}); ok {
+			g.Update(v.Value)
 		}
-		g = m.scope.Tagged(map[string]string{"endpoint": string(e.Endpoint)}).Gauge(e.Name)
-		m.gauges[key] = g
 	}
-	g.Update(e.Value)
+	for key, g := range m.endpoints {
+		if key.name == name && !seen[key.endpoint] {
+			g.Update(0)
+		}
+	}
+}
+
+// endpointGauge returns a gauge, which is created on first use, and false if there are too many.
+// The caller must hold m.mu.
+func (m *Metrics) endpointGauge(key endpointKey) (tally.Gauge, bool) {
+	if g, ok := m.endpoints[key]; ok {
+		return g, true
+	}
+	if m.gauges[key.name] >= maxEndpoints {
+		return nil, false
+	}
+	m.gauges[key.name]++
+	g := m.scope.Tagged(map[string]string{"endpoint": string(key.endpoint)}).Gauge(key.name)
+	m.endpoints[key] = g
+	return g, true
 }
