ingress: one budget for connections, heads, bodies and unread answers

Clients could make a process hold any amount of memory and descriptors. The limits of the configuration for heads and timeouts are enforced on open connections too. Both protocols use it.

--- a/router/internal/app/adapters.go
+++ b/router/internal/app/adapters.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
@@ -18,6 +19,7 @@
 	"ragwortshunt.example/router/internal/caller"
 	"ragwortshunt.example/router/internal/endpoint"
 	"ragwortshunt.example/router/internal/inflight"
+	"ragwortshunt.example/router/internal/ingress"
 	"ragwortshunt.example/router/internal/platform"
 	"ragwortshunt.example/router/internal/reactor"
 	"ragwortshunt.example/router/internal/settings"
@@ -31,6 +33,8 @@
 	ReleaseRequest(req id.Request)
 	Drain()
 	ActiveRequests() int
+	// Refuse refuses a request that has not been passed to the handler.
+	Refuse(w http.ResponseWriter, r *http.Request, status int)
 }
 
 // EndpointAdapter sends calls to engines and to plain services.
@@ -84,6 +88,8 @@
 	// Ready serves the readiness checks of the platform's load balancer. It is nil if
 	// the balancer uses /readyz on the address for operators.
 	Ready http.Handler
+	// BodyTime returns how long the body of a request may take; 0 means no limit.
+	BodyTime func(r *http.Request) time.Duration
 	// SetTable passes a table that the decision core has installed to the adapter for
 	// callers.
 	SetTable func(e core.TableInstalled)
@@ -97,38 +103,45 @@
 
 func newAdapters(
 	lifetime Lifetime, s *settings.Settings, inc id.Incarnation, clock clockwork.Clock, log *zap.Logger, r *reactor.Reactor,
+	budget *exchange.Budget, guard *ingress.Guard,
 ) Adapters {
 	if s.Protocol == settings.ProtocolObjects {
-		return newObjectAdapters(lifetime, s, clock, log, r)
+		return newObjectAdapters(lifetime, s, clock, log, r, budget, guard)
 	}
 	bodies := inflight.New()
 	c := caller.New(caller.Config{
 		Host: s.Host, Incarnation: inc, MaxBodyBytes: s.MaxBodyBytes, DefaultMaxTokens: s.DefaultMaxTokens,
-		BodyTimeout: bodyTimeout,
+		BodyTimeout: bodyTimeout, Budget: budget,
 	}, r, bodies)
 	return Adapters{
 		Caller:   c,
 		Endpoint: endpoint.New(lifetime, clock, r, bodies),
 		Platform: platform.New(lifetime, s.PlatformURL, "ragwortshunt/"+string(s.Host), s.PlatformTimeout, clock, log, r),
 		SetTable: func(e core.TableInstalled) { c.SetTable(e.Snapshot) },
+		BodyTime: func(*http.Request) time.Duration { return bodyTimeout },
 	}
 }
 
 func newObjectAdapters(
 	lifetime Lifetime, s *settings.Settings, clock clockwork.Clock, log *zap.Logger, r *reactor.Reactor,
+	budget *exchange.Budget, guard *ingress.Guard,
 ) Adapters {
-	exchanges := exchange.NewStore(exchange.WithMemory(exchangeMemory(s.MachineMemory)))
+	exchanges := exchange.NewStore(exchange.WithBudget(budget))
 	c := objectcaller.New(r, clock, log, exchanges)
 	objects := store.New(lifetime, s.PlatformURL, clock, log, r)
 	params := deployment.HostParams{
 		Fencing: s.Fencing(), Domain: s.SchedulingDomain(), PrefillRate: s.PrefillRate, BlockTokens: s.BlockTokens,
 	}
-	feed := store.NewFeed(objects, params, c.SetView)
+	feed := store.NewFeed(objects, params, func(v *deployment.View) {
+		c.SetView(v)
+		guard.SetLimits(callerLimits(v.Limits))
+	})
 	return Adapters{
 		Caller:   c,
 		Endpoint: objectendpoint.New(lifetime, string(s.Host), clock, log, r, exchanges),
 		Platform: objects,
 		Ready:    c.ReadyHandler(),
+		BodyTime: func(req *http.Request) time.Duration { return objectwire.Deadline(req.Header) },
 		SetTable: func(core.TableInstalled) {},
 		Feed:     feed,
 		Register: func(ctx context.Context) {
@@ -139,15 +152,3 @@
 		PublishQuarantine: func(e core.PublishQuarantine) { objects.PublishQuarantine(string(s.Host), e) },
 	}
 }
-
-// exchangeShare is the part of a machine's memory that requests and responses may fill.
-const exchangeShare = 0.25
-
-// exchangeMemory returns the memory for requests and responses in bytes, for a machine
-// with megabytes of memory.
-func exchangeMemory(megabytes int64) int64 {
-	if megabytes <= 0 {
-		return exchange.DefaultMemory
-	}
-	return int64(float64(megabytes<<20) * exchangeShare)
-}
--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -16,6 +16,7 @@
 	"ragwortshunt.example/fleet/core"
 	"ragwortshunt.example/fleet/id"
 	"ragwortshunt.example/fleet/limit"
+	"ragwortshunt.example/router/internal/ingress"
 	"ragwortshunt.example/router/internal/operator"
 	"ragwortshunt.example/router/internal/peer"
 	"ragwortshunt.example/router/internal/reactor"
@@ -41,6 +42,7 @@
 	adapters   Adapters
 	operator   *operator.Server
 	metrics    *operator.Metrics
+	guard      *ingress.Guard
 }
 
 // Lifetime is the context of all outgoing calls of the adapters. It is cancelled after
@@ -111,6 +113,7 @@
 		go r.adapters.Feed.Run(loopCtx)
 	}
 	go r.updateGauges(loopCtx)
+	go r.guard.Run(loopCtx)
 	r.log.Info("router: Started.", zap.String("host", string(r.settings.Host)))
 	serveErrs := serve(servers)
 	var until time.Time
@@ -140,6 +143,7 @@
 	address string
 	handler http.Handler
 	streams bool // see server
+	peers   bool // only other hosts use the address
 }
 
 // callerIndex is the index of the server for callers in the slice that listen returns.
@@ -152,12 +156,14 @@
 	h2c.SetHTTP1(true)
 	h2c.SetUnencryptedHTTP2(true)
 	specs := []listenSpec{
-		{address: r.settings.CallerAddress, handler: r.adapters.Caller.Handler()},
-		{address: r.settings.OperatorAddress, handler: r.operator.Handler()},
-		{address: r.settings.PeerAddress, handler: peer.NewHandler(r.reactor), streams: true},
+		{address: r.settings.CallerAddress, handler: r.guard.Handler(r.adapters.Caller.Handler(),
+			ingress.WithRefusal(r.adapters.Caller.Refuse), ingress.WithBodyTime(r.adapters.BodyTime))},
+		{address: r.settings.OperatorAddress, handler: r.guard.Handler(r.operator.Handler(), ingress.WithoutBodies())},
+		{address: r.settings.PeerAddress, handler: peer.NewHandler(r.reactor), streams: true, peers: true},
 	}
 	if r.adapters.Ready != nil {
-		specs = append(specs, listenSpec{address: r.settings.ReadyAddress, handler: whileHealthy(r.reactor, r.adapters.Ready)})
+		ready := r.guard.Handler(whileHealthy(r.reactor, r.adapters.Ready), ingress.WithoutBodies())
+		specs = append(specs, listenSpec{address: r.settings.ReadyAddress, handler: ready})
 	}
 	errorLog, err := zap.NewStdLogAt(r.log, zap.WarnLevel)
 	if err != nil {
@@ -170,15 +176,18 @@
 			closeListeners(out)
 			return nil, fmt.Errorf("%w: %w", ErrApp, err)
 		}
+		if !sp.peers {
+			l = r.guard.Listen(l)
+		}
 		conns := newConnections(l)
-		out = append(out, server{
-			http: &http.Server{
-				Handler: sp.handler, Protocols: h2c, ReadHeaderTimeout: readHeaderTimeout,
-				ErrorLog: errorLog, ConnState: conns.stateChanged, DisableGeneralOptionsHandler: true,
-			},
-			connections: conns,
-			streams:     sp.streams,
-		})
+		s := &http.Server{
+			Handler: sp.handler, Protocols: h2c, ReadHeaderTimeout: readHeaderTimeout,
+			ErrorLog: errorLog, ConnState: conns.stateChanged, DisableGeneralOptionsHandler: true,
+		}
+		if !sp.peers {
+			r.guardServer(s, conns)
+		}
+		out = append(out, server{http: s, connections: conns, streams: sp.streams})
 	}
 	return out, nil
 }
@@ -226,6 +235,7 @@
 			r.metrics.Gauge("decision-events", float64(processed))
 			r.metrics.Gauge("decision-seconds", busy.Seconds())
 			r.metrics.Gauge("open-requests", float64(r.adapters.Caller.ActiveRequests()))
+			r.updateIngressGauges()
 		}
 	}
 }
--- a/router/internal/app/connections.go
+++ b/router/internal/app/connections.go
@@ -129,6 +129,9 @@
 	return n, err
 }
 
+// NetConn returns the connection of the listener below.
+func (c *connection) NetConn() net.Conn { return c.Conn }
+
 // beginRequest marks the connection as busy and reports whether it was idle.
 func (c *connection) beginRequest() bool {
 	c.mu.Lock()
--- a/router/internal/app/wire.go
+++ b/router/internal/app/wire.go
@@ -13,7 +13,7 @@
 // New returns a router that is ready to run. Outgoing calls end with lifetime.
 func New(lifetime Lifetime, s *settings.Settings, log *zap.Logger, clock clockwork.Clock) *Router {
 	wire.Build(
-		newIncarnation, newCoreConfig, newReactor, newAdapters,
+		newIncarnation, newCoreConfig, newReactor, newAdapters, newBudget, newGuard,
 		newSender, newMetrics, newOperator, NewDispatcher,
 		wire.Struct(new(Router), "*"),
 	)
--- a/router/internal/app/wire_gen.go
+++ b/router/internal/app/wire_gen.go
@@ -19,7 +19,9 @@
 	incarnation := newIncarnation(clock)
 	config := newCoreConfig(s, incarnation)
 	reactor := newReactor(config, clock, log)
-	adapters := newAdapters(lifetime, s, incarnation, clock, log, reactor)
+	budget := newBudget(s, clock)
+	guard := newGuard(budget, clock, log)
+	adapters := newAdapters(lifetime, s, incarnation, clock, log, reactor, budget, guard)
 	sender := newSender(lifetime, s, incarnation, log, reactor)
 	metrics := newMetrics(s)
 	dispatcher := NewDispatcher(log, adapters, sender, metrics)
@@ -33,6 +35,7 @@
 		adapters:   adapters,
 		operator:   operatorServer,
 		metrics:    metrics,
+		guard:      guard,
 	}
 	return router
 }
--- a/router/internal/caller/caller.go
+++ b/router/internal/caller/caller.go
@@ -21,6 +21,7 @@
 	"ragwortshunt.example/fleet/core"
 	"ragwortshunt.example/fleet/id"
 	"ragwortshunt.example/fleet/table"
+	"ragwortshunt.example/platform/exchange"
 	"ragwortshunt.example/router/internal/inflight"
 )
 
@@ -41,9 +42,10 @@
 type Config struct {
 	Host             id.Host
 	Incarnation      id.Incarnation
-	MaxBodyBytes     int64         // size limit of a request body, in bytes
-	DefaultMaxTokens int64         // output limit of a request without max_tokens, in tokens
-	BodyTimeout      time.Duration // time limit for receiving a request body; 0 means no limit
+	MaxBodyBytes     int64            // size limit of a request body, in bytes
+	DefaultMaxTokens int64            // output limit of a request without max_tokens, in tokens
+	BodyTimeout      time.Duration    // time limit for receiving a request body; 0 means no limit
+	Budget           *exchange.Budget // memory of bodies and unread answers; nil means no limit
 }
 
 // Server serves the HTTP API for callers. Use New to create one.
@@ -81,6 +83,9 @@
 	c.Add(v1)
 	return s.closeWhenDraining(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.setBodyDeadline(w)
+		memory := s.cfg.Budget.NewMemory(exchange.ClientFrom(r.Context()))
+		defer memory.Release()
+		r = r.WithContext(withMemory(r.Context(), memory))
 		// A ServeMux would redirect paths that are not in canonical form, but a
 		// service must receive the path exactly as the caller sent it.
 		switch {
--- a/router/internal/caller/error.go
+++ b/router/internal/caller/error.go
@@ -13,6 +13,8 @@
 const (
 	codeNotFound         = "not-found"
 	codeMethodNotAllowed = "method-not-allowed"
+	codeHeadTooLarge     = "head-too-large"
+	codeNoMemory         = "no-memory"
 	codeBodyTooLarge     = "body-too-large"
 	codeBodyUnreadable   = "body-unreadable"
 	codeLengthRequired   = "length-required"
--- a/router/internal/caller/model.go
+++ b/router/internal/caller/model.go
@@ -2,9 +2,7 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"sort"
 	"strings"
@@ -16,6 +14,7 @@
 	"ragwortshunt.example/fleet/core"
 	"ragwortshunt.example/fleet/id"
 	"ragwortshunt.example/fleet/table"
+	"ragwortshunt.example/platform/exchange"
 	"ragwortshunt.example/router/internal/inflight"
 )
 
@@ -59,6 +58,10 @@
 	if !ok {
 		return
 	}
+	if memoryFrom(r.Context()).GrowRequest(promptCopies*len(body)) != nil {
+		rejectForMemory(w)
+		return
+	}
 	m, err := parseModelRequest(body, chat, s.cfg.DefaultMaxTokens)
 	if err != nil {
 		rejectRequest(w, http.StatusBadRequest, codeInvalidRequest, err.Error())
@@ -83,6 +86,7 @@
 		writeError(w, statusOf(apiErr.Code), *apiErr)
 		return key, nil, false
 	}
+	exchange.ClientFrom(r.Context()).SetAccount(key.Account)
 	body, ok := s.readBody(w, r)
 	return key, body, ok
 }
@@ -102,21 +106,32 @@
 		rejectRequest(w, http.StatusLengthRequired, codeLengthRequired, "a request of HTTP/1.0 needs a Content-Length")
 		return nil, false
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.cfg.MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case err == nil:
-		// Clear the deadline of the body. Otherwise the server would treat its expiry as
-		// a disconnect of the caller while the response is still pending.
-		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-		return body, true
-	case errors.As(err, &tooLarge):
-		rejectRequest(w, http.StatusRequestEntityTooLarge, codeBodyTooLarge,
-			fmt.Sprintf("the body is larger than %d bytes", s.cfg.MaxBodyBytes))
+	if r.ContentLength > s.cfg.MaxBodyBytes {
+		s.rejectBody(w, http.StatusRequestEntityTooLarge)
+		return nil, false
+	}
+	reader := http.MaxBytesReader(w, r.Body, s.cfg.MaxBodyBytes)
+	body, err := memoryFrom(r.Context()).ReadBody(reader, r.ContentLength)
+	if err != nil {
+		s.rejectBody(w, exchange.ClientFrom(r.Context()).BodyStatus(err))
+		return nil, false
+	}
+	// Clear the deadline of the body. Otherwise the server would treat its expiry as
+	// a disconnect of the caller while the response is still pending.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	return body, true
+}
+
+// rejectBody refuses a request whose body was not read.
+func (s *Server) rejectBody(w http.ResponseWriter, status int) {
+	switch status {
+	case http.StatusRequestEntityTooLarge:
+		rejectRequest(w, status, codeBodyTooLarge, fmt.Sprintf("the body is larger than %d bytes", s.cfg.MaxBodyBytes))
+	case http.StatusServiceUnavailable:
+		rejectForMemory(w)
 	default:
-		rejectRequest(w, http.StatusBadRequest, codeBodyUnreadable, "the body could not be read")
+		rejectRequest(w, status, codeBodyUnreadable, "the body could not be read")
 	}
-	return nil, false
 }
 
 // lacksLength reports whether a request of HTTP/1.0 may have a body but names no length.
@@ -163,11 +178,18 @@
 // KV block, which identifies the block in the cache events of engines. A word
 // counts as one token. The hash is 0 if the prompt does not fill a block.
 func promptPrefix(prompt string, blockTokens int64) (tokens int64, prefix uint64) {
-	words := strings.Fields(prompt)
-	if blockTokens > 0 && int64(len(words)) >= blockTokens {
-		prefix = xxhash.Sum64String(strings.Join(words[:blockTokens], " "))
+	var block []string // the words are not collected beyond it, since a prompt may have very many
+	for word := range strings.FieldsSeq(prompt) {
+		tokens++
+		if tokens > blockTokens {
+			continue
+		}
+		block = append(block, word)
+		if tokens == blockTokens {
+			prefix = xxhash.Sum64String(strings.Join(block, " "))
+		}
 	}
-	return int64(len(words)), prefix
+	return tokens, prefix
 }
 
 // blockTokens returns the KV block size, in tokens, of the prefill engines that
--- a/router/internal/settings/field.go
+++ b/router/internal/settings/field.go
@@ -50,8 +50,10 @@
 	{"host", "capacity", "0", "Part of a processor core that the host may use, 0 to 1024; 0 is unknown. Hosts with at least half of the largest capacity do the work for all hosts.", func(s *Settings, text string) error {
 		return setNumber(&s.Capacity, text, maxCapacity)
 	}},
-	{"host", "machine-memory", "0", "Memory of the machine in MB, rounded down; 0 is unknown. Requests and responses may fill a quarter of it, or 64 MB.", allowance(
+	{"host", "machine-memory", "0", "Memory of the machine in MB, rounded down; 0 is unknown. Connections, requests and responses may fill a quarter of it, or 64 MB.", allowance(
 		func(s *Settings) *int64 { return &s.MachineMemory }, 1<<24)},
+	{"host", "max-open-files", "0", "Descriptors that the process may have, rounded down; 0 is the limit of the process. Half of them, less 200 for files, are for the connections of clients.", allowance(
+		func(s *Settings) *int64 { return &s.MaxOpenFiles }, 1<<24)},
 	{"caller", "address", "", "ip:port on which callers are served.", address(
 		func(s *Settings) *string { return &s.CallerAddress })},
 	{"caller", "max-body-bytes", "1048576", "Largest request body in bytes, 1024 to 67108864.", integer(
--- a/router/internal/settings/settings.go
+++ b/router/internal/settings/settings.go
@@ -47,6 +47,7 @@
 	RetryExtra    int64   // retries per window in addition to RetryRatio
 	MemoryLimit   int64   // bytes; 0: no limit
 	MachineMemory int64   // MB; 0 is unknown
+	MaxOpenFiles  int64   // descriptors of the process; 0: its own limit
 	Capacity      float64 // part of a processor core; 0 is unknown
 
 	PlatformURL     string
