ingress: descriptors for the connections to endpoints, honest sizes of buffers

A request needs a connection to an endpoint beside that of its client, so that two fifths of the descriptors go to either; with half for clients the slow readers came to 304 of 312 descriptors. A buffer of unknown length holds up to twice its bytes, and a short field about 96 bytes: with 64, heads of legal size came to 63 of 64 MB.

--- a/router/internal/app/ingress.go
+++ b/router/internal/app/ingress.go
@@ -20,6 +20,10 @@
 	exchangeShare = 0.25
 	// fileReserve is the number of descriptors that are not for connections.
 	fileReserve = 200
+	// connectionShare is the part of the descriptors that connections of clients may have. As many
+	// are for the connections to endpoints that their requests need, and the rest for peers and
+	// the store.
+	connectionShare = 0.4
 	// minConnections is the number of connections of clients on a machine with few descriptors.
 	minConnections = 16
 )
@@ -28,11 +32,10 @@
 const (
 	// maxHeadBytes is the largest head that a server reads. HTTP/2 counts 32 bytes more for each
 	// field, so that the smallest field of HTTP/1.1, of 4 bytes, is one of 33 there.
-	maxHeadBytes       = 9 * ingress.DefaultHeaderBytes
-	maxStreams         = 100       // concurrent requests of one connection
-	streamQueueBytes   = 64 << 10  // unread bytes of one body
-	http2QueueBytes    = 128 << 10 // unread bytes of all bodies of one connection
-	descriptorsDivisor = 2         // the other half is for endpoints, peers and the store
+	maxHeadBytes     = 9 * ingress.DefaultHeaderBytes
+	maxStreams       = 100       // concurrent requests of one connection
+	streamQueueBytes = 64 << 10  // unread bytes of one body
+	http2QueueBytes  = 128 << 10 // unread bytes of all bodies of one connection
 )
 
 // newBudget returns the budget of all clients of this host.
@@ -41,8 +44,8 @@
 		exchange.WithConnections(maxConnections(s.MaxOpenFiles)), exchange.WithNow(clock.Now))
 }
 
-func newGuard(budget *exchange.Budget, clock clockwork.Clock, log *zap.Logger) *ingress.Guard {
-	return ingress.New(budget, clock, log)
+func newGuard(s *settings.Settings, budget *exchange.Budget, clock clockwork.Clock, log *zap.Logger) *ingress.Guard {
+	return ingress.New(budget, clock, log, ingress.WithRequests(maxConnections(s.MaxOpenFiles)))
 }
 
 // exchangeMemory returns the memory for clients in bytes, for a machine with megabytes of memory.
@@ -59,7 +62,7 @@
 	if descriptors <= 0 {
 		descriptors = processDescriptors()
 	}
-	return int(max((descriptors-fileReserve)/descriptorsDivisor, minConnections))
+	return max(int(float64(descriptors-fileReserve)*connectionShare), minConnections)
 }
 
 // maxDescriptors bounds the number that is taken from a process without a limit.
--- a/router/internal/app/wire_gen.go
+++ b/router/internal/app/wire_gen.go
@@ -20,7 +20,7 @@
 	config := newCoreConfig(s, incarnation)
 	reactor := newReactor(config, clock, log)
 	budget := newBudget(s, clock)
-	guard := newGuard(budget, clock, log)
+	guard := newGuard(s, budget, clock, log)
 	adapters := newAdapters(lifetime, s, incarnation, clock, log, reactor, budget, guard)
 	sender := newSender(lifetime, s, incarnation, log, reactor)
 	metrics := newMetrics(s)
--- a/router/internal/ingress/guard.go
+++ b/router/internal/ingress/guard.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -41,9 +42,9 @@
 	// kernel doubles them. They are filled by what clients send unasked and do not read.
 	readQueue  = 16 << 10
 	writeQueue = 16 << 10
-	// fieldBytes is what a field of a head holds beside its text: the values of the fields are
-	// copied with the headers for the endpoint.
-	fieldBytes = 64
+	// fieldBytes is what a field of a head costs beside its text: 16 bytes for its value, which is
+	// copied several times while the list of the values grows, and again for the endpoint.
+	fieldBytes = 96
 	// lastField is the part of a field's text that is neither name nor value: ":" and line end.
 	lastField = len(":\r\n")
 )
@@ -58,13 +59,28 @@
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
 
+	maxRequests int64
+	requests    atomic.Int64 // in progress
+
 	timedOut atomic.Int64 // connections closed at a timeout
 	tooLarge atomic.Int64 // heads over the limit
 }
 
+// Option changes a Guard in New.
+type Option func(*Guard)
+
+// WithRequests limits the requests in progress, each of which may need a connection to
+// an endpoint.
+func WithRequests(n int) Option {
+	return func(g *Guard) { g.maxRequests = int64(n) }
+}
+
 // New returns a guard with the default limits.
-func New(budget *exchange.Budget, clock clockwork.Clock, log *zap.Logger) *Guard {
-	g := &Guard{budget: budget, clock: clock, log: log, conns: make(map[*Conn]struct{})}
+func New(budget *exchange.Budget, clock clockwork.Clock, log *zap.Logger, opts ...Option) *Guard {
+	g := &Guard{budget: budget, clock: clock, log: log, conns: make(map[*Conn]struct{}), maxRequests: math.MaxInt64}
+	for _, o := range opts {
+		o(g)
+	}
 	g.SetLimits(Limits{})
 	return g
 }
--- a/router/internal/ingress/handler.go
+++ b/router/internal/ingress/handler.go
@@ -70,7 +70,8 @@
 	if r.ProtoMajor > 1 {
 		charge += streamBytes
 	}
-	if c.client.Grow(charge) != nil {
+	defer h.guard.requests.Add(-1)
+	if h.guard.requests.Add(1) > h.guard.maxRequests || c.client.Grow(charge) != nil {
 		h.reject(w, r, http.StatusServiceUnavailable)
 		return
 	}
--- a/router/internal/settings/field.go
+++ b/router/internal/settings/field.go
@@ -52,7 +52,7 @@
 	}},
 	{"host", "machine-memory", "0", "Memory of the machine in MB, rounded down; 0 is unknown. Connections, requests and responses may fill a quarter of it, or 64 MB.", allowance(
 		func(s *Settings) *int64 { return &s.MachineMemory }, 1<<24)},
-	{"host", "max-open-files", "0", "Descriptors that the process may have, rounded down; 0 is the limit of the process. Half of them, less 200 for files, are for the connections of clients.", allowance(
+	{"host", "max-open-files", "0", "Descriptors that the process may have, rounded down; 0 is the limit of the process. Less 200 for files, two fifths of them are for connections of clients, and as many for the connections to endpoints that their requests need.", allowance(
 		func(s *Settings) *int64 { return &s.MaxOpenFiles }, 1<<24)},
 	{"caller", "address", "", "ip:port on which callers are served.", address(
 		func(s *Settings) *string { return &s.CallerAddress })},
