ingress: connections of a machine with unknown memory count as descriptors only

TestGracePeriod keeps 3,700 connections open on a host without host.machine-memory; half of the default 64 MB had room for 1,024. An idle connection counts 16 KB now, and one with a request 16 KB more for its queues. TestSoak, TestStopWhileStarting, TestUnframedStream and TestGracePeriod pass.

--- a/router/internal/app/ingress.go
+++ b/router/internal/app/ingress.go
@@ -40,8 +40,11 @@
 
 // newBudget returns the budget of all clients of this host.
 func newBudget(s *settings.Settings, clock clockwork.Clock) *exchange.Budget {
-	return exchange.NewBudget(exchangeMemory(s.MachineMemory),
-		exchange.WithConnections(maxConnections(s.MaxOpenFiles)), exchange.WithNow(clock.Now))
+	opts := []exchange.BudgetOption{exchange.WithConnections(maxConnections(s.MaxOpenFiles)), exchange.WithNow(clock.Now)}
+	if s.MachineMemory == 0 {
+		opts = append(opts, exchange.WithoutConnectionMemory())
+	}
+	return exchange.NewBudget(exchangeMemory(s.MachineMemory), opts...)
 }
 
 func newGuard(s *settings.Settings, budget *exchange.Budget, clock clockwork.Clock, log *zap.Logger) *ingress.Guard {
--- a/router/internal/ingress/conn.go
+++ b/router/internal/ingress/conn.go
@@ -140,12 +140,13 @@
 		c.http2 = true
 		return http2Bytes, false
 	}
+	charge = len(b) + fieldBytes*bytes.Count(b, []byte("\n"))
 	if c.phase != phaseHead {
+		charge += queueBytes
 		c.begin(phaseHead)
 		c.client.SetPhase(ingress.PhaseIncomplete)
 	}
 	c.headBytes += len(b)
-	charge = len(b) + fieldBytes*bytes.Count(b, []byte("\n"))
 	c.headCharge += charge
 	return charge, int64(c.headBytes) > c.guard.limits.Load().HeaderBytes+readAhead
 }
--- a/router/internal/ingress/guard.go
+++ b/router/internal/ingress/guard.go
@@ -42,6 +42,8 @@
 	// kernel doubles them. They are filled by what clients send unasked and do not read.
 	readQueue  = 16 << 10
 	writeQueue = 16 << 10
+	// queueBytes is what the kernel's queues hold of a connection with a request.
+	queueBytes = 16 << 10
 	// fieldBytes is what a field of a head costs beside its text: 16 bytes for its value, which is
 	// copied several times while the list of the values grows, and again for the endpoint.
 	fieldBytes = 96
--- a/router/internal/ingress/handler.go
+++ b/router/internal/ingress/handler.go
@@ -69,6 +69,8 @@
 	size, charge := headSize(r)
 	if r.ProtoMajor > 1 {
 		charge += streamBytes
+	} else {
+		charge += queueBytes
 	}
 	defer h.guard.requests.Add(-1)
 	if h.guard.requests.Add(1) > h.guard.maxRequests || c.client.Grow(charge) != nil {
