--- a/router/internal/app/ingress.go
+++ b/router/internal/app/ingress.go
@@ -108,4 +108,6 @@
 	r.metrics.Gauge("client-rejected", float64(u.Rejected))
 	r.metrics.Gauge("client-timed-out", float64(u.TimedOut))
 	r.metrics.Gauge("client-heads-too-large", float64(u.TooLarge))
+	r.metrics.Gauge("client-bodies-timed-out", float64(u.BodiesTimedOut))
+	r.metrics.Gauge("client-bodies-too-large", float64(u.BodiesTooLarge))
 }
--- a/router/internal/caller/caller.go
+++ b/router/internal/caller/caller.go
@@ -173,35 +173,9 @@
 	}
 }
 
-// session carries effects from the decision core to the HTTP handler that waits
-// for them. The output limit of the request bounds the length of the queue.
-type session struct {
-	mu     sync.Mutex
-	queue  []core.Effect
-	notify chan struct{}
-}
-
-func (c *session) push(e core.Effect) {
-	c.mu.Lock()
-	c.queue = append(c.queue, e)
-	c.mu.Unlock()
-	select {
-	case c.notify <- struct{}{}:
-	default:
-	}
-}
-
-func (c *session) take() []core.Effect {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	out := c.queue
-	c.queue = nil
-	return out
-}
-
 // openSession registers a request and posts it to the decision core.
-func (s *Server) openSession(ev core.RequestArrived, item *inflight.Item) *session {
-	c := &session{notify: make(chan struct{}, 1)}
+func (s *Server) openSession(ev core.RequestArrived, item *inflight.Item, memory *exchange.Memory) *session {
+	c := &session{notify: make(chan struct{}, 1), memory: memory}
 	s.mu.Lock()
 	s.sessions[ev.Request] = c
 	s.mu.Unlock()
@@ -251,12 +225,16 @@
 		}
 	}()
 	for {
-		for _, e := range c.take() {
+		effects, complete := c.take()
+		for _, e := range effects {
 			if fn(e) {
 				ended = true
 				return
 			}
 		}
+		if !complete {
+			panic(http.ErrAbortHandler)
+		}
 		select {
 		case <-c.notify:
 		case <-ctx.Done():
--- a/router/internal/caller/model.go
+++ b/router/internal/caller/model.go
@@ -107,7 +107,7 @@
 		return nil, false
 	}
 	if r.ContentLength > s.cfg.MaxBodyBytes {
-		s.rejectBody(w, http.StatusRequestEntityTooLarge)
+		s.rejectBody(w, exchange.ClientFrom(r.Context()).BodyStatus(&http.MaxBytesError{Limit: s.cfg.MaxBodyBytes}))
 		return nil, false
 	}
 	reader := http.MaxBytesReader(w, r.Body, s.cfg.MaxBodyBytes)
@@ -130,7 +130,7 @@
 	case http.StatusServiceUnavailable:
 		rejectForMemory(w)
 	default:
-		rejectRequest(w, status, codeBodyUnreadable, "the body could not be read")
+		rejectRequest(w, http.StatusBadRequest, codeBodyUnreadable, "the body could not be read")
 	}
 }
 
@@ -213,7 +213,7 @@
 	session := s.openSession(core.RequestArrived{
 		Request: req, Route: id.Route(m.route), Account: key.Account, Key: key.ID,
 		PromptTokens: tokens, MaxTokens: m.maxTokens, Prefix: prefix,
-	}, &inflight.Item{Prompt: m.prompt})
+	}, &inflight.Item{Prompt: m.prompt}, memoryFrom(r.Context()))
 	writer := newCompletionWriter(w, req, m)
 	s.processEffects(r.Context(), req, session, writer.handle)
 }
--- a/router/internal/caller/service.go
+++ b/router/internal/caller/service.go
@@ -50,7 +50,7 @@
 	session := s.openSession(core.RequestArrived{
 		Request: req, Route: route, Account: key.Account, Key: key.ID,
 		PromptTokens: int64(len(body))/bytesPerToken + 1, IdempotencyKey: idempotencyKey, Digest: digest(call),
-	}, item)
+	}, item, memoryFrom(r.Context()))
 	s.processEffects(r.Context(), req, session, func(e core.Effect) bool { return handleServiceEffect(w, req, item, e) })
 }
 
--- a/router/internal/ingress/conn.go
+++ b/router/internal/ingress/conn.go
@@ -57,7 +57,8 @@
 	http2        bool
 	streams      int       // requests of HTTP/2 in progress
 	running      int       // of these, those that are complete; of HTTP/1, until the answer is written
-	bodyOpen     bool      // the handler waits for a body
+	bodyOpen     bool      // the body of a request of HTTP/1 is incomplete
+	bodySince    time.Time // when it made progress last
 	writing      time.Time // when the present write began; zero without one
 	expiring     bool      // the read deadline is that of the idle timeout
 	givenUp      time.Time // when the connection was given up; zero if it wasn't
@@ -206,13 +207,20 @@
 	defer c.mu.Unlock()
 	c.begin(phaseHandling)
 	c.streams++
-	c.bodyOpen = hasBody
+	c.bodyOpen, c.bodySince = hasBody && !c.http2, c.since
 	if !hasBody {
 		c.running++
 	}
 	c.client.SetPhase(c.budgetPhase())
 }
 
+// progressBody notes that the handler waits for the next part of a body.
+func (c *Conn) progressBody() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.bodySince = c.guard.clock.Now()
+}
+
 // endBody notes that the body of a request is complete.
 func (c *Conn) endBody() {
 	c.mu.Lock()
@@ -244,7 +252,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.begin(phaseIdle)
-	c.running = 0
+	c.running, c.bodyOpen = 0, false
 	c.client.SetAccount("")
 	c.client.SetPhase(c.budgetPhase())
 }
@@ -273,7 +281,7 @@
 // refused; every other connection is closed, and this one too if closeNow is set.
 func (c *Conn) giveUp(closeNow bool) {
 	c.mu.Lock()
-	refuse := !closeNow && !c.http2 && c.bodyOpen && c.writing.IsZero()
+	refuse := !closeNow && c.bodyOpen && c.writing.IsZero()
 	c.givenUp = c.guard.clock.Now()
 	if refuse {
 		_ = c.Conn.SetReadDeadline(c.givenUp)
@@ -303,6 +311,8 @@
 		c.givenUp = now
 		c.reset()
 		return true
+	case c.bodyOpen && now.Sub(c.bodySince) >= l.IdleTimeout:
+		_ = c.Conn.SetReadDeadline(now) // ends the read; the handler refuses the request
 	case c.phase == phaseIdle && !c.expiring && waited >= l.IdleTimeout:
 		c.expiring = true
 		_ = c.Conn.SetReadDeadline(now.Add(expiryGrace)) // fails only if the connection is closed
--- a/router/internal/ingress/guard.go
+++ b/router/internal/ingress/guard.go
@@ -241,6 +241,8 @@
 		zap.Int64("evicted", u.Evicted-last.Evicted), zap.Int64("refused", u.Refused-last.Refused),
 		zap.Int64("rejected", u.Rejected-last.Rejected), zap.Int64("timed-out", u.TimedOut-last.TimedOut),
 		zap.Int64("heads-too-large", u.TooLarge-last.TooLarge),
+		zap.Int64("bodies-too-large", u.BodiesTooLarge-last.BodiesTooLarge),
+		zap.Int64("bodies-timed-out", u.BodiesTimedOut-last.BodiesTimedOut),
 		zap.Int("connections", u.Connections), zap.Int64("bytes", u.Bytes))
 	return u
 }
--- a/router/internal/ingress/handler.go
+++ b/router/internal/ingress/handler.go
@@ -119,7 +119,9 @@
 	if r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody {
 		return nil
 	}
-	b := &body{ReadCloser: r.Body, conn: c, controller: http.NewResponseController(w), left: r.ContentLength}
+	b := &body{
+		ReadCloser: r.Body, conn: c, controller: http.NewResponseController(w), left: r.ContentLength, http2: r.ProtoMajor > 1,
+	}
 	if d := h.bodyTime(r); d > 0 {
 		b.end = h.guard.clock.Now().Add(d)
 	}
@@ -135,15 +137,21 @@
 	controller *http.ResponseController
 	end        time.Time // of the time for the body; zero without one
 	left       int64     // bytes that have not been read; negative if their number is unknown
+	http2      bool
 	complete   bool
 }
 
-// extend sets the deadline for the next bytes of the body.
+// extend allows the next bytes of the body the idle timeout. Guard.Run enforces it with HTTP/1, where
+// a body has the connection for itself.
 func (b *body) extend() {
-	guard := b.conn.guard
-	deadline := guard.clock.Now().Add(guard.limits.Load().IdleTimeout)
-	if !b.end.IsZero() && b.end.Before(deadline) {
-		deadline = b.end
+	deadline := b.end
+	if b.http2 {
+		idle := b.conn.guard.clock.Now().Add(b.conn.guard.limits.Load().IdleTimeout)
+		if deadline.IsZero() || idle.Before(deadline) {
+			deadline = idle
+		}
+	} else {
+		b.conn.progressBody()
 	}
 	_ = b.controller.SetReadDeadline(deadline) // fails only if the connection is closed
 }
