ingress: a request of HTTP/1 counts until its connection is idle or closed

The server keeps a request until then; after a refusal that is half a second. With the charge given back at the end of the handler one case of heads came to 67 of 64 MB.

--- a/router/internal/ingress/conn.go
+++ b/router/internal/ingress/conn.go
@@ -54,6 +54,7 @@
 	since        time.Time // when the phase began
 	headBytes    int       // read in phaseHead
 	headCharge   int       // reserved for what was read in phaseHead
+	held         int       // reserved for the request of HTTP/1 in progress
 	http2        bool
 	streams      int       // requests of HTTP/2 in progress
 	running      int       // of these, those that are complete; of HTTP/1, until the answer is written
@@ -174,6 +175,14 @@
 	return charge
 }
 
+// hold notes what is reserved for a request of HTTP/1. The server keeps the request until its answer
+// has been written and the connection carries the next one or is closed.
+func (c *Conn) hold(charge int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.held += charge
+}
+
 // Write writes bytes. As long as it doesn't return, the answer counts as unread.
 func (c *Conn) Write(b []byte) (int, error) {
 	c.setWriting(c.guard.clock.Now())
@@ -253,6 +262,8 @@
 	defer c.mu.Unlock()
 	c.begin(phaseIdle)
 	c.running, c.bodyOpen = 0, false
+	c.client.Shrink(c.held)
+	c.held = 0
 	c.client.SetAccount("")
 	c.client.SetPhase(c.budgetPhase())
 }
--- a/router/internal/ingress/handler.go
+++ b/router/internal/ingress/handler.go
@@ -77,7 +77,11 @@
 		h.reject(w, r, http.StatusServiceUnavailable)
 		return
 	}
-	defer c.client.Shrink(charge)
+	if r.ProtoMajor > 1 {
+		defer c.client.Shrink(charge)
+	} else {
+		c.hold(charge)
+	}
 	if int64(size) > h.guard.limits.Load().HeaderBytes {
 		h.guard.tooLarge.Add(1)
 		h.reject(w, r, http.StatusRequestHeaderFieldsTooLarge)
