--- a/router/internal/ingress/guard.go
+++ b/router/internal/ingress/guard.go
@@ -39,11 +39,12 @@
 	// sweepInterval is the time between two looks at the timeouts of connections.
 	sweepInterval = 250 * time.Millisecond
 	// readQueue and writeQueue are the sizes of the kernel's queues of a connection, in bytes. The
-	// kernel doubles them. They are filled by what clients send unasked and do not read.
-	readQueue  = 16 << 10
+	// kernel doubles them. They are filled by what clients send unasked and do not read. With a read
+	// queue of 16 KB, smaller than a segment on loopback, bodies of 4 MB stalled for more than 20 s.
+	readQueue  = 64 << 10
 	writeQueue = 16 << 10
-	// queueBytes is what the kernel's queues hold of a connection with a request.
-	queueBytes = 16 << 10
+	// queueBytes is what the kernel may hold of a connection with a request.
+	queueBytes = readQueue
 	// fieldBytes is what a field of a head costs beside its text: 16 bytes for its value, which is
 	// copied several times while the list of the values grows, and again for the endpoint.
 	fieldBytes = 96
