--- a/router/internal/caller/caller.go
+++ b/router/internal/caller/caller.go
@@ -21,6 +21,7 @@
 	"ragwortshunt.example/fleet/core"
 	"ragwortshunt.example/fleet/id"
 	"ragwortshunt.example/fleet/table"
+	"ragwortshunt.example/platform/exchange"
 	"ragwortshunt.example/router/internal/inflight"
 )
 
@@ -41,9 +42,10 @@
 type Config struct {
 	Host             id.Host
 	Incarnation      id.Incarnation
-	MaxBodyBytes     int64         // size limit of a request body, in bytes
-	DefaultMaxTokens int64         // output limit of a request without max_tokens, in tokens
-	BodyTimeout      time.Duration // time limit for receiving a request body; 0 means no limit
+	MaxBodyBytes     int64            // size limit of a request body, in bytes
+	DefaultMaxTokens int64            // output limit of a request without max_tokens, in tokens
+	BodyTimeout      time.Duration    // time limit for receiving a request body; 0 means no limit
+	Budget           *exchange.Budget // memory of bodies and unread answers; nil means no limit
 }
 
 // Server serves the HTTP API for callers. Use New to create one.
@@ -81,6 +83,9 @@
 	c.Add(v1)
 	return s.closeWhenDraining(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.setBodyDeadline(w)
+		memory := s.cfg.Budget.NewMemory(exchange.ClientFrom(r.Context()))
+		defer memory.Release()
+		r = r.WithContext(withMemory(r.Context(), memory))
 		// A ServeMux would redirect paths that are not in canonical form, but a
 		// service must receive the path exactly as the caller sent it.
 		switch {
@@ -168,35 +173,9 @@
 	}
 }
 
-// session carries effects from the decision core to the HTTP handler that waits
-// for them. The output limit of the request bounds the length of the queue.
-type session struct {
-	mu     sync.Mutex
-	queue  []core.Effect
-	notify chan struct{}
-}
-
-func (c *session) push(e core.Effect) {
-	c.mu.Lock()
-	c.queue = append(c.queue, e)
-	c.mu.Unlock()
-	select {
-	case c.notify <- struct{}{}:
-	default:
-	}
-}
-
-func (c *session) take() []core.Effect {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	out := c.queue
-	c.queue = nil
-	return out
-}
-
 // openSession registers a request and posts it to the decision core.
-func (s *Server) openSession(ev core.RequestArrived, item *inflight.Item) *session {
-	c := &session{notify: make(chan struct{}, 1)}
+func (s *Server) openSession(ev core.RequestArrived, item *inflight.Item, memory *exchange.Memory) *session {
+	c := &session{notify: make(chan struct{}, 1), memory: memory}
 	s.mu.Lock()
 	s.sessions[ev.Request] = c
 	s.mu.Unlock()
@@ -246,12 +225,16 @@
 		}
 	}()
 	for {
-		for _, e := range c.take() {
+		effects, complete := c.take()
+		for _, e := range effects {
 			if fn(e) {
 				ended = true
 				return
 			}
 		}
+		if !complete {
+			panic(http.ErrAbortHandler)
+		}
 		select {
 		case <-c.notify:
 		case <-ctx.Done():
--- a/router/internal/settings/settings.go
+++ b/router/internal/settings/settings.go
@@ -48,6 +48,7 @@
 	Pace          bool    // endpoints of plain services are chosen by their speed over all hosts
 	MemoryLimit   int64   // bytes; 0: no limit
 	MachineMemory int64   // MB; 0 is unknown
+	MaxOpenFiles  int64   // descriptors of the process; 0: its own limit
 	Capacity      float64 // part of a processor core; 0 is unknown
 
 	PlatformURL     string
