--- a/fleet/core/request.go
+++ b/fleet/core/request.go
@@ -275,6 +275,9 @@
 	r.admitted = true
 	r.notAfter = notAfter
 	r.addTrace(s.now, "admitted for %d tokens%s", r.cost(), r.levelSuffix())
+	if waited := r.earlierWait(); waited > 0 {
+		r.addTrace(s.now, "the caller had waited %s before it came to this host", waited)
+	}
 	s.emit(Charged{Request: r.Request, Account: r.account, Tokens: r.cost()})
 	switch {
 	case !r.isService():
--- a/fleet/core/slot.go
+++ b/fleet/core/slot.go
@@ -154,7 +154,7 @@
 	if r.schedulerHost == "" {
 		return
 	}
-	r.addTrace(s.now, "attempt %d asks %s for %s, earlier wait %s", r.attempt, r.schedulerHost, r.cell, r.earlierWait())
+	r.addTrace(s.now, "attempt %d asks %s for %s", r.attempt, r.schedulerHost, r.cell)
 	member.ExpectReply(s.member, s.now, r.schedulerHost)
 	s.send(r.schedulerHost, message.SlotRequest{
 		Request:            r.Request,
