schedule: the load summary names the wait of a level that exists

Cause: Load asked for the wait of level 9. In a cell with fewer levels that queue is empty, so its turns counted as free, and the summary named half of the real wait. Change: Load asks for the last level that the model has.

--- a/fleet/schedule/level_test.go
+++ b/fleet/schedule/level_test.go
@@ -245,3 +245,15 @@
 	}
 	assert.DeepEqual(t, granted, []id.Request{"small"})
 }
+
+// TestLoadOfLeastUrgent guards against a load summary that names the wait of a level which
+// the model does not have.
+func TestLoadOfLeastUrgent(t *testing.T) {
+	c := levelCell(2, nil)
+	for i := range 40 {
+		schedule.HandleSlotRequest(c, t0, "h", slotRequest(fmt.Sprintf("%02d", i), level(1), target(time.Hour)))
+	}
+	want := schedule.ExpectedWait(c, t0, message.LevelOf(1))
+	assert.Assert(t, want >= 30*time.Second, "%v", want)
+	assert.Equal(t, schedule.Load(c, t0).Wait, want)
+}
--- a/fleet/schedule/schedule.go
+++ b/fleet/schedule/schedule.go
@@ -143,7 +143,7 @@
 		Model:     c.model,
 		Queued:    c.queued(),
 		FreeSlots: int(c.freeSlots()),
-		Wait:      c.expectedWait(message.MaxLevels - 1),
+		Wait:      c.expectedWait(c.levelCount() - 1),
 	}
 }
 
