schedule: a blocked request does not end the turns of lower levels

Cause: the first request that got no grant ended the turns of a pass. If it was a large prompt that has to leave a prefill endpoint to small ones, came from a partitioned zone or waited for a faster engine, its level and the other lower levels got nothing, although endpoint time was owed to them. Change: such requests are passed over, and the next lower level is tried, for at most half of the scan. A request that lacks memory ends the turns as before.

--- a/fleet/schedule/grant.go
+++ b/fleet/schedule/grant.go
@@ -12,7 +12,7 @@
 	scanned       int
 	largeBlocked  bool  // large prompts cannot be granted
 	blockedTokens int64 // requests of this many prompt and output tokens or more lack memory; 0 if none is known
-	turnFailed    bool  // the less urgent level whose turn it is cannot be granted
+	turnsEnded    bool  // a request lacks memory; see nextLowerLevel
 	lacksMemory   bool  // an interactive request lacks memory
 	held          bool  // a request of heldLevel lacks memory and holds back the levels below
 	heldLevel     int
@@ -49,7 +49,6 @@
 		}
 		r.scanned++
 		c.noteObstacle(&r, e, why)
-		r.turnFailed = true
 	}
 	c.restoreSkippedLanes()
 	c.hold.active = c.hold.active && r.lacksMemory
@@ -65,6 +64,7 @@
 		r.hasWaiting = true
 		e.waitsIn = c.speeds.pass
 	case why == obstacleMemory:
+		r.turnsEnded = true
 		r.blockedTokens = e.prompt + e.output
 		c.drainFor(e)
 		c.holdLowerLevels(r, e)
--- a/fleet/schedule/level.go
+++ b/fleet/schedule/level.go
@@ -239,27 +239,40 @@
 }
 
 // nextLowerLevel returns a request of a less urgent level if endpoint time is owed to
-// these levels, and nil otherwise. They take turns.
+// these levels, and nil otherwise. They take turns. Requests whose obstacle is not memory
+// are passed over, so that one of them does not block its level or the other ones. At most
+// half of the scan is spent here, so that the urgent requests are tried too. Once a request
+// lacks memory there are no more turns in the pass, because smaller requests would take what
+// it waits for.
 func (c *Cell) nextLowerLevel(r *passState) *entry {
-	if c.levels == 0 || c.levelDebt <= 0 || r.turnFailed {
+	if c.levels == 0 || c.levelDebt <= 0 || r.turnsEnded || 2*r.scanned >= c.cfg.ScanLimit {
 		return nil
 	}
+	var tried [message.MaxLevels]bool
+	for turn := c.levelInTurn(&tried); turn >= 0; turn = c.levelInTurn(&tried) {
+		for class := range c.queues {
+			if e := c.nextInClass(r, &c.queues[class][turn]); e != nil {
+				return e
+			}
+		}
+		tried[turn] = true
+	}
+	return nil
+}
+
+// levelInTurn returns the queued level below the most urgent one that got the least time
+// in turns, without those tried, or -1.
+func (c *Cell) levelInTurn(tried *[message.MaxLevels]bool) int {
 	turn := -1
 	for level := c.urgentLevel() + 1; level < c.levels; level++ {
-		if c.queuedAt(level) == 0 {
+		if tried[level] || c.queuedAt(level) == 0 {
 			continue
 		}
 		if turn < 0 || c.levelTurns.served[level] < c.levelTurns.served[turn] {
 			turn = level
 		}
 	}
-	if turn < 0 {
-		return nil
-	}
-	if e := c.nextInClass(r, &c.queues[interactive][turn]); e != nil {
-		return e
-	}
-	return c.nextInClass(r, &c.queues[deferrable][turn])
+	return turn
 }
 
 // holdLowerLevels keeps less urgent requests from taking the memory that e waits for.
--- a/fleet/schedule/level_test.go
+++ b/fleet/schedule/level_test.go
@@ -257,3 +257,42 @@
 	assert.Assert(t, want >= 30*time.Second, "%v", want)
 	assert.Equal(t, schedule.Load(c, t0).Wait, want)
 }
+
+// TestTurnPassesBlocked guards against a lower level that gets nothing because the first of
+// its requests is a large prompt, which has to leave a prefill endpoint to small ones.
+func TestTurnPassesBlocked(t *testing.T) {
+	for _, large := range []int{1, 2} {
+		t.Run(fmt.Sprintf("large at level %d", large), func(t *testing.T) { checkTurns(t, large) })
+	}
+}
+
+// checkTurns has a large prompt wait at a level, and small ones at levels 0 and 1.
+func checkTurns(t *testing.T, large int) {
+	t.Helper()
+	c := cell(nil, prefill("p1"), prefill("p2"), decode("d", 50, 1000))
+	schedule.SetLevels(c, t0, 3)
+	schedule.HandleSlotRequest(c, t0, "h", slotRequest("busy", prompt(99_000), target(time.Hour))) // 10 s on one prefill endpoint
+	for i := range 200 {
+		schedule.HandleSlotRequest(c, t0, "h", slotRequest(fmt.Sprintf("u%03d", i), level(0), target(time.Hour)))
+	}
+	schedule.HandleSlotRequest(c, t0, "h", slotRequest("large", level(large), prompt(3000), target(30*time.Minute)))
+	var running []id.Request
+	for i := range 50 {
+		acts := schedule.HandleSlotRequest(c, t0, "h", slotRequest(fmt.Sprintf("b%02d", i), level(1), target(time.Hour)))
+		running = append(running, names(acts)...)
+	}
+	count := make(map[byte]int)
+	for now := 10 * ms; now < time.Second; now += 10 * ms {
+		acts := schedule.Tick(c, at(now))
+		for _, name := range running {
+			acts = append(acts, finish(c, at(now), string(name), 100)...)
+		}
+		running = names(acts)
+		for _, name := range running {
+			count[name[0]]++
+		}
+	}
+	mustCheck(t, c)
+	granted := count['u'] + count['b']
+	assert.Assert(t, granted >= 50 && count['b']*10 >= granted-10, "%d of %d grants", count['b'], granted)
+}
