schedule: requests do not wait for prefill engines that cannot take them

Cause: while speeds differ, a request waits for the prefill engine where it would end first. The choice left out whether that engine ever has the memory and a slot: one that is too small, or holds decodes after a change of role or runs of another scheduler, was idle and fast, so requests waited for it until they were refused. Change: engines that lack memory or slots also after their granted prefills have ended are left out, as while speeds are equal. Result: TestSlowPrefillAlone: granted on the slow engine with room; before, not granted.

--- a/fleet/schedule/placespeed.go
+++ b/fleet/schedule/placespeed.go
@@ -71,7 +71,7 @@
 		if !c.acceptsGrants(ep) || c.isUnproven(ep, &ep.speed.prefill) && len(ep.prefills) > 0 {
 			continue
 		}
-		if c.isPartitioned(e, ep) || avoid && ep.Name == e.avoid {
+		if c.isPartitioned(e, ep) || avoid && ep.Name == e.avoid || !ep.hasRoomAfterPrefills(e) {
 			why = obstacleOther
 			continue
 		}
@@ -89,6 +89,17 @@
 	return best, obstacleNone
 }
 
+// hasRoomAfterPrefills reports whether the endpoint has a slot and the memory for the prefill
+// of e once its granted prefills have ended. Decodes that remain after a change of role, and
+// unregistered runs, may take longer than a request can wait.
+func (ep *endpoint) hasRoomAfterPrefills(e *entry) bool {
+	blocks := ep.freeBlocks()
+	for _, other := range ep.prefills {
+		blocks += other.prefillBlocks
+	}
+	return ep.freeSlots()+int64(len(ep.prefills)) >= 1 && blocks >= ep.blocksFor(e.prompt)
+}
+
 // takesPrefill reports whether an endpoint takes the prefill of e now.
 func (c *Cell) takesPrefill(ep *endpoint, e *entry) bool {
 	if c.backlog(ep)+c.promised(ep) > c.cfg.MaxBacklog {
--- a/fleet/schedule/speed_test.go
+++ b/fleet/schedule/speed_test.go
@@ -299,3 +299,46 @@
 		assert.Assert(t, change.Role == table.RoleDecode && change.Endpoint[2]%2 == 0, "%+v", changes)
 	}
 }
+
+// TestSlowPrefillAlone guards against a request that waits for faster prefill engines which
+// do not have the memory or the slots for it, although a slower one has.
+func TestSlowPrefillAlone(t *testing.T) {
+	const usual = promptTokens * time.Second / balancePrefillRate
+	for _, tc := range []struct {
+		name string
+		fill func(c *schedule.Cell, now time.Duration)
+	}{
+		{"others are too small", func(c *schedule.Cell, now time.Duration) {
+			eps := engines(3, 3)
+			eps[1].Blocks, eps[2].Blocks = 10, 10
+			schedule.SetEndpoints(c, at(now), eps)
+		}},
+		{"others have runs of another scheduler", func(c *schedule.Cell, now time.Duration) {
+			var runs []schedule.Run
+			for i := range 12 {
+				runs = append(runs, schedule.Run{Request: id.Request(fmt.Sprintf("run-%d", i)), Attempt: 1})
+			}
+			for _, name := range []id.Endpoint{"e01", "e02"} {
+				schedule.HandleReport(c, at(now), schedule.Report{Endpoint: name, Running: 12, Slots: 12, Runs: runs})
+			}
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := speedCell(t, 3, projectedTokenTime, projectedTokenTime, projectedTokenTime)
+			now := 2 * time.Second
+			for i := range 3 {
+				schedule.HandleSlotRequest(c, at(now), "h", memoryRequest(i, nil))
+			}
+			for i, took := range []time.Duration{usual, usual, 5 * usual / 2} { // that on e00 takes longest
+				finish(c, at(now+took), string(memoryRequest(2-i, nil).Request), 0)
+			}
+			now += 3*usual + 110*ms
+			schedule.Tick(c, at(now))
+			tc.fill(c, now)
+			got := grants(schedule.HandleSlotRequest(c, at(now), "h", memoryRequest(20, nil)))
+			assert.Equal(t, len(got), 1)
+			assert.Equal(t, got[0].Prefill, id.Endpoint("e00"))
+			mustCheck(t, c)
+		})
+	}
+}
