schedule: expected waits of levels follow the speed of engines

Cause: for a model with levels, the rate at which runs end is at least the number of runs over their expected time. That time came from the token time of the cell, which follows ended runs, so engines that became slow did not change the expected wait, Retry-After and refusals of models with levels. Change: while speeds differ, the expected time uses the mean of the measured speeds.

--- a/fleet/schedule/level.go
+++ b/fleet/schedule/level.go
@@ -109,13 +109,13 @@
 // drainRate returns the rate, in requests per second, at which queued requests can start:
 // the measured rate at which runs end. That rate lags by about a second, and is too low
 // when a burst begins. For a model with levels, the rate that follows from the current
-// runs and their expected time is used if it is higher.
+// runs and their expected time at the measured speeds is used if it is higher.
 func (c *Cell) drainRate() float64 {
 	rate := c.releasesPerSecond()
 	if c.levels == 0 || c.runAverages.samples < minBalanceSamples {
 		return rate
 	}
-	runTime := c.runAverages.output * c.tokenTime.Seconds()
+	runTime := c.runAverages.output * c.meanTokenTime().Seconds()
 	runTime += c.runAverages.prompt / max(c.meanPrefillRate(), 1)
 	if runTime <= 0 {
 		return rate
--- a/fleet/schedule/speed.go
+++ b/fleet/schedule/speed.go
@@ -110,6 +110,15 @@
 	return c.tokenTime
 }
 
+// meanTokenTime returns the time per output token of a decode engine that has the mean speed
+// of all. While their speeds are equal, it is the long-term average.
+func (c *Cell) meanTokenTime() time.Duration {
+	if !c.speeds.unevenDecode || c.speeds.output <= 0 {
+		return c.tokenTime
+	}
+	return time.Duration(float64(len(c.decodes)) / c.speeds.output * float64(time.Second))
+}
+
 // tokenTimeOn returns the expected time per output token of a run on the endpoint.
 func (c *Cell) tokenTimeOn(ep *endpoint) time.Duration {
 	if ep.speed.decode.isFresh(c.now) {
--- a/fleet/schedule/speed_test.go
+++ b/fleet/schedule/speed_test.go
@@ -342,3 +342,33 @@
 		})
 	}
 }
+
+// TestLevelWaitBySpeed guards against expected waits of a model with levels that stay the
+// same when engines become slow.
+func TestLevelWaitBySpeed(t *testing.T) {
+	const usual = projectedTokenTime
+	reports := []time.Duration{usual, usual, usual, usual, usual, usual, usual, usual, usual, usual}
+	c := speedCell(t, 8, reports...)
+	schedule.SetLevels(c, at(0), 2)
+	eps := engines(8, 10)
+	for i := range eps {
+		eps[i].Slots = 4
+	}
+	schedule.SetEndpoints(c, at(0), eps)
+	now := serveRequests(c, 2*time.Second, promptTokens, outputMean)
+	change := func(m *message.SlotRequest) { m.FirstToken, m.MaxWait = time.Hour, 0 }
+	placed := placedOn(c, now, 0, 60, change)
+	assert.Assert(t, len(placed) < 60)
+	now += time.Second
+	report(c, now, 8, reports...)
+	before := schedule.ExpectedWait(c, at(now+110*ms), message.LevelOf(1))
+	for i := range 4 {
+		reports[i] *= 10
+	}
+	now += time.Second
+	report(c, now, 8, reports...)
+	after := schedule.ExpectedWait(c, at(now+110*ms), message.LevelOf(1))
+	t.Logf("expected wait %v, before %v", after, before)
+	// The engines have 6.4 of 10 times their usual speed in total.
+	assert.Assert(t, float64(after) > 1.3*float64(before), "%v, before %v", after, before)
+}
