schedule: drain only decode engines that the request would take

Cause: the engine that is drained for a request that lacks memory was chosen by its free memory alone. If it was slow and did not meet the needs of the request, the request waited for a faster one until its last chance, and the drained engine was idle meanwhile. Change: while speeds differ, only engines that meet the needs are drained, if there are any. Result: TestPinBySpeed: requests are granted on the slow engine when its runs have ended; before, none was.

--- a/fleet/schedule/place.go
+++ b/fleet/schedule/place.go
@@ -226,11 +226,16 @@
 		return
 	}
 	avoid := c.canAvoid(e, c.decodes)
+	pl := placement{prefillEnd: c.now + e.prefillTime}
+	onlySound := c.speeds.unevenDecode && c.hasSound(e, &pl)
 	var best *endpoint
 	for _, ep := range c.decodes {
 		if !c.acceptsGrants(ep) || (avoid && ep.Name == e.avoid) || ep.Blocks < ep.blocksFor(e.prompt+e.output) {
 			continue
 		}
+		if onlySound && !c.isSound(ep, e, &pl) {
+			continue // e would not take it while a sound one may get room
+		}
 		if best == nil || ep.freeBlocks() > best.freeBlocks() {
 			best = ep
 		}
--- a/fleet/schedule/speed_test.go
+++ b/fleet/schedule/speed_test.go
@@ -372,3 +372,32 @@
 	// The engines have 6.4 of 10 times their usual speed in total.
 	assert.Assert(t, float64(after) > 1.3*float64(before), "%v, before %v", after, before)
 }
+
+// TestPinBySpeed guards against a slow engine that is drained for a request which waits for
+// a faster one, and that others then cannot use.
+func TestPinBySpeed(t *testing.T) {
+	const usual = projectedTokenTime
+	c := speedCell(t, 8, 8*usual, usual, usual)
+	now := 1200 * ms
+	patient := func(m *message.SlotRequest) { m.FirstToken, m.MaxWait = time.Hour, 0 }
+	on := make(map[id.Endpoint][]string)
+	for i := range 40 {
+		for _, name := range placedOn(c, now, i, 1, patient) {
+			on[name] = append(on[name], string(memoryRequest(i, nil).Request))
+		}
+	}
+	schedule.HandleSlotRequest(c, at(now), "h", memoryRequest(40, func(m *message.SlotRequest) {
+		m.PromptTokens, m.FirstToken, m.MaxWait, m.EventGap = 3*promptTokens, 30*time.Minute, 0, speedGapTarget
+	}))
+	now += 1100 * ms
+	schedule.Tick(c, at(now))
+	var acts []schedule.Action
+	for _, name := range on["e08"] {
+		acts = append(acts, finish(c, at(now), name, 0)...)
+	}
+	acts = append(acts, schedule.Tick(c, at(now))...)
+	assert.Assert(t, len(on["e08"]) > 0 && len(grants(acts)) > 0, "%v", on)
+	for _, g := range grants(acts) {
+		assert.Equal(t, g.Decode, id.Endpoint("e08"))
+	}
+}
