schedule: urgent requests that need a fast engine hold back lower levels

Cause: while speeds differ, a request for which the free decode engines are too slow waits for the memory of the others. This obstacle was treated as a wait for a busy prefill engine, without a hold. Smaller requests of lower levels took each part of the memory that became free on the fast engines. Change: the wait has its own obstacle, which holds back lower levels as a lack of memory does, for Config.MaxHold at most. A hold also ends the turns of lower levels in its pass.

--- a/fleet/schedule/grant.go
+++ b/fleet/schedule/grant.go
@@ -13,8 +13,8 @@
 	largeBlocked  bool  // large prompts cannot be granted
 	blockedTokens int64 // requests of this many prompt and output tokens or more lack memory; 0 if none is known
 	turnsEnded    bool  // a request lacks memory; see nextLowerLevel
-	lacksMemory   bool  // an interactive request lacks memory
-	held          bool  // a request of heldLevel lacks memory and holds back the levels below
+	lacksMemory   bool  // an interactive request lacks memory, perhaps only that of engines that meet its needs
+	held          bool  // such a request of heldLevel holds back the levels below
 	heldLevel     int
 	hasWaiting    bool // a request waits for a faster engine; see entry.waitsIn
 }
@@ -57,13 +57,15 @@
 
 // noteObstacle records why e gets no grant in this pass.
 func (c *Cell) noteObstacle(r *passState, e *entry, why obstacle) {
-	switch {
-	case why == obstacleLarge:
+	switch why {
+	case obstacleLarge:
 		r.largeBlocked = true
-	case why == obstacleSpeed:
-		r.hasWaiting = true
-		e.waitsIn = c.speeds.pass
-	case why == obstacleMemory:
+	case obstacleSpeed:
+		c.letWait(r, e)
+	case obstacleNeeds:
+		c.letWait(r, e)
+		c.holdLowerLevels(r, e)
+	case obstacleMemory:
 		r.turnsEnded = true
 		r.blockedTokens = e.prompt + e.output
 		c.drainFor(e)
@@ -73,6 +75,12 @@
 	}
 }
 
+// letWait leaves e out of the rest of the pass.
+func (c *Cell) letWait(r *passState, e *entry) {
+	r.hasWaiting = true
+	e.waitsIn = c.speeds.pass
+}
+
 // nextEntry returns the request to try next: a less urgent level whose turn it is, or else
 // the most urgent level. Within a level, interactive requests come before deferrable ones,
 // unless endpoint time is owed to deferrable requests.
--- a/fleet/schedule/level.go
+++ b/fleet/schedule/level.go
@@ -245,7 +245,7 @@
 // lacks memory there are no more turns in the pass, because smaller requests would take what
 // it waits for.
 func (c *Cell) nextLowerLevel(r *passState) *entry {
-	if c.levels == 0 || c.levelDebt <= 0 || r.turnsEnded || 2*r.scanned >= c.cfg.ScanLimit {
+	if c.levels == 0 || c.levelDebt <= 0 || r.turnsEnded || r.held || 2*r.scanned >= c.cfg.ScanLimit {
 		return nil
 	}
 	var tried [message.MaxLevels]bool
--- a/fleet/schedule/place.go
+++ b/fleet/schedule/place.go
@@ -16,7 +16,8 @@
 	obstacleMemory           // no decode endpoint has enough memory
 	obstacleLink             // a link is busy until the KV cache would expire
 	obstacleOther            // applies to this request alone
-	obstacleSpeed            // a busy engine is expected to serve this request earlier than the free ones
+	obstacleSpeed            // a busy prefill engine is expected to serve this request earlier than the free ones
+	obstacleNeeds            // only decode engines without room meet the needs of this request
 )
 
 // placement is a choice of endpoints with the planned times.
--- a/fleet/schedule/placespeed.go
+++ b/fleet/schedule/placespeed.go
@@ -194,7 +194,7 @@
 	case best.endpoint == nil:
 		return why
 	case !best.sound && c.now+lastChance < e.latestStart && c.hasSound(e, pl):
-		return obstacleSpeed
+		return obstacleNeeds
 	}
 	pl.decode = best.endpoint
 	return obstacleNone
--- a/fleet/schedule/speed_test.go
+++ b/fleet/schedule/speed_test.go
@@ -401,3 +401,28 @@
 		assert.Equal(t, g.Decode, id.Endpoint("e08"))
 	}
 }
+
+// TestLevelHoldBySpeed guards against an urgent request that waits for the memory of fast
+// engines, because a free one is too slow for it, while smaller requests of a lower level
+// take each part of that memory.
+func TestLevelHoldBySpeed(t *testing.T) {
+	const usual = projectedTokenTime
+	c := speedCell(t, 8, usual, usual, 8*usual)
+	schedule.SetLevels(c, at(0), 2)
+	now := 1200 * ms
+	needs := func(rank int, prompt int64) func(*message.SlotRequest) {
+		return func(m *message.SlotRequest) {
+			m.Level, m.PromptTokens, m.FirstToken, m.MaxWait, m.EventGap = message.LevelOf(rank), prompt, time.Hour, 0, speedGapTarget
+		}
+	}
+	for i := range 12 { // leaves room for one more run on each fast engine
+		acts := schedule.HandleSlotRequest(c, at(now), "h", memoryRequest(i, needs(1, promptTokens)))
+		assert.Equal(t, len(grants(acts)), 1)
+		start(c, at(now), string(grants(acts)[0].Request))
+	}
+	acts := schedule.HandleSlotRequest(c, at(now), "h", memoryRequest(30, needs(0, 3*promptTokens)))
+	acts = append(acts, schedule.HandleSlotRequest(c, at(now), "h", memoryRequest(31, needs(1, 100)))...)
+	assert.Equal(t, len(grants(acts)), 0, "%v", acts)
+	acts = schedule.Tick(c, at(now+600*ms)) // the hold is bounded
+	assert.DeepEqual(t, names(acts), []id.Request{memoryRequest(31, nil).Request})
+}
