schedule: a hold does not stop interactive requests of its own level

Cause: while endpoint time is owed to deferrable requests, they are tried first in each level. A hold stops those of its own level, and the pass ended there, so that smaller interactive requests of that level got nothing although they had room. Change: the pass goes on with the next class and level. Result: TestHoldKeepsOwnLevel: the small request is granted; before, it was not.

--- a/fleet/schedule/grant.go
+++ b/fleet/schedule/grant.go
@@ -95,7 +95,7 @@
 	for level := range c.levelCount() {
 		for _, class := range [classCount]int{first, second} {
 			if r.holdsBack(class, level) {
-				return nil
+				continue
 			}
 			if e := c.nextInClass(r, &c.queues[class][level]); e != nil {
 				return e
--- a/fleet/schedule/level_test.go
+++ b/fleet/schedule/level_test.go
@@ -296,3 +296,19 @@
 	granted := count['u'] + count['b']
 	assert.Assert(t, granted >= 50 && count['b']*10 >= granted-10, "%d of %d grants", count['b'], granted)
 }
+
+// TestHoldKeepsOwnLevel guards against a hold that also stops the smaller interactive
+// requests of its own level while endpoint time is owed to deferrable ones.
+func TestHoldKeepsOwnLevel(t *testing.T) {
+	c := cell(func(cfg *schedule.Config) { cfg.DeferrableShare = 90 }, prefill("p"), decode("d", 20, 6))
+	schedule.SetLevels(c, t0, 2)
+	long := target(time.Minute)
+	schedule.HandleSlotRequest(c, t0, "h", slotRequest("r1", level(0), long, output(2900)))
+	start(c, t0, "r1")
+	schedule.HandleSlotRequest(c, t0, "h", slotRequest("d", level(0), deferred, output(3500)))
+	schedule.HandleSlotRequest(c, t0, "h", slotRequest("r2", level(0), long)) // its time is owed to d
+	start(c, t0, "r2")
+	schedule.HandleSlotRequest(c, t0, "h", slotRequest("u", level(0), long, output(2900), account("b")))
+	acts := schedule.HandleSlotRequest(c, t0, "h", slotRequest("small", level(0), target(2*time.Minute), account("c")))
+	assert.DeepEqual(t, names(acts), []id.Request{"small"})
+}
