--- a/fleet/schedule/level_test.go
+++ b/fleet/schedule/level_test.go
@@ -245,3 +245,70 @@
 	}
 	assert.DeepEqual(t, granted, []id.Request{"small"})
 }
+
+// TestLoadOfLeastUrgent guards against a load summary that names the wait of a level which
+// the model does not have.
+func TestLoadOfLeastUrgent(t *testing.T) {
+	c := levelCell(2, nil)
+	for i := range 40 {
+		schedule.HandleSlotRequest(c, t0, "h", slotRequest(fmt.Sprintf("%02d", i), level(1), target(time.Hour)))
+	}
+	want := schedule.ExpectedWait(c, t0, message.LevelOf(1))
+	assert.Assert(t, want >= 30*time.Second, "%v", want)
+	assert.Equal(t, schedule.Load(c, t0).Wait, want)
+}
+
+// TestTurnPassesBlocked guards against a lower level that gets nothing because the first of
+// its requests is a large prompt, which has to leave a prefill endpoint to small ones.
+func TestTurnPassesBlocked(t *testing.T) {
+	for _, large := range []int{1, 2} {
+		t.Run(fmt.Sprintf("large at level %d", large), func(t *testing.T) { checkTurns(t, large) })
+	}
+}
+
+// checkTurns has a large prompt wait at a level, and small ones at levels 0 and 1.
+func checkTurns(t *testing.T, large int) {
+	t.Helper()
+	c := cell(nil, prefill("p1"), prefill("p2"), decode("d", 50, 1000))
+	schedule.SetLevels(c, t0, 3)
+	schedule.HandleSlotRequest(c, t0, "h", slotRequest("busy", prompt(99_000), target(time.Hour))) // 10 s on one prefill endpoint
+	for i := range 200 {
+		schedule.HandleSlotRequest(c, t0, "h", slotRequest(fmt.Sprintf("u%03d", i), level(0), target(time.Hour)))
+	}
+	schedule.HandleSlotRequest(c, t0, "h", slotRequest("large", level(large), prompt(3000), target(30*time.Minute)))
+	var running []id.Request
+	for i := range 50 {
+		acts := schedule.HandleSlotRequest(c, t0, "h", slotRequest(fmt.Sprintf("b%02d", i), level(1), target(time.Hour)))
+		running = append(running, names(acts)...)
+	}
+	count := make(map[byte]int)
+	for now := 10 * ms; now < time.Second; now += 10 * ms {
+		acts := schedule.Tick(c, at(now))
+		for _, name := range running {
+			acts = append(acts, finish(c, at(now), string(name), 100)...)
+		}
+		running = names(acts)
+		for _, name := range running {
+			count[name[0]]++
+		}
+	}
+	mustCheck(t, c)
+	granted := count['u'] + count['b']
+	assert.Assert(t, granted >= 50 && count['b']*10 >= granted-10, "%d of %d grants", count['b'], granted)
+}
+
+// TestHoldKeepsOwnLevel guards against a hold that also stops the smaller interactive
+// requests of its own level while endpoint time is owed to deferrable ones.
+func TestHoldKeepsOwnLevel(t *testing.T) {
+	c := cell(func(cfg *schedule.Config) { cfg.DeferrableShare = 90 }, prefill("p"), decode("d", 20, 6))
+	schedule.SetLevels(c, t0, 2)
+	long := target(time.Minute)
+	schedule.HandleSlotRequest(c, t0, "h", slotRequest("r1", level(0), long, output(2900)))
+	start(c, t0, "r1")
+	schedule.HandleSlotRequest(c, t0, "h", slotRequest("d", level(0), deferred, output(3500)))
+	schedule.HandleSlotRequest(c, t0, "h", slotRequest("r2", level(0), long)) // its time is owed to d
+	start(c, t0, "r2")
+	schedule.HandleSlotRequest(c, t0, "h", slotRequest("u", level(0), long, output(2900), account("b")))
+	acts := schedule.HandleSlotRequest(c, t0, "h", slotRequest("small", level(0), target(2*time.Minute), account("c")))
+	assert.DeepEqual(t, names(acts), []id.Request{"small"})
+}
--- a/fleet/schedule/place.go
+++ b/fleet/schedule/place.go
@@ -16,7 +16,8 @@
 	obstacleMemory           // no decode endpoint has enough memory
 	obstacleLink             // a link is busy until the KV cache would expire
 	obstacleOther            // applies to this request alone
-	obstacleSpeed            // a busy engine is expected to serve this request earlier than the free ones
+	obstacleSpeed            // a busy prefill engine is expected to serve this request earlier than the free ones
+	obstacleNeeds            // only decode engines without room meet the needs of this request
 )
 
 // placement is a choice of endpoints with the planned times.
@@ -226,11 +227,16 @@
 		return
 	}
 	avoid := c.canAvoid(e, c.decodes)
+	pl := placement{prefillEnd: c.now + e.prefillTime}
+	onlySound := c.speeds.unevenDecode && c.hasSound(e, &pl)
 	var best *endpoint
 	for _, ep := range c.decodes {
 		if !c.acceptsGrants(ep) || (avoid && ep.Name == e.avoid) || ep.Blocks < ep.blocksFor(e.prompt+e.output) {
 			continue
 		}
+		if onlySound && !c.isSound(ep, e, &pl) {
+			continue // e would not take it while a sound one may get room
+		}
 		if best == nil || ep.freeBlocks() > best.freeBlocks() {
 			best = ep
 		}
