core: slow start only where zones may be evacuated

Any endpoint of a relay deployment that stopped draining got a slow start, also where zones are never evacuated. Such deployments are to be served as before. The slow start now depends on the setting platform.evacuation (core.Config.SlowStart).

TestNoSlowStart failed before: of two service endpoints, the one that had been draining got 0.05 of the calls in the first second, and more than 0.4 now.

--- a/fleet/core/core.go
+++ b/fleet/core/core.go
@@ -48,6 +48,7 @@
 	AZ          id.Zone   // availability zone of the host, if Zone is a larger domain
 
 	Relay        bool          // requests and configuration arrive in the protocols of the users' platform; see relay.go
+	SlowStart    bool          // endpoints that are no longer leaving get a growing part of their load; see slowstart.go
 	TickInterval time.Duration // interval between two Tick events
 	IdleTick     time.Duration // the same while this host has nothing to do that depends on it; 0 means TickInterval
 
--- a/fleet/core/relayfleet_test.go
+++ b/fleet/core/relayfleet_test.go
@@ -46,26 +46,27 @@
 // relayFleet is a group of hosts in relay mode with simulated engines, which end when they
 // begin to answer a request with crashingSegment. Messages arrive without delay.
 type relayFleet struct {
-	t            *testing.T
-	rng          *rand.Rand
-	now          time.Time
-	hosts        map[id.Host]*core.State
-	incarnations map[id.Host]id.Incarnation
-	names        []id.Host
-	cutOff       map[id.Host]bool // exchange no messages with other hosts and get no calls
-	leaving      map[id.Host]bool // get no calls
-	list         []object.Host
-	version      uint64
-	engines      map[id.Endpoint]string // live engines with their addresses
-	azs          map[string]id.Zone     // by address
-	prefills     int                    // prefill engines
-	editTable    func(*table.Snapshot)
-	sides        map[id.Host]int // hosts of different sides exchange no messages
-	truncated    bool            // the hosts don't know all segments of crashing prompts
-	running      map[id.Endpoint]map[id.Request]decodeRun
-	pending      []pendingCall
-	sent         int
-	restart      time.Duration // after which an engine that has ended is back
+	t             *testing.T
+	rng           *rand.Rand
+	now           time.Time
+	hosts         map[id.Host]*core.State
+	incarnations  map[id.Host]id.Incarnation
+	names         []id.Host
+	cutOff        map[id.Host]bool // exchange no messages with other hosts and get no calls
+	leaving       map[id.Host]bool // get no calls
+	list          []object.Host
+	version       uint64
+	engines       map[id.Endpoint]string // live engines with their addresses
+	azs           map[string]id.Zone     // by address
+	prefills      int                    // prefill engines
+	editTable     func(*table.Snapshot)
+	noEvacuations bool            // the settings of hosts that start say that zones are never evacuated
+	sides         map[id.Host]int // hosts of different sides exchange no messages
+	truncated     bool            // the hosts don't know all segments of crashing prompts
+	running       map[id.Endpoint]map[id.Request]decodeRun
+	pending       []pendingCall
+	sent          int
+	restart       time.Duration // after which an engine that has ended is back
 
 	deaths  []time.Time
 	reached []time.Time              // calls with crashingSegment that reached an engine
@@ -137,6 +138,7 @@
 	cfg := core.DefaultConfig(name, inc, relayDomain, []id.Zone{relayDomain})
 	cfg.Relay, cfg.LoadInterval = true, 0
 	cfg.Throttle.Cold = coldBound
+	cfg.SlowStart = !f.noEvacuations
 	f.hosts[name] = core.New(cfg, f.now)
 	f.reduce(name, core.HostsListed{Hosts: f.list})
 	f.reduce(name, core.TableOpened{Snapshot: f.table()})
--- a/fleet/core/slowstart.go
+++ b/fleet/core/slowstart.go
@@ -32,7 +32,7 @@
 			delete(s.returnedAt, name)
 		}
 	}
-	if prev == nil || !s.cfg.Relay {
+	if prev == nil || !s.cfg.SlowStart {
 		return
 	}
 	for name, ep := range s.snapshot().Endpoints {
--- a/fleet/core/slowstart_test.go
+++ b/fleet/core/slowstart_test.go
@@ -73,6 +73,25 @@
 	}
 }
 
+// TestNoSlowStart guards against a slow start in deployments whose zones are never evacuated, when
+// endpoints that were draining are in use again: half of the endpoints get their usual load at once.
+func TestNoSlowStart(t *testing.T) {
+	eps, rest := []id.Endpoint{"s1"}, []id.Endpoint{"s2"}
+	f := newRelayFleetOf(t, 9)
+	f.noEvacuations = true
+	for _, name := range f.names {
+		f.startHost(name, 2)
+	}
+	f.advance(4*time.Second, 0, nil)
+	f.evacuate(eps...)
+	f.sendCalls(2*time.Second, "safe", 40)
+	f.evacuate()
+	since := f.now
+	f.sendCalls(time.Second, "safe", 40)
+	share := f.shareSince(since, eps, rest)
+	assert.Assert(t, share > 0.4, "share %.2f in the first second", share)
+}
+
 // shareSince returns the share of some endpoints in the requests of these and the others.
 func (f *relayFleet) shareSince(since time.Time, eps, others []id.Endpoint) float64 {
 	var sums [2]int
--- a/router/internal/app/relay.go
+++ b/router/internal/app/relay.go
@@ -79,6 +79,7 @@
 	cfg.Schedule.MinRetry = relayMinRetry
 	cfg.Schedule.MaxRetry = 2 * relayMinRetry
 	cfg.Schedule.RetrySpread = relayMinRetry / 2
+	cfg.SlowStart = s.Evacuation > 0
 	cfg.Throttle.Cold = throttle.ColdBound{Overrun: s.ColdOverrun, Slack: s.ColdSlack}
 	cfg.Limit.Reclaim = true
 	cfg.Limit.SettleDelay = relaySettleDelay
