throttle: bound the rate of cold endpoints

A configuration may state any number as cold_per_s. From 1e19 on, the conversion of the number of hosts overflows, with another result on x86-64 (no host, or a panic in member.Owners) than on arm64. For the largest numbers the part of a host was infinity minus infinity, and the endpoint got no call while it was cold.

TestHugeColdRate failed before for math.MaxFloat64 on arm64.

--- a/fleet/throttle/cold.go
+++ b/fleet/throttle/cold.go
@@ -24,6 +24,9 @@
 	// callShare is the part of the bound that the hosts which call an endpoint use. The rest is
 	// for hosts that still have an older list of hosts.
 	callShare = 0.75
+	// maxColdRate is the highest rate, in requests per second, that counts. The configuration of
+	// a platform may state any number, and numbers of hosts are derived from it.
+	maxColdRate = 1e9
 )
 
 // coldEndpoint is what one host knows of a cold endpoint.
@@ -71,7 +74,7 @@
 }
 
 // perSecond returns how many requests may reach a cold endpoint in any second.
-func (b ColdBound) perSecond(rate float64) float64 { return rate*b.Overrun + b.Slack }
+func (b ColdBound) perSecond(rate float64) float64 { return min(rate, maxColdRate)*b.Overrun + b.Slack }
 
 // ColdEndpoints returns the number of cold endpoints.
 func ColdEndpoints(s *State) int { return len(s.cold) }
--- a/fleet/throttle/cold_test.go
+++ b/fleet/throttle/cold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -80,3 +81,16 @@
 	assert.Assert(t, !cold)
 	assert.Equal(t, throttle.ColdEndpoints(newCold(20, 0, 0)), 0)
 }
+
+// TestHugeColdRate guards against a rate so large that the number of hosts overflows, or that the
+// part of a host is no number: the endpoint would get nothing, or a host would end.
+func TestHugeColdRate(t *testing.T) {
+	for _, perSecond := range []float64{1e19, math.MaxFloat64} {
+		st := newCold(perSecond, 1.5, 5)
+		hosts, _ := throttle.ColdHosts(st, ep, 83)
+		assert.Equal(t, hosts, 83)
+		assert.Assert(t, throttle.AllowsCold(st, start.Add(time.Minute), ep, hosts), "%g per second", perSecond)
+		granted, _ := throttle.ColdGrants(st, ep, 2)
+		assert.Assert(t, granted > 0)
+	}
+}
