core: Retry-After of calls that a host without a host list refuses

A host that has not read the list of hosts, or has just started, calls no cold endpoint. The time until its next call was still taken from its own bucket, which is full: if all endpoints were cold, the refusal had no Retry-After, and callers repeat such calls at once. The host now counts as one of those that may not call the endpoint.

TestColdRetryAfter failed before (RetryAfter:0s).

--- a/fleet/core/cold.go
+++ b/fleet/core/cold.go
@@ -104,11 +104,14 @@
 	if !cold {
 		return true
 	}
-	return s.hostsKnown && !s.isStarting() && s.callsCold(ep, hosts) && throttle.AllowsCold(s.throttle, s.now, ep, hosts)
+	return s.callsCold(ep, hosts) && throttle.AllowsCold(s.throttle, s.now, ep, hosts)
 }
 
 // callsCold reports whether this host is one of those that may call a cold endpoint.
 func (s *step) callsCold(ep id.Endpoint, hosts int) bool {
+	if !s.hostsKnown || s.isStarting() {
+		return false
+	}
 	v := s.hostViews()
 	known := member.Count(s.member)
 	if share, ok := v.coldShares[ep]; ok && share.known == known {
--- a/fleet/core/cold_test.go
+++ b/fleet/core/cold_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -168,3 +169,20 @@
 	most := f.mostInSecond("p1", since)
 	assert.Assert(t, most > 0 && most <= coldAllowed/2/(zones-1), "%d requests in a second", most)
 }
+
+// TestColdRetryAfter guards against a refusal without Retry-After by a host that uses no cold
+// endpoint, because it has not read the list of hosts: its callers would repeat the call at once.
+func TestColdRetryAfter(t *testing.T) {
+	f := newRelayFleetOf(t, 1)
+	f.list = nil
+	f.startHost("h0", 2)
+	f.setCold("s1", "s2")
+	f.advance(4*time.Second, 0, nil)
+	effects := core.Reduce(f.hosts["h0"], core.Input{Now: f.now, Wall: f.now, Event: core.RequestArrived{
+		Request: "r", Route: "safe", Account: "a", Key: "k", PromptTokens: 1000, MaxTokens: 500, Timeout: relayTimeout,
+	}})
+	i := slices.IndexFunc(effects, func(e core.Effect) bool { _, ok := e.(core.Refuse); return ok })
+	assert.Assert(t, i >= 0, "the call is not refused")
+	refusal := effects[i].(core.Refuse)
+	assert.Assert(t, refusal.NotRun && refusal.RetryAfter > 0, "%+v", refusal)
+}
