deployment: endpoints count as cold only where cold endpoints are limited

Each endpoint that became warm made all hosts translate and install a new table, also in deployments that do not limit cold endpoints and whose tables do not depend on it. The registration's cold time now counts only with the setting cold-start.overrun.

TestWarmEntry failed before: the entries of a cold and a warm endpoint differed without the setting.

--- a/router/internal/app/adapters.go
+++ b/router/internal/app/adapters.go
@@ -124,7 +124,7 @@
 	objects := store.New(lifetime, s.PlatformURL, clock, log, r)
 	params := deployment.HostParams{
 		Fencing: s.Fencing(), Domain: s.SchedulingDomain(), PrefillRate: s.PrefillRate, BlockTokens: s.BlockTokens,
-		Evacuation: s.Evacuation,
+		Evacuation: s.Evacuation, LimitsCold: s.ColdOverrun > 0,
 	}
 	feed := store.NewFeed(objects, params, c.SetView)
 	return Adapters{
