schedule, registry: separate the slow start from the request limit

withinRate also checked the slow start, which its name and comment did not say. acceptsGrants, its only caller, now checks both. The comment on cold entries after a restore named no reason. No change of behaviour.

--- a/fleet/core/relayfleet_test.go
+++ b/fleet/core/relayfleet_test.go
@@ -136,9 +136,8 @@
 func (f *relayFleet) startHost(name id.Host, inc id.Incarnation) {
 	f.incarnations[name] = inc
 	cfg := core.DefaultConfig(name, inc, relayDomain, []id.Zone{relayDomain})
-	cfg.Relay, cfg.LoadInterval = true, 0
+	cfg.Relay, cfg.SlowStart, cfg.LoadInterval = true, !f.noEvacuations, 0
 	cfg.Throttle.Cold = coldBound
-	cfg.SlowStart = !f.noEvacuations
 	f.hosts[name] = core.New(cfg, f.now)
 	f.reduce(name, core.HostsListed{Hosts: f.list})
 	f.reduce(name, core.TableOpened{Snapshot: f.table()})
--- a/fleet/registry/registry.go
+++ b/fleet/registry/registry.go
@@ -207,8 +207,8 @@
 	if ok && old.Endpoint.Name != e.Endpoint.Name {
 		s.gone[old.Endpoint.Name] = now
 	}
-	// The copy from which the platform was restored may be older than the entry that said so.
-	// The endpoint renews its entry, which then tells.
+	// After a restore, the entry may be older than the one that said that the endpoint is cold. The
+	// endpoint renews its entry often, so that it does not stay limited for long.
 	if ok && old.Cold && old.Endpoint.Name == e.Endpoint.Name && now.Before(s.holdUntil) {
 		e.Cold = true
 	}
--- a/fleet/schedule/limit.go
+++ b/fleet/schedule/limit.go
@@ -25,8 +25,9 @@
 // Engines need some seconds to fill with runs of usual length.
 const SlowStartTime = 5 * time.Second
 
-// inSlowStart reports whether the endpoint has the part of its slots that it gets by now.
-func (c *Cell) inSlowStart(ep *endpoint) bool {
+// hasSlowStartPart reports whether the endpoint is in slow start and already has the part of its
+// slots that it gets by now.
+func (c *Cell) hasSlowStartPart(ep *endpoint) bool {
 	left := ep.slowStartUntil - c.now
 	if left <= 0 {
 		return false
@@ -35,11 +36,8 @@
 	return float64(ep.grantedSlots) >= max(1, float64(ep.Slots)*part)
 }
 
-// withinRate reports whether the endpoint takes another request now.
+// withinRate reports whether the endpoint's request limit admits another request now.
 func (c *Cell) withinRate(ep *endpoint) bool {
-	if c.inSlowStart(ep) {
-		return false
-	}
 	if !ep.Limited {
 		return true
 	}
--- a/fleet/schedule/place.go
+++ b/fleet/schedule/place.go
@@ -45,9 +45,12 @@
 }
 
 // acceptsGrants reports whether the endpoint may get a grant, with regard to its
-// backoff, its request limit and the rebuilding of the cell.
+// backoff, its request limit, its slow start and the rebuilding of the cell.
 func (c *Cell) acceptsGrants(ep *endpoint) bool {
-	if c.now < ep.backoffUntil || (ep.failures > 0 && ep.probe != nil) || !c.withinRate(ep) {
+	if c.now < ep.backoffUntil || (ep.failures > 0 && ep.probe != nil) {
+		return false
+	}
+	if !c.withinRate(ep) || c.hasSlowStartPart(ep) {
 		return false
 	}
 	return !c.rebuilding() || ep.grantedSlots < max(1, ep.Slots*c.cfg.RebuildPercent/100)
