ingress: a connection of HTTP/2 without a request may be given up

62 silent connections held the whole budget as idle ones until the idle timeout, so that ordinary requests waited for 15 s.

--- a/router/internal/ingress/conn.go
+++ b/router/internal/ingress/conn.go
@@ -204,7 +204,7 @@
 		return ingress.PhaseUnread
 	case c.running > 0:
 		return ingress.PhaseRunning
-	case c.phase == phaseIdle:
+	case c.phase == phaseIdle && !c.http2: // one of HTTP/2 holds much, and may hold a part of a head
 		return ingress.PhaseIdle
 	}
 	return ingress.PhaseIncomplete
@@ -260,6 +260,9 @@
 func (c *Conn) becomeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.http2 {
+		return // see endRequest
+	}
 	c.begin(phaseIdle)
 	c.running, c.bodyOpen = 0, false
 	c.client.Shrink(c.held)
