--- a/fleet/schedule/level.go
+++ b/fleet/schedule/level.go
@@ -43,7 +43,7 @@
 	c.levelDebt = 0
 	c.levelTurns = levelTurns{}
 	c.hold = hold{}
-	c.arrivals = [message.MaxLevels]releaseRate{}
+	c.arrivals = [message.MaxLevels]eventRate{}
 	c.retries = retrySchedule{}
 	queued := make([]*entry, len(c.queueDeadlines))
 	copy(queued, c.queueDeadlines)
--- a/fleet/schedule/report.go
+++ b/fleet/schedule/report.go
@@ -168,19 +168,20 @@
 	c.rebuildUntil = c.now
 }
 
-// releaseDecay is the weight of the earlier average in the measured rate of releases.
-const releaseDecay = 0.9
+// eventRateDecay is the weight of the earlier average in an eventRate.
+const eventRateDecay = 0.9
 
-// releaseRate measures the rate at which decode slots become free.
-type releaseRate struct {
+// eventRate measures a rate of events: that at which decode slots become free, or requests of
+// a level arrive.
+type eventRate struct {
 	count     int
 	perSecond float64
 }
 
-// addPeriod adds the releases of a period to the moving average.
-func (r *releaseRate) addPeriod(period time.Duration) {
+// addPeriod adds the events of a period to the moving average.
+func (r *eventRate) addPeriod(period time.Duration) {
 	rate := float64(r.count) / period.Seconds()
-	r.perSecond = releaseDecay*r.perSecond + (1-releaseDecay)*rate
+	r.perSecond = eventRateDecay*r.perSecond + (1-eventRateDecay)*rate
 	r.count = 0
 }
 
--- a/fleet/schedule/schedule.go
+++ b/fleet/schedule/schedule.go
@@ -79,7 +79,7 @@
 	deferrableDebt time.Duration // endpoint time owed to deferrable requests
 	levelDebt      time.Duration // endpoint time owed to less urgent levels; see updateLevelDebt
 	levelTurns     levelTurns
-	arrivals       [message.MaxLevels]releaseRate // interactive requests that were queued
+	arrivals       [message.MaxLevels]eventRate // interactive requests that were queued
 	hold           hold
 	retries        retrySchedule
 	lastShed       time.Duration
@@ -92,7 +92,7 @@
 	pin              pin
 	lastSmallRequest time.Duration // arrival of the last slot request for a small interactive prompt
 	hasSmallRequest  bool          // such a request has arrived
-	slotReleases     releaseRate
+	slotReleases     eventRate
 	roundRobin       int     // position for round-robin placement
 	skipped          []*lane // lanes skipped in this pass; reused by grantQueued
 
--- a/fleet/schedule/speed.go
+++ b/fleet/schedule/speed.go
@@ -58,7 +58,7 @@
 	decodeDiffersAt  time.Duration
 	unevenRelative   bool    // the speeds that decide about roles differ by more than a quarter
 	output           float64 // output tokens per second of one run on each decode engine
-	meanOutput       float64 // the same, averaged as releaseRate
+	meanOutput       float64 // the same, averaged as eventRate
 	buffer           []time.Duration
 	pass             int // number of passes over the queue
 	changes          []SpeedChange
@@ -319,13 +319,13 @@
 	c.speeds.changes = append(c.speeds.changes, SpeedChange{Endpoint: ep.Name, Role: role, Slow: sp.slow, PerToken: known, Typical: typical})
 }
 
-// updateMeanOutput averages the output rate of the cell with the decay of releaseRate.
+// updateMeanOutput averages the output rate of the cell with the decay of eventRate.
 func (c *Cell) updateMeanOutput() {
 	s := &c.speeds
 	if s.meanOutput == 0 {
 		s.meanOutput = s.output
 	}
-	s.meanOutput += (1 - releaseDecay) * (s.output - s.meanOutput)
+	s.meanOutput += (1 - eventRateDecay) * (s.output - s.meanOutput)
 }
 
 // releasesPerSecond returns the expected rate at which decode slots become free. The
