ingress: refuse a request before its unread body is read

Cause: the handler replaced Request.Body of the server's own request. http.Server then does not recognise its body, and reads up to 256 KB of an unread body before it sends the answer. A refusal of a request with "Expect: 100-continue", or with a large body that the caller sends slowly, came only after the idle timeout or never. Change: the handler passes on a copy of the request with the limited body.

--- a/router/internal/ingress/guard_test.go
+++ b/router/internal/ingress/guard_test.go
@@ -26,6 +26,9 @@
 	longTime    = time.Hour
 )
 
+// refusedPath is a path whose requests the handler refuses without reading their bodies.
+const refusedPath = "/refused"
+
 // guarded is a server under test. Its handler reads the body and answers with its length.
 type guarded struct {
 	t       *testing.T
@@ -62,6 +65,10 @@
 }
 
 func (g *guarded) serve(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == refusedPath {
+		w.WriteHeader(http.StatusUnauthorized)
+		return
+	}
 	client := exchange.ClientFrom(r.Context())
 	memory := g.budget.NewMemory(client)
 	defer memory.Release()
--- a/router/internal/ingress/handler.go
+++ b/router/internal/ingress/handler.go
@@ -88,6 +88,9 @@
 		return
 	}
 	if body != nil {
+		// The server must keep its own body: with another it reads an unread body before it sends
+		// the answer, also if the client waits for "100 Continue" or the body is large.
+		r = r.WithContext(r.Context())
 		r.Body = body
 		if h.withoutBodies {
 			w.Header().Set("Connection", "close")
