ingress: do not reset the connection of a client that reads a large answer slowly

Cause: http.Server writes a whole reply (up to 8 MB) at once, and the idle timeout applied to that write. A client that read steadily, but for longer than the idle timeout, lost its answer. Change: answers are written in pieces of the size of the kernel's queue, each of which is progress.

--- a/router/internal/ingress/conn.go
+++ b/router/internal/ingress/conn.go
@@ -22,6 +22,9 @@
 	refusalTime = time.Second
 	// lingerTime is how long a refused client may read the answer while it still sends.
 	lingerTime = 100 * time.Millisecond
+	// pieceBytes is what is written at once. The kernel takes no more than that of a connection whose
+	// client does not read.
+	pieceBytes = 2 * writeQueue
 	// http2Bytes is what a connection of HTTP/2 holds without a request: the fields of one head,
 	// and the buffers of its streams.
 	http2Bytes = 256 << 10
@@ -183,8 +186,23 @@
 	c.held += charge
 }
 
-// Write writes bytes. As long as it doesn't return, the answer counts as unread.
+// Write writes bytes. It writes large answers in pieces, so that one that is read slowly but steadily
+// counts as making progress.
 func (c *Conn) Write(b []byte) (int, error) {
+	written := 0
+	for len(b)-written > pieceBytes {
+		n, err := c.writePiece(b[written : written+pieceBytes])
+		written += n
+		if err != nil {
+			return written, err
+		}
+	}
+	n, err := c.writePiece(b[written:])
+	return written + n, err
+}
+
+// writePiece writes bytes. As long as it doesn't return, the answer counts as unread.
+func (c *Conn) writePiece(b []byte) (int, error) {
 	c.setWriting(c.guard.clock.Now())
 	defer c.setWriting(time.Time{})
 	return c.Conn.Write(b)
--- a/router/internal/ingress/guard_test.go
+++ b/router/internal/ingress/guard_test.go
@@ -29,6 +29,12 @@
 // refusedPath is a path whose requests the handler refuses without reading their bodies.
 const refusedPath = "/refused"
 
+// largePath is a path whose requests get an answer of largeAnswer bytes, in one write.
+const (
+	largePath   = "/large"
+	largeAnswer = 2 << 20
+)
+
 // guarded is a server under test. Its handler reads the body and answers with its length.
 type guarded struct {
 	t       *testing.T
@@ -65,9 +71,13 @@
 }
 
 func (g *guarded) serve(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == refusedPath {
+	switch r.URL.Path {
+	case refusedPath:
 		w.WriteHeader(http.StatusUnauthorized)
 		return
+	case largePath:
+		_, _ = w.Write(make([]byte, largeAnswer))
+		return
 	}
 	client := exchange.ClientFrom(r.Context())
 	memory := g.budget.NewMemory(client)
