fleet/ingress: choose without allocations

Cause: each comparison built the names of both holders, under the lock of the budget and for each connection of a crowd that takes the place of another. Change: a holder is a struct that is compared directly. The order is the same.

--- a/fleet/ingress/ingress.go
+++ b/fleet/ingress/ingress.go
@@ -36,12 +36,33 @@
 	Since   time.Time // when the phase began
 }
 
-// holder returns the name of the account, or of the address if there is no account.
-func (c Connection) holder() string {
+// holder is a client account, or an address from which no key has been presented. It is not a
+// joined string, because allocations for each comparison made the choice slow.
+type holder struct {
+	account id.Account
+	address string // empty with an account
+}
+
+func (c Connection) holder() holder {
 	if c.Account != "" {
-		return "account " + string(c.Account)
+		return holder{account: c.Account}
+	}
+	return holder{address: c.Address}
+}
+
+// compare orders accounts before addresses.
+func (h holder) compare(o holder) int {
+	switch {
+	case h == o:
+		return 0
+	case h.account != "" && o.account != "":
+		return cmp.Compare(h.account, o.account)
+	case h.account != "":
+		return -1
+	case o.account != "":
+		return 1
 	}
-	return "address " + c.Address
+	return cmp.Compare(h.address, o.address)
 }
 
 // mayGiveUp reports whether the request of a connection is incomplete or its answer is unread.
@@ -58,7 +79,7 @@
 // of one size the one that has waited longest. It returns -1 if no request is incomplete and no
 // answer is unread.
 func Choose(now time.Time, connections []Connection) int {
-	held := make(map[string]int64)
+	held := make(map[holder]int64)
 	for _, c := range connections {
 		if c.mayGiveUp(now) {
 			held[c.holder()] += c.Bytes
@@ -74,10 +95,11 @@
 }
 
 // goesBefore reports whether a is given up before b.
-func goesBefore(a, b Connection, held map[string]int64) bool {
+func goesBefore(a, b Connection, held map[holder]int64) bool {
+	holderA, holderB := a.holder(), b.holder()
 	order := cmp.Or(
-		cmp.Compare(held[b.holder()], held[a.holder()]),
-		cmp.Compare(a.holder(), b.holder()),
+		cmp.Compare(held[holderB], held[holderA]),
+		holderA.compare(holderB),
 		cmp.Compare(b.sizeClass(), a.sizeClass()),
 		a.Since.Compare(b.Since),
 	)
