--- a/router/internal/ingress/conn.go
+++ b/router/internal/ingress/conn.go
@@ -22,8 +22,8 @@
 	refusalTime = time.Second
 	// lingerTime is how long a refused client may read the answer while it still sends.
 	lingerTime = 100 * time.Millisecond
-	// pieceBytes is what is written at once. The kernel takes no more than that of a connection whose
-	// client does not read.
+	// pieceBytes is what is written at once. It is the size of the write queue, which the kernel doubles:
+	// smaller pieces would need more system calls.
 	pieceBytes = 2 * writeQueue
 	// http2Bytes is what a connection of HTTP/2 holds without a request: the fields of one head,
 	// and the buffers of its streams.
