--- a/fleet/pace/pace_test.go
+++ b/fleet/pace/pace_test.go
@@ -280,3 +280,18 @@
 	c.run(3, even(sound)...)
 	assert.Assert(t, !c.last.Endpoints[1].Failing)
 }
+
+// TestRecoveryAtLowRate guards against a failing endpoint that never gets enough probes within
+// the history to count as sound again.
+func TestRecoveryAtLowRate(t *testing.T) {
+	c := newCollector(3)
+	low := load{answered: 3, latency: typical}
+	c.run(8, low, low, low)
+	c.run(8, low, load{failed: 3}, low)
+	assert.Assert(t, c.last.Endpoints[1].Failing, "%+v", c.last)
+	for range 20 { // 1 call/s
+		c.run(1, low, load{answered: 1, latency: typical}, low)
+		c.run(1, low, load{}, low)
+	}
+	assert.Assert(t, !c.last.Endpoints[1].Failing, "%+v", c.last)
+}
