pace: slow start of an endpoint that is reported before it is listed

Cause: a report with a call to a new endpoint created its entry. When the table of the collector had the endpoint in the next evaluation, it counted as known, and got a full share at once. Change: an endpoint is new until the table has had it in an evaluation. Measured: TestNewEndpointReportedEarly: no summary with the new endpoint and no limit before; limited share now.

--- a/fleet/pace/collect.go
+++ b/fleet/pace/collect.go
@@ -52,6 +52,7 @@
 // endpoint is what a collector knows of an endpoint.
 type endpoint struct {
 	slots    int64
+	listed   bool                                 // the table has had it; a report may arrive before
 	current  message.EndpointCalls                // since the last evaluation
 	history  [historyLength]message.EndpointCalls // of the last intervals, newest first
 	lastCall time.Time                            // last report that has counted a call
@@ -113,6 +114,7 @@
 	}
 	for name, p := range last.endpoints {
 		e := sv.endpoint(name)
+		e.listed = true
 		e.lastCall = now.Add(-p.Age)
 		e.serviceTime = p.ServiceTime
 		e.differs, e.slow, e.failing = p.Slow, p.Slow, p.Failing
@@ -153,11 +155,12 @@
 		out = append(out, sv.endpoints[name].ends(name)...)
 		delete(sv.endpoints, name)
 	}
-	for _, e := range eps {
-		if _, known := sv.endpoints[e.Name]; !known && sv.intervals >= firstSummaryAfter {
-			sv.endpoint(e.Name).cap = trialCap
+	for _, ep := range eps {
+		e := sv.endpoint(ep.Name)
+		if !e.listed && sv.intervals >= firstSummaryAfter {
+			e.cap = trialCap
 		}
-		sv.endpoint(e.Name).slots = e.Slots
+		e.listed, e.slots = true, ep.Slots
 	}
 	return out
 }
--- a/fleet/pace/pace_test.go
+++ b/fleet/pace/pace_test.go
@@ -295,3 +295,15 @@
 	}
 	assert.Assert(t, !c.last.Endpoints[1].Failing, "%+v", c.last)
 }
+
+// TestNewEndpointReportedEarly guards against a new endpoint that gets a full share at once
+// because a host has reported a call to it before the collector has seen it in the table.
+func TestNewEndpointReportedEarly(t *testing.T) {
+	c := newCollector(2)
+	c.run(8, sound, sound)
+	c.eps = append(c.eps, pace.Endpoint{Name: name(2), Slots: slots})
+	c.run(1, sound, sound, load{answered: 1, latency: typical})
+	assert.Equal(t, len(c.last.Endpoints), 3, "no summary with the new endpoint: %+v", c.last)
+	share := c.last.Endpoints[2].Share
+	assert.Assert(t, share > 0 && share < 0.2, "%+v", c.last)
+}
