pace: calls that have not ended do not prove a long latency

Cause: the expected latency is the outstanding time of all calls for each one that has ended. One second after the start of a service with 12 calls in progress at each endpoint and none ended, it was 12 s, and callers with less time left were refused (service-slow) although calls took 1 or 2 s. Measured: TestLatencyOfLongCalls: 12 s before, 1 s now. Tests of core with -run Pace pass.

--- a/fleet/pace/collect.go
+++ b/fleet/pace/collect.go
@@ -201,7 +201,7 @@
 			Endpoint: name, PerSecond: recent.perSecond(), Concurrency: recent.concurrency(),
 			ServiceTime: e.serviceTime, FailureRate: e.failureRate, Age: e.age(now),
 			Share: shares[name].part, Room: shares[name].room, Slow: e.slow, Failing: e.failing,
-			Latency: max(e.serviceTime, recent.latency()),
+			Latency: min(max(e.serviceTime, recent.latency()), recent.longestKnown(time.Duration(sv.intervals)*interval)),
 		})
 	}
 	return out
--- a/fleet/pace/judge.go
+++ b/fleet/pace/judge.go
@@ -104,6 +104,13 @@
 	return out
 }
 
+// longestKnown returns the longest latency that the counts prove if they have been collected for
+// the given time: calls that have not ended have not been seen for longer. Soon after the start of
+// a service, the outstanding time for each call that has ended exceeds the latency many times.
+func (m measurement) longestKnown(collected time.Duration) time.Duration {
+	return max(collected, m.AnswerTime/time.Duration(max(m.Answered, 1)))
+}
+
 // serviceTime returns the latency without queueing: the time for which slots were in use for
 // each call that has ended. While there are no more calls than slots, it is the whole latency.
 // Otherwise all slots are in use, and it is their number over the rate of ends.
--- a/fleet/pace/pace_test.go
+++ b/fleet/pace/pace_test.go
@@ -307,3 +307,16 @@
 	share := c.last.Endpoints[2].Share
 	assert.Assert(t, share > 0 && share < 0.2, "%+v", c.last)
 }
+
+// TestLatencyOfLongCalls guards against refusals after the start of a service whose calls last
+// longer than the first intervals: the time of several calls that have not ended is no latency.
+func TestLatencyOfLongCalls(t *testing.T) {
+	for _, answered := range []int64{0, 1} {
+		c := newCollector(2)
+		l := load{answered: answered, latency: time.Second, hanging: 12}
+		c.run(2, l, l)
+		for _, p := range c.last.Endpoints {
+			assert.Assert(t, p.Latency >= time.Second && p.Latency <= 2*time.Second, "%d answered: %+v", answered, p)
+		}
+	}
+}
