pace: the least service time of three or four endpoints is no reference

Cause: the lower quartile of three or four endpoints is the least of them, which is often low by chance. The others were named slow and got as little as a tenth of their share. Change: of three or four endpoints, the second lowest service time is the reference.

--- a/fleet/pace/judge.go
+++ b/fleet/pace/judge.go
@@ -208,8 +208,9 @@
 
 func ratio(a, b time.Duration) float64 { return float64(a) / float64(max(b, 1)) }
 
-// typicalServiceTime returns the lower quartile of the known service times, or 0. Failing
-// endpoints do not count, because failures may be quick.
+// typicalServiceTime returns the lower quartile of the known service times, or 0. Of three or four
+// endpoints it is the second: the least of them is a mean of few calls, by chance often so low
+// that the others seem slow. Failing endpoints do not count, because failures may be quick.
 func (sv *service) typicalServiceTime() time.Duration {
 	var known []time.Duration
 	for _, e := range sv.endpoints {
@@ -221,7 +222,8 @@
 		return 0
 	}
 	slices.Sort(known)
-	return known[(len(known)-1)/4]
+	n := len(known)
+	return known[max((n-1)/4, min(1, (n-1)/2))]
 }
 
 // baseFailureRate returns the lower quartile of the failure rates of endpoints with enough
