--- a/fleet/pace/pace_test.go
+++ b/fleet/pace/pace_test.go
@@ -280,3 +280,43 @@
 	c.run(3, even(sound)...)
 	assert.Assert(t, !c.last.Endpoints[1].Failing)
 }
+
+// TestRecoveryAtLowRate guards against a failing endpoint that never gets enough probes within
+// the history to count as sound again.
+func TestRecoveryAtLowRate(t *testing.T) {
+	c := newCollector(3)
+	low := load{answered: 3, latency: typical}
+	c.run(8, low, low, low)
+	c.run(8, low, load{failed: 3}, low)
+	assert.Assert(t, c.last.Endpoints[1].Failing, "%+v", c.last)
+	for range 20 { // 1 call/s
+		c.run(1, low, load{answered: 1, latency: typical}, low)
+		c.run(1, low, load{}, low)
+	}
+	assert.Assert(t, !c.last.Endpoints[1].Failing, "%+v", c.last)
+}
+
+// TestNewEndpointReportedEarly guards against a new endpoint that gets a full share at once
+// because a host has reported a call to it before the collector has seen it in the table.
+func TestNewEndpointReportedEarly(t *testing.T) {
+	c := newCollector(2)
+	c.run(8, sound, sound)
+	c.eps = append(c.eps, pace.Endpoint{Name: name(2), Slots: slots})
+	c.run(1, sound, sound, load{answered: 1, latency: typical})
+	assert.Equal(t, len(c.last.Endpoints), 3, "no summary with the new endpoint: %+v", c.last)
+	share := c.last.Endpoints[2].Share
+	assert.Assert(t, share > 0 && share < 0.2, "%+v", c.last)
+}
+
+// TestLatencyOfLongCalls guards against refusals after the start of a service whose calls last
+// longer than the first intervals: the time of several calls that have not ended is no latency.
+func TestLatencyOfLongCalls(t *testing.T) {
+	for _, answered := range []int64{0, 1} {
+		c := newCollector(2)
+		l := load{answered: answered, latency: time.Second, hanging: 12}
+		c.run(2, l, l)
+		for _, p := range c.last.Endpoints {
+			assert.Assert(t, p.Latency >= time.Second && p.Latency <= 2*time.Second, "%d answered: %+v", answered, p)
+		}
+	}
+}
