schedule: a surplus of a tenth of the prefill engines changes roles

Cause: with 15 % no engine of a cell of 71 changed its role, because its surplus is smaller. Change: 10 %.

--- a/fleet/schedule/balance.go
+++ b/fleet/schedule/balance.go
@@ -42,7 +42,7 @@
 	// minSurplusPercent is the smallest surplus, in percent of the prefill engines, for which
 	// engines change their role. The averages are not exact enough for smaller ones, and an
 	// engine serves nothing while its role changes.
-	minSurplusPercent = 15
+	minSurplusPercent = 10
 	// surplusDelay and shortageDelay are how long a surplus or a shortage of prefill
 	// engines must last before engines change their role.
 	surplusDelay  = time.Second
