schedule: the comment on waits states the order of the queue, meetsTargets

Cause: queueWait only forwarded to levelWait, and its comment still put late requests behind those of all levels. bears is no usual name for a check. Change: callers use levelWait, which says what behindAll means. bears is meetsTargets. No change of behaviour.

--- a/fleet/schedule/level.go
+++ b/fleet/schedule/level.go
@@ -96,7 +96,7 @@
 }
 
 // queuedAhead returns the number of queued requests that are ahead of one of a level; see
-// queueWait.
+// levelWait.
 func (c *Cell) queuedAhead(behindAll bool, level int) int {
 	inTime, _ := c.sumQueues(interactive, level)
 	if !behindAll {
@@ -137,9 +137,10 @@
 	}
 }
 
-// levelWait estimates how long a request of a level would wait, in the order of the
-// queue or by the turns of its level; see queueWait. Of the requests ahead, skip are left
-// out.
+// levelWait estimates how long a request of a level would wait, in the order of the queue or
+// by the turns of its level. With behindAll set it is behind all requests of its level and
+// above, otherwise it is still in time and goes before the late ones of its own level. Of the
+// requests ahead, skip are left out.
 func (c *Cell) levelWait(behindAll bool, level, skip int) time.Duration {
 	wait := c.waitBehind(c.queuedAhead(behindAll, level)-skip, c.levelRate(behindAll, level))
 	return min(wait, c.turnWait(behindAll, level, skip))
@@ -203,7 +204,8 @@
 // updateLevelDebt adds a part of the cost of a grant to the endpoint time owed to the
 // levels below if any of them waits, and subtracts the cost of each grant to a level
 // below the most urgent one. The debt is bounded on both sides, so that no level can save
-// up a burst; the bound is at least the cost of one request. The granted request is no longer queued.
+// up a burst; the bound is at least the cost of one request. The granted request is no longer
+// queued.
 func (c *Cell) updateLevelDebt(level int, cost time.Duration) {
 	if c.levels == 0 {
 		return
--- a/fleet/schedule/memory.go
+++ b/fleet/schedule/memory.go
@@ -105,14 +105,6 @@
 	return peak, peak+waste <= limit
 }
 
-// queueWait estimates how long a request of a level would wait for the queued requests
-// ahead of it, from the rate at which runs end. With behindAll set it is behind all
-// interactive requests and the deferrable ones of its level and above, otherwise only
-// behind the interactive ones of its level and above.
-func (c *Cell) queueWait(behindAll bool, level int) time.Duration {
-	return c.levelWait(behindAll, level, 0)
-}
-
 // waitBehind estimates the time until a number of queued requests has started at a rate
 // in requests per second.
 func (c *Cell) waitBehind(requests int, rate float64) time.Duration {
--- a/fleet/schedule/placespeed.go
+++ b/fleet/schedule/placespeed.go
@@ -216,12 +216,12 @@
 // otherwise get none.
 func (c *Cell) isSound(ep *endpoint, e *entry, pl *placement) bool {
 	if c.isUnproven(ep, &ep.speed.decode) {
-		return bears(ep, e, pl, c.unprovenTokenTime(ep), noMargin)
+		return meetsTargets(ep, e, pl, c.unprovenTokenTime(ep), noMargin)
 	}
 	if c.isProbeDue(ep, &ep.speed.decode, len(ep.decoding)) {
-		return bears(ep, e, pl, c.tokenTimeOn(ep), noMargin)
+		return meetsTargets(ep, e, pl, c.tokenTimeOn(ep), noMargin)
 	}
-	return bears(ep, e, pl, c.tokenTimeOn(ep), margin{gapPercent: maxGapPercent, lengthPercent: lengthPercent})
+	return meetsTargets(ep, e, pl, c.tokenTimeOn(ep), margin{gapPercent: maxGapPercent, lengthPercent: lengthPercent})
 }
 
 // margin is what isSound allows for errors of its estimates.
@@ -233,8 +233,8 @@
 // noMargin takes the estimates as they are.
 var noMargin = margin{gapPercent: 100, lengthPercent: 100}
 
-// bears reports whether a run of e meets its targets at a time per output token.
-func bears(ep *endpoint, e *entry, pl *placement, perToken time.Duration, m margin) bool {
+// meetsTargets reports whether a run of e meets its targets at a time per output token.
+func meetsTargets(ep *endpoint, e *entry, pl *placement, perToken time.Duration, m margin) bool {
 	gap := perToken * time.Duration(max(ep.EventTokens, 1))
 	if e.maxEventGap > 0 && gap > e.maxEventGap*time.Duration(m.gapPercent)/100 {
 		return false
@@ -244,8 +244,8 @@
 	return e.callerUntil == 0 || end <= e.callerUntil
 }
 
-// unprovenTokenTime returns the time per output token that a run must be able to bear on an
-// engine that was slow. The difference to the typical time halves with each speedTTL without
+// unprovenTokenTime returns the time per output token at which a run must meet its targets on
+// an engine that was slow. The difference to the typical time halves with each speedTTL without
 // news, so that short runs go there first.
 func (c *Cell) unprovenTokenTime(ep *endpoint) time.Duration {
 	typical := c.typicalTokenTime()
--- a/fleet/schedule/slotrequest.go
+++ b/fleet/schedule/slotrequest.go
@@ -172,10 +172,10 @@
 		return false
 	}
 	afterTarget := e.latestStart < c.now || c.classIndex(e.class) == deferrable
-	if !afterTarget && c.now+c.queueWait(false, e.level) <= e.latestStart {
+	if !afterTarget && c.now+c.levelWait(false, e.level, 0) <= e.latestStart {
 		return false
 	}
-	return c.now+c.queueWait(true, e.level) > e.waitLimit(c)
+	return c.now+c.levelWait(true, e.level, 0) > e.waitLimit(c)
 }
 
 // refuseUnplaceable refuses the queued requests that have become unplaceable after
