--- a/review/second/left.go
+++ b/review/second/left.go
@@ -77,7 +77,7 @@
 	if err != nil || resp.StatusCode != http.StatusOK {
 		unable("the stream doesn't begin: %v", err)
 	}
-	events := make(chan string)
+	events := make(chan string, leftEvents)
 	go func() {
 		defer conn.Close()
 		defer close(events)
--- a/review/second/runner.go
+++ b/review/second/runner.go
@@ -84,6 +84,7 @@
 	runs                     *Runs
 	store                    *Store
 	address                  string
+	server                   *http.Server
 	took                     chan struct{} // holds a token for each request that is worked on
 
 	mu          sync.Mutex
@@ -110,11 +111,14 @@
 	r.address = l.Addr().String()
 	r.took = make(chan struct{}, r.slots)
 	r.streams = make(map[string]*stream)
-	s := &http.Server{Handler: r, ConnState: r.connState, MaxHeaderBytes: 1 << 20}
-	go s.Serve(l)
+	r.server = &http.Server{Handler: r, ConnState: r.connState, MaxHeaderBytes: 1 << 20}
+	go r.server.Serve(l)
 	r.register("ready")
 }
 
+// Exit ends the runner, with all of its connections.
+func (r *Runner) Exit() { _ = r.server.Close() }
+
 func (r *Runner) register(state string) {
 	entry := map[string]any{
 		"service": r.service, "address": r.address, "zone": r.zone, "version": "v1", "slots": r.slots, "state": state,
