review: the stand-ins don't hold a port that a router still needs

freeAddress left its listener open when it drew an address a second time, so the router that had the address could not bind it and the script ended with 2.

--- a/review/second/cluster.go
+++ b/review/second/cluster.go
@@ -101,8 +101,11 @@
 func (c *Cluster) freeAddress() string {
 	for range portCount {
 		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
+		if c.given[address] {
+			continue // a host already has it, which may not be listening yet
+		}
 		l, err := net.Listen("tcp", address)
-		if err != nil || c.given[address] {
+		if err != nil {
 			continue
 		}
 		l.Close()
