--- a/review/second/gap.go
+++ b/review/second/gap.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
-	"net/http"
 	"sync"
 	"time"
 )
@@ -11,14 +9,13 @@
 func init() { cases["gap"] = gap }
 
 const (
-	gapDown      = 500 * time.Millisecond  // from the kill to the start of the processes
-	gapRemoved   = 700 * time.Millisecond  // from the start to the removal of the entry
-	gapServes    = 9 * time.Second         // that the runner continues serving after that
-	gapAfter     = 2 * time.Second         // that requests are sent after the runner's exit
-	drainTimeout = 2 * time.Second         // drain_timeout_ms
-	contactTime  = 3 * time.Second         // contact_ms
-	gapPause     = 100 * time.Millisecond  // between two requests of a client
-	gapTimeout   = 1500 * time.Millisecond // deadline_ms of the requests
+	gapDown      = 500 * time.Millisecond // from the kill to the start of the processes
+	gapRemoved   = 700 * time.Millisecond // from the start to the removal of the entry
+	gapServes    = 9 * time.Second        // that the runner continues serving after that
+	gapAfter     = 2 * time.Second        // that requests are sent after the runner's exit
+	drainTimeout = 2 * time.Second        // drain_timeout_ms
+	contactTime  = 3 * time.Second        // contact_ms
+	gapPause     = 300 * time.Millisecond // between two streams of a client
 )
 
 // gapCall is a request of a client.
@@ -33,7 +30,7 @@
 func gap(rec *Record, trouble string) bool {
 	c := NewCluster(9)
 	cleanup = c.Close
-	_, plain, runs := c.addRunners()
+	models, _, runs := c.addRunners()
 	c.store.Put("config", "main", configuration(1, tenants))
 	c.Start()
 	if trouble != troubleNone {
@@ -53,7 +50,7 @@
 	}
 	rec.Say("all are ready after %.2f s", time.Since(started).Seconds())
 	time.Sleep(time.Until(started.Add(gapRemoved)))
-	x := plain[0]
+	x := models[1] // a decode runner
 	c.store.Delete("servers", x.id)
 	removed := time.Now()
 	rec.Say("the entry of %s is removed, acknowledged by the store", x.id)
@@ -66,7 +63,7 @@
 	return checkGap(rec, x, calls, runs.All(), removed, started)
 }
 
-// gapCalls lets clients at all hosts send requests until end.
+// gapCalls lets a client at each host ask for one stream after the other until end.
 func gapCalls(rec *Record, c *Cluster, end time.Time) []gapCall {
 	var mu sync.Mutex
 	var out []gapCall
@@ -74,14 +71,10 @@
 	for _, h := range c.hosts {
 		clients.Go(func() {
 			for n := 0; time.Now().Before(end); n++ {
-				method, path := http.MethodGet, safePath
-				if rand.IntN(2) == 0 {
-					method, path = http.MethodPost, unsafePath
-				}
 				g := gapCall{id: fmt.Sprintf("%s-%d", h.name, n), host: h.name, sent: time.Now()}
 				text := ""
-				g.status, text = call(h.front, method, path, g.id, firstKey, gapTimeout)
-				rec.Printf("%s: %s %s: %d %s", g.id, method, path, g.status, text)
+				g.status, text = callStream(h, oncePath, g.id)
+				rec.Printf("%s: %d %s", g.id, g.status, text)
 				mu.Lock()
 				out = append(out, g)
 				mu.Unlock()
--- a/review/second/queued.go
+++ b/review/second/queued.go
@@ -55,7 +55,7 @@
 		total++
 		clients.Go(func() {
 			sent := time.Since(rec.start)
-			status, text := callStream(h, id)
+			status, text := callStream(h, streamPath, id)
 			rec.Printf("%s: sent to %s at %.3f s, %d %s", id, h.name, sent.Seconds(), status, text)
 			mu.Lock()
 			defer mu.Unlock()
@@ -72,14 +72,14 @@
 	return true
 }
 
-// callStream sends a request for a stream and reads the whole answer.
-func callStream(h *Host, id string) (status int, text string) {
+// callStream sends a request for a stream of the route with the path and reads the whole answer.
+func callStream(h *Host, path, id string) (status int, text string) {
 	conn, err := net.DialTimeout("tcp", h.front, time.Second)
 	if err != nil {
 		return 0, err.Error()
 	}
 	defer conn.Close()
 	body := strings.Repeat("x", 3000)
-	return exchange(conn, head(http.MethodPost, streamPath, id, firstKey, 14000, headerModel+": m", headerTokens+": 1460,88",
+	return exchange(conn, head(http.MethodPost, path, id, firstKey, 14000, headerModel+": m", headerTokens+": 1460,88",
 		headerPrefix+": 5c1e07a2:800,91bd3f06:410,e4402b7d:250", "Content-Length: 3000")+body, http.MethodPost, 14*time.Second)
 }
