http1, endpoint: an answer that is reset during its request is not whole

What callers saw: an endpoint answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was being written.

Cause: the kernel reports a reset once. If the write of the request that is in progress gets it, the next read of the same connection returns the end of the stream, as after a regular end. net/http takes a body that has neither a length nor chunks for complete then. It closes the connection because of the failed write, but too late. The same holds for streams, whose last event may be whole, and for answers with the status of an error.

Change: connections of all HTTP/1 clients of the router (endpoints and store, in both protocols) are guarded. A read that finds the end of the connection stops the write in progress, waits for it, and returns an error if a write has failed. A server that ends its answer regularly and reads the request later is not affected: its answer is whole, as before.

Why it works: the error that the read misses has been returned by a write of the same connection. The guard holds a mutex during writes, so that the read cannot return before that error is known.

Where the cause cannot act: prefills, stops of runs, reports and the store, whose answers are JSON objects that don't decode if they are cut, and peers, which speak HTTP/2. Their clients are guarded all the same, but for peers.

--- a/fleet/rawhttp/rawhttp.go
+++ b/fleet/rawhttp/rawhttp.go
@@ -9,6 +9,15 @@
 	"sync"
 )
 
+// EarlyTries returns the number of calls that a test makes to a server that answers early. A client
+// that misses a reset during its request does so in a few of 1,000 calls.
+func EarlyTries(reset bool) int {
+	if reset {
+		return 1000
+	}
+	return 20
+}
+
 // Server answers each request with fixed bytes and closes the connection. It is safe for
 // concurrent use.
 type Server struct {
@@ -18,6 +27,7 @@
 	text  string
 	reset bool
 	hold  bool
+	early bool
 }
 
 // NewServer starts a server on a port of the loopback interface.
@@ -50,6 +60,14 @@
 	s.hold = true
 }
 
+// AnswerEarly makes the server answer once it has the head of a request. It reads the body after a
+// regular end of the answer, and leaves it unread if it resets the connection.
+func (s *Server) AnswerEarly() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.early = true
+}
+
 // Close stops the server.
 func (s *Server) Close() { s.listener.Close() }
 
@@ -71,20 +89,27 @@
 	if err != nil {
 		return
 	}
-	if _, err := io.Copy(io.Discard, req.Body); err != nil {
-		return
-	}
 	s.mu.Lock()
-	text, reset, hold := s.text, s.reset, s.hold
+	text, reset, hold, early := s.text, s.reset, s.hold, s.early
 	s.mu.Unlock()
+	if !early {
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+	}
 	if _, err := io.WriteString(conn, text); err != nil {
 		return
 	}
+	tcp := conn.(*net.TCPConn)
+	if early && !reset {
+		_ = tcp.CloseWrite()
+		hold = true
+	}
 	if hold {
 		_, _ = io.Copy(io.Discard, conn)
 	}
 	if reset {
-		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = tcp.SetLinger(0)
 	}
 }
 
--- a/router/internal/endpoint/endpoint.go
+++ b/router/internal/endpoint/endpoint.go
@@ -23,6 +23,7 @@
 
 	"ragwortshunt.example/fleet/core"
 	"ragwortshunt.example/fleet/engine"
+	"ragwortshunt.example/fleet/http1"
 	"ragwortshunt.example/fleet/id"
 	"ragwortshunt.example/router/internal/inflight"
 )
@@ -84,7 +85,7 @@
 
 // New returns a client whose calls end when ctx is cancelled.
 func New(ctx context.Context, clock clockwork.Clock, p Poster, store *inflight.Store) *Client {
-	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
+	dial := http1.Guard((&net.Dialer{Timeout: dialTimeout}).DialContext)
 	return &Client{
 		ctx: ctx, clock: clock, poster: p, store: store,
 		// Answers of engines do not name their request. With a connection for each call, a
@@ -102,8 +103,6 @@
 	}
 }
 
-type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
-
 // notAfterKey is the context key of the time after which a call must not start.
 type notAfterKey struct{}
 
@@ -113,7 +112,7 @@
 // dialNotAfter wraps dial. It compares the clock with the call's NotAfter again
 // once the connection is established, because that can take up to dialTimeout.
 // The transport must use each connection for one call only.
-func dialNotAfter(clock clockwork.Clock, dial dialFunc) dialFunc {
+func dialNotAfter(clock clockwork.Clock, dial http1.DialFunc) http1.DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
--- a/router/internal/endpoint/truncated_test.go
+++ b/router/internal/endpoint/truncated_test.go
@@ -53,6 +53,28 @@
 	}
 }
 
+// TestResetDuringUpload guards against a part of an answer without length and chunks that is taken
+// for the whole one, because the write of the request got the reset of the connection. An answer
+// that ends regularly before the request has been read is complete.
+func TestResetDuringUpload(t *testing.T) {
+	const upload = 16 << 20 // bytes, more than the sockets of both sides buffer
+	for _, reset := range []bool{true, false} {
+		s, err := rawhttp.NewServer()
+		assert.NilError(t, err)
+		defer s.Close()
+		s.AnswerEarly()
+		s.SetAnswer("HTTP/1.1 200 OK\r\n\r\npart", reset)
+		r := newHarness(t)
+		item, _ := r.store.Get("r-1")
+		item.Call.Body = make([]byte, upload)
+		for range rawhttp.EarlyTries(reset) {
+			r.start("call", s.Address())
+			_, failed := r.events.Next(t).(core.RunFailed)
+			assert.Equal(t, failed, reset)
+		}
+	}
+}
+
 // cutCall is a call and the part of the answer to it that is sent.
 type cutCall struct {
 	rawhttp.Cut
--- a/router/internal/platform/platform.go
+++ b/router/internal/platform/platform.go
@@ -23,6 +23,7 @@
 	"go.uber.org/zap"
 
 	"ragwortshunt.example/fleet/core"
+	"ragwortshunt.example/fleet/http1"
 	"ragwortshunt.example/fleet/object"
 )
 
@@ -64,7 +65,7 @@
 		// a late second copy of one cannot be taken for another.
 		http: &http.Client{Transport: &http.Transport{
 			DisableKeepAlives: true,
-			DialContext:       (&net.Dialer{Timeout: timeout}).DialContext,
+			DialContext:       http1.Guard((&net.Dialer{Timeout: timeout}).DialContext),
 		}},
 	}
 }
