--- a/fleet/rawhttp/cut.go
+++ b/fleet/rawhttp/cut.go
@@ -26,6 +26,9 @@
 	}
 }
 
+// InvalidStatuses are statuses that no final answer has and that net/http accepts.
+var InvalidStatuses = []string{"000", "099", "+20", "101"}
+
 // Cut is the part of an answer that is sent before the connection ends. An answer that has
 // neither a length nor chunks is whole with any body, but not without one: a server that ends
 // before its first byte looks like that, and one that has no body to send names the length 0.
