router, endpoint: an order or a cancellation answered 000 is not done

What was seen: in the native protocol an order that an engine answered with the status 000, 099, +20 or 101 counted as carried out, and the cancellation of a run as accepted, so that it was not repeated and the engine kept the memory of the run. Calls, decodes and prefills were not affected.

Cause: both compared the status with an upper bound only. net/http accepts any three characters that are a number.

Change: both need 200 at least.

Evidence: before, TestInvalidStatuses failed with Done:true for the order, and TestCancelIsRetried, whose third answer is now a 000, waited for a fourth call in vain (3 of 3 runs each; its waits end after 5 s now, so that it fails by itself). After: passed in 3 of 3 runs with the race detector.

--- a/router/internal/endpoint/endpoint.go
+++ b/router/internal/endpoint/endpoint.go
@@ -263,7 +263,8 @@
 }
 
 // delete tells an engine to delete a run. It reports whether no retry is needed:
-// the engine has responded without a server error, or the URL is invalid.
+// the engine has responded with a valid status that is no server error, or the URL is
+// invalid.
 func (c *Client) delete(u string) bool {
 	ctx, cancel := context.WithTimeout(c.ctx, controlTimeout)
 	defer cancel()
@@ -276,7 +277,7 @@
 		return false
 	}
 	resp.Body.Close()
-	return resp.StatusCode < http.StatusInternalServerError
+	return resp.StatusCode >= http.StatusOK && resp.StatusCode < http.StatusInternalServerError
 }
 
 func runURL(address string, req id.Request, attempt id.Attempt) string {
--- a/router/internal/endpoint/endpoint_test.go
+++ b/router/internal/endpoint/endpoint_test.go
@@ -307,6 +307,11 @@
 			panic(http.ErrAbortHandler)
 		case 2:
 			w.WriteHeader(http.StatusServiceUnavailable)
+		case 3:
+			conn, _, err := http.NewResponseController(w).Hijack()
+			assert.Check(t, err)
+			_, _ = io.WriteString(conn, "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n")
+			conn.Close()
 		default:
 			w.WriteHeader(http.StatusNoContent)
 			close(done)
@@ -314,15 +319,17 @@
 	})
 	r := newHarness(t)
 	r.Cancel(core.CancelRun{Request: "r-1", Attempt: 3, Endpoint: "e", Address: address})
-	for range 2 {
-		assert.NilError(t, r.clock.BlockUntilContext(t.Context(), 1))
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	for range 3 {
+		assert.NilError(t, r.clock.BlockUntilContext(ctx, 1))
 		r.clock.Advance(time.Second)
 	}
 	<-done
 	mu.Lock()
 	defer mu.Unlock()
 	want := "DELETE /v1/runs/r-1/3"
-	assert.DeepEqual(t, seen, []string{want, want, want})
+	assert.DeepEqual(t, seen, []string{want, want, want, want})
 }
 
 // TestCancelEndsTheCall guards against events from a call that was cancelled.
--- a/router/internal/endpoint/engine.go
+++ b/router/internal/endpoint/engine.go
@@ -207,7 +207,7 @@
 			return
 		}
 		defer resp.Body.Close()
-		ev.Done = resp.StatusCode < http.StatusMultipleChoices
+		ev.Done = resp.StatusCode >= http.StatusOK && resp.StatusCode < http.StatusMultipleChoices
 		if !ev.Done {
 			ev.Stale = engineError(resp).code == engine.CodeStaleFence
 		}
--- a/router/internal/endpoint/truncated_test.go
+++ b/router/internal/endpoint/truncated_test.go
@@ -10,6 +10,12 @@
 	"ragwortshunt.example/fleet/rawhttp"
 )
 
+// bodies are those of answers by the kind of call.
+var bodies = map[string]string{
+	"call": "answer", "prefill": `{"kv-id":"h","cached-tokens":12}`, "order": `{"code":"stale-fence"}`,
+	"decode": `{"offset":0,"tokens":["a"]}` + "\n" + `{"offset":1,"tokens":["b"],"end":true,"finish":"stop"}` + "\n",
+}
+
 // TestTruncatedAnswers guards against an answer whose head or body was cut off and that is
 // forwarded as complete, ends a stream, names a KV cache or a result of an order, or states
 // that the request has not run. JSON values end by themselves, so that they may be used before
@@ -18,10 +24,7 @@
 	heads := map[string]string{
 		"200 OK": "HTTP/1.1 200 OK\r\n", "404 None": "HTTP/1.1 404 None\r\n", "503 Full": "HTTP/1.1 503 Full\r\nNot-Run: true\r\n",
 	}
-	for kind, body := range map[string]string{
-		"call": "answer", "prefill": `{"kv-id":"h","cached-tokens":12}`, "order": `{"code":"stale-fence"}`,
-		"decode": `{"offset":0,"tokens":["a"]}` + "\n" + `{"offset":1,"tokens":["b"],"end":true,"finish":"stop"}` + "\n",
-	} {
+	for kind, body := range bodies {
 		for status, head := range heads {
 			body := body
 			if (kind == "prefill" || kind == "decode") && status != "200 OK" {
@@ -75,6 +78,34 @@
 	}
 }
 
+// TestInvalidStatuses guards against an answer without a valid status that is taken for one.
+func TestInvalidStatuses(t *testing.T) {
+	for _, status := range rawhttp.InvalidStatuses {
+		for kind, body := range bodies {
+			r := newHarness(t)
+			r.checkBroken(t, kind, "HTTP/1.1 "+status+" OK\r\n\r\n"+body)
+		}
+	}
+}
+
+// checkBroken checks that a call fails which gets an answer that is none.
+func (r *harness) checkBroken(t *testing.T, kind, answer string) {
+	t.Helper()
+	s, err := rawhttp.NewServer()
+	assert.NilError(t, err)
+	defer s.Close()
+	s.SetAnswer(answer, false)
+	r.start(kind, s.Address())
+	switch ev := r.events.Next(t).(type) {
+	case core.RunFailed:
+		assert.Assert(t, !ev.NotRun && !ev.HasReply, "%s %q: %+v", kind, answer, ev)
+	case core.OrderAnswered:
+		assert.Assert(t, !ev.Done && !ev.Stale, "%s %q: %+v", kind, answer, ev)
+	default:
+		t.Fatalf("%s %q: %+v", kind, answer, ev)
+	}
+}
+
 // cutCall is a call and the part of the answer to it that is sent.
 type cutCall struct {
 	rawhttp.Cut
