http1: an answer with an invalid name of a field in its head is none

What was seen: an answer in whose head a name held a blank, or a blank stood before its colon, was passed on with that line. "Content-Length : 4" counted as no length and "Transfer-Encoding : chunked" as no chunks, so that the body went on to the end of the connection, with the chunks' sizes in it. A line that begins with a blank became a part of the value of the line before. Prefills, streams, orders and refusals ("not run") were taken as well. Names with control bytes were rejected by net/http already.

Cause: net/http accepts blanks in names of fields and folded lines in answers, and nobody checked heads beyond that.

Change: the guarded connection of all HTTP/1 clients of the router checks the head as it arrives, informational ones too. A name with a blank or a control byte, or a line that begins with a blank, fails the read, so that nothing of the answer is used: no body, no statement that the request has not run, no limit and no notice. The call fails with invalid-reply, and the engine counts as alive. HTTP lets a gateway reject folded lines.

Why it works: the check comes before net/http interprets any field, and a call has a connection of its own, so that the first bytes are those of its head. Memory is a few bytes for each connection. Peers speak HTTP/2, which has no such lines.

--- a/fleet/http1/conn.go
+++ b/fleet/http1/conn.go
@@ -30,12 +30,14 @@
 	}
 }
 
-// guardedConn is a connection that reports its end as regular only if no write has failed. The
-// kernel reports a reset once: if a write gets it, the next read returns io.EOF, and a body that
-// ends with its connection looks complete.
+// guardedConn is a connection that checks the head of the answer, and reports its end as regular
+// only if no write has failed. The kernel reports a reset once: if a write gets it, the next read
+// returns io.EOF, and a body that ends with its connection looks complete.
 type guardedConn struct {
 	net.Conn
 
+	head headChecker // used by reads only
+
 	mu       sync.Mutex // held during a write
 	writeErr error      // of the first write that failed
 }
@@ -54,6 +56,9 @@
 // Read implements net.Conn.
 func (c *guardedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if headErr := c.head.check(p[:n]); headErr != nil {
+		return 0, headErr
+	}
 	if errors.Is(err, io.EOF) {
 		err = c.endError()
 	}
--- a/fleet/rawhttp/cut.go
+++ b/fleet/rawhttp/cut.go
@@ -29,6 +29,28 @@
 // InvalidStatuses are statuses that no final answer has and that net/http accepts.
 var InvalidStatuses = []string{"000", "099", "+20", "101"}
 
+// HeadLines are lines in the head of an answer, and whether it is valid with them.
+var HeadLines = map[string]bool{
+	"A:b c: d\r\nB:":                 true,
+	"A: b\nB:\tc":                    true,
+	"X Y: 1":                         false,
+	"X-Y : 1":                        false,
+	" X: 1":                          false,
+	"A: b\r\n X: 1":                  false,
+	"A: b\r\n\tX: 1":                 false,
+	"X\x00: 1":                       false,
+	"X\x01Y: 1":                      false,
+	"X\tY: 1":                        false,
+	"X\x7f: 1":                       false,
+	"\vX: 1":                         false,
+	"Content-Length : 4":             false,
+	"Content-Length\t: 4":            false,
+	"\rContent-Length: 4":            false,
+	"A: b\r\n Content-Length: 4":     false,
+	"Transfer-Encoding : chunked":    false,
+	"Transfer-Encoding\x01: chunked": false,
+}
+
 // Cut is the part of an answer that is sent before the connection ends. An answer that has
 // neither a length nor chunks is whole with any body, but not without one: a server that ends
 // before its first byte looks like that, and one that has no body to send names the length 0.
--- a/router/internal/endpoint/endpoint.go
+++ b/router/internal/endpoint/endpoint.go
@@ -210,6 +210,9 @@
 	if errors.Is(err, context.DeadlineExceeded) {
 		return callError{code: codeTimeout}
 	}
+	if errors.Is(err, http1.ErrHead) {
+		return callError{code: codeInvalidReply}
+	}
 	return callError{code: codeStreamBroken}
 }
 
--- a/router/internal/endpoint/truncated_test.go
+++ b/router/internal/endpoint/truncated_test.go
@@ -88,6 +88,19 @@
 	}
 }
 
+// TestInvalidHead guards against an answer that is taken for one although a line of its head is
+// invalid, or for a statement that the request has not run.
+func TestInvalidHead(t *testing.T) {
+	for line, isValid := range rawhttp.HeadLines {
+		for kind, body := range bodies {
+			if !isValid {
+				newHarness(t).checkBroken(t, kind, "HTTP/1.1 200 OK\r\n"+line+"\r\n\r\n"+body)
+				newHarness(t).checkBroken(t, kind, "HTTP/1.1 503 Full\r\nNot-Run: true\r\n"+line+"\r\n\r\n{\"code\":\"full\",\"not-run\":true}")
+			}
+		}
+	}
+}
+
 // checkBroken checks that a call fails which gets an answer that is none.
 func (r *harness) checkBroken(t *testing.T, kind, answer string) {
 	t.Helper()
@@ -98,7 +111,7 @@
 	r.start(kind, s.Address())
 	switch ev := r.events.Next(t).(type) {
 	case core.RunFailed:
-		assert.Assert(t, !ev.NotRun && !ev.HasReply, "%s %q: %+v", kind, answer, ev)
+		assert.Assert(t, !ev.NotRun && ev.Code == "invalid-reply" && !ev.HasReply, "%s %q: %+v", kind, answer, ev)
 	case core.OrderAnswered:
 		assert.Assert(t, !ev.Done && !ev.Stale, "%s %q: %+v", kind, answer, ev)
 	default:
