core: a stream that leaves out a chunk can't exhaust the memory of the host

What was seen: chunks of a stream that overtake others wait in the decision core. An engine that left out one chunk and went on sending made the host keep all that followed, without a limit, until the caller left. Only the native protocol has such chunks; the adapter of the users' platform ends a stream that skips an event.

Change: the chunks of one request that wait may take 64 KB. Beyond that the attempt fails with stream-gap: its run is cancelled, which closes the connection, and the request goes on with another attempt where it may. It is not resumed at the same engine.

Evidence: TestStreamGap kept 1,000 chunks before, where the test gives up, and passed after: the run is cancelled within the limit, with empty tokens too. A chunk that overtakes another is delivered as before.

--- a/fleet/core/relay_test.go
+++ b/fleet/core/relay_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"reflect"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -255,6 +256,26 @@
 	assert.Assert(t, has(out, core.Finish{}))
 }
 
+// TestStreamGap guards against an engine that leaves out a chunk and then exhausts the memory of the
+// host with chunks that wait for it. Chunks that overtake others are delivered in order.
+func TestStreamGap(t *testing.T) {
+	const maxBuffered = 64 << 10 // bytes
+	for _, token := range []string{"", strings.Repeat("x", 1024)} {
+		h := newRelayHost(t)
+		d := h.advanceToDecode("r", "once")
+		h.reduce(core.TokensArrived{Request: "r", Attempt: d.Attempt, Offset: 1, Tokens: []string{"two"}})
+		out := h.reduce(core.TokensArrived{Request: "r", Attempt: d.Attempt, Offset: 0, Tokens: []string{"one"}})
+		assert.Assert(t, has(out, core.Deliver{}))
+		buffered := int64(0)
+		for !has(out, core.CancelRun{}) {
+			buffered++
+			assert.Assert(t, buffered*int64(len(token)) <= maxBuffered && buffered < 1000, "%d chunks are kept", buffered)
+			out = h.reduce(core.TokensArrived{Request: "r", Attempt: d.Attempt, Offset: 2 + buffered, Tokens: []string{token}})
+		}
+		assert.Assert(t, buffered > 10)
+	}
+}
+
 // TestLateResult guards against a result of an earlier attempt that is mistaken for one
 // of the current attempt in the same stage.
 func TestLateResult(t *testing.T) {
--- a/fleet/core/request.go
+++ b/fleet/core/request.go
@@ -87,16 +87,17 @@
 
 	decodeUnusableSince time.Time // when the decode engine stopped taking requests during the prefill; zero if it takes them
 
-	ranEarlier  bool      // an earlier attempt may have run
-	dispatched  bool      // the current attempt has been sent to an endpoint
-	runCount    int       // number of attempts that may have run
-	callStarted time.Time // start of the current service call
-	delivered   int64
-	decodeFrom  int64                   // value of delivered at the start of the current attempt
-	outOfOrder  map[int64]TokensArrived // chunks beyond the delivered offset
-	firstToken  time.Time
-	lastToken   time.Time
-	callerLeft  bool // the caller has disconnected; a service call may still run
+	ranEarlier      bool      // an earlier attempt may have run
+	dispatched      bool      // the current attempt has been sent to an endpoint
+	runCount        int       // number of attempts that may have run
+	callStarted     time.Time // start of the current service call
+	delivered       int64
+	decodeFrom      int64                   // value of delivered at the start of the current attempt
+	outOfOrder      map[int64]TokensArrived // chunks beyond the delivered offset
+	outOfOrderBytes int                     // memory of outOfOrder
+	firstToken      time.Time
+	lastToken       time.Time
+	callerLeft      bool // the caller has disconnected; a service call may still run
 
 	resumeAt         time.Time // when a stream that no endpoint resumes searches for one again; see resumeLater
 	resumeTakesRetry bool      // that search takes a retry from the budget
--- a/fleet/core/run.go
+++ b/fleet/core/run.go
@@ -17,6 +17,16 @@
 // codeStalled is the code of an attempt that made no progress within its time limit.
 const codeStalled = "stalled"
 
+// codeStreamGap is the code of an attempt whose engine has left out a chunk of its stream.
+const codeStreamGap = "stream-gap"
+
+// Limits of the chunks of one request that wait for earlier ones, in bytes.
+const (
+	maxOutOfOrderBytes = 64 << 10
+	chunkOverhead      = 256 // of a chunk in the buffer
+	tokenOverhead      = 16  // of a token beside its text
+)
+
 const defaultPrefillRate = 1000 // tokens per second, if the pool does not specify a rate
 
 func (r *request) priority() int {
@@ -124,7 +134,7 @@
 	s.checkProbe(r)
 	r.resumed = false
 	if ev.Offset > r.delivered {
-		r.outOfOrder[ev.Offset] = ev
+		s.buffer(r, ev)
 		return
 	}
 	s.deliver(r, ev)
@@ -140,6 +150,28 @@
 	}
 }
 
+// buffer keeps a chunk until those before it have arrived. The attempt fails if its engine leaves
+// out a chunk and sends too much after it.
+func (s *step) buffer(r *request, ev TokensArrived) {
+	if old, ok := r.outOfOrder[ev.Offset]; ok {
+		r.outOfOrderBytes -= chunkBytes(old)
+	}
+	r.outOfOrderBytes += chunkBytes(ev)
+	r.outOfOrder[ev.Offset] = ev
+	if r.outOfOrderBytes > maxOutOfOrderBytes {
+		s.runFailed(RunFailed{Request: r.Request, Attempt: r.attempt, Endpoint: r.decode, Code: codeStreamGap, Alive: true})
+	}
+}
+
+// chunkBytes returns the memory of a buffered chunk.
+func chunkBytes(ev TokensArrived) int {
+	n := chunkOverhead
+	for _, token := range ev.Tokens {
+		n += len(token) + tokenOverhead
+	}
+	return n
+}
+
 // takeOutOfOrder removes and returns the buffered chunk with the lowest offset, if it
 // is not beyond the delivered offset.
 func takeOutOfOrder(r *request) (TokensArrived, bool) {
@@ -154,6 +186,7 @@
 	}
 	ev := r.outOfOrder[lowest]
 	delete(r.outOfOrder, lowest)
+	r.outOfOrderBytes -= chunkBytes(ev)
 	return ev, true
 }
 
@@ -234,7 +267,7 @@
 // does so at most once until the next token arrives, and only if the endpoint may
 // still have the run.
 func (s *step) resume(r *request, ev RunFailed) bool {
-	if r.stage != StageDecode || r.resumed || ev.Unreachable || ev.NotRun || ev.Code == engine.CodeNoRun {
+	if r.stage != StageDecode || r.resumed || ev.Unreachable || ev.NotRun || ev.Code == engine.CodeNoRun || ev.Code == codeStreamGap {
 		return false
 	}
 	ep, ok := s.snapshot().Endpoints[r.decode]
--- a/fleet/core/slot.go
+++ b/fleet/core/slot.go
@@ -317,4 +317,5 @@
 	}
 	r.prefill, r.decode = "", ""
 	clear(r.outOfOrder)
+	r.outOfOrderBytes = 0
 }
