router, endpoint: endpoints can't exhaust the memory of a host together

What was seen: in the native protocol each answer had a limit, and all of them together had none. Endpoints that sent bytes without end, or fell silent in the middle of them, made the host keep up to 8 MB for a reply of a service, 1 MB for a line of a stream, 1 MB for the reply to a prefill or an error, and 8 MB for a report, for each call. A machine of 134 MB is full after a few.

Change: replies of services from 4 KB on and lines of streams from 4 KB on take memory from the budget that the request already has for its own body. A reply that finds none is read to its end and not kept: the call has run, and its caller gets outcome-unknown. Small replies need no memory, so that the outcome of a call is still recorded when its caller has gone. Replies to prefills and errors are limited to 16 KB, and reports to 1 MB each and 8 MB together.

--- a/fleet/rawhttp/rawhttp.go
+++ b/fleet/rawhttp/rawhttp.go
@@ -24,7 +24,7 @@
 	listener net.Listener
 
 	mu    sync.Mutex
-	text  string
+	text  []byte
 	reset bool
 	hold  bool
 	early bool
@@ -49,7 +49,7 @@
 func (s *Server) SetAnswer(text string, reset bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.text, s.reset = text, reset
+	s.text, s.reset = []byte(text), reset
 }
 
 // Hold makes the server fall silent after its answers: it leaves the closing of connections to
@@ -97,7 +97,7 @@
 			return
 		}
 	}
-	if _, err := io.WriteString(conn, text); err != nil {
+	if _, err := conn.Write(text); err != nil {
 		return
 	}
 	tcp := conn.(*net.TCPConn)
--- a/router/internal/caller/model.go
+++ b/router/internal/caller/model.go
@@ -213,7 +213,7 @@
 	session := s.openSession(core.RequestArrived{
 		Request: req, Route: id.Route(m.route), Account: key.Account, Key: key.ID,
 		PromptTokens: tokens, MaxTokens: m.maxTokens, Prefix: prefix,
-	}, &inflight.Item{Prompt: m.prompt}, memoryFrom(r.Context()))
+	}, &inflight.Item{Prompt: m.prompt, Memory: memoryFrom(r.Context())}, memoryFrom(r.Context()))
 	writer := newCompletionWriter(w, req, m)
 	s.processEffects(r.Context(), req, session, writer.handle)
 }
--- a/router/internal/caller/service.go
+++ b/router/internal/caller/service.go
@@ -46,7 +46,7 @@
 		return
 	}
 	req := s.newRequestID()
-	item := &inflight.Item{Call: call}
+	item := &inflight.Item{Call: call, Memory: memoryFrom(r.Context())}
 	session := s.openSession(core.RequestArrived{
 		Request: req, Route: route, Account: key.Account, Key: key.ID,
 		PromptTokens: int64(len(body))/bytesPerToken + 1, IdempotencyKey: idempotencyKey, Digest: digest(call),
--- a/router/internal/endpoint/endpoint.go
+++ b/router/internal/endpoint/endpoint.go
@@ -25,6 +25,7 @@
 	"ragwortshunt.example/fleet/engine"
 	"ragwortshunt.example/fleet/http1"
 	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/platform/exchange"
 	"ragwortshunt.example/router/internal/inflight"
 )
 
@@ -48,9 +49,11 @@
 	maxCancelTries     = 5
 	cancelRetryDelay   = 200 * time.Millisecond
 	streamDrainTimeout = 100 * time.Millisecond // for reading a stream after its end marker
-	maxLineBytes       = 1 << 20                // in a token stream; also limits prefill and error replies
-	maxReplyBytes      = 8 << 20
-	maxHeadBytes       = 64 << 10 // status and headers of an answer
+	maxReplyBytes      = 8 << 20                // of a service
+	maxMessageBytes    = 16 << 10               // reply to a prefill, and error
+	maxReportBytes     = 1 << 20                // load report or list of cache events
+	maxReportsBytes    = 8 << 20                // memory for all reports that are being read
+	maxHeadBytes       = 64 << 10               // status and headers of an answer
 )
 
 // Poster receives the events that the client produces.
@@ -67,6 +70,7 @@
 	store    *inflight.Store
 	engines  *http.Client
 	services *http.Client
+	reports  *exchange.Budget // memory for reports of engines
 
 	mu    sync.Mutex
 	calls map[attemptKey]*activeCall
@@ -99,7 +103,8 @@
 			},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
-		calls: make(map[attemptKey]*activeCall),
+		reports: exchange.NewBudget(maxReportsBytes, exchange.WithoutConnectionMemory()),
+		calls:   make(map[attemptKey]*activeCall),
 	}
 }
 
@@ -223,7 +228,7 @@
 		return callError{code: codeInvalidReply}
 	}
 	var e engine.Error
-	err := json.NewDecoder(io.LimitReader(resp.Body, maxLineBytes)).Decode(&e)
+	err := json.NewDecoder(io.LimitReader(resp.Body, maxMessageBytes)).Decode(&e)
 	if err != nil || e.Code == "" {
 		return callError{code: codeInvalidReply}
 	}
--- a/router/internal/endpoint/engine.go
+++ b/router/internal/endpoint/engine.go
@@ -1,7 +1,6 @@
 package endpoint
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -12,6 +11,7 @@
 	"ragwortshunt.example/fleet/engine"
 	"ragwortshunt.example/fleet/id"
 	"ragwortshunt.example/fleet/schedule"
+	"ragwortshunt.example/platform/exchange"
 )
 
 // Prefill starts a prefill on an engine. The result is core.PrefillDone or
@@ -48,7 +48,7 @@
 		return
 	}
 	var reply engine.PrefillReply
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxLineBytes)).Decode(&reply); err != nil || reply.KV == "" {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxMessageBytes)).Decode(&reply); err != nil || reply.KV == "" {
 		c.postFailure(e.Request, e.Attempt, e.Endpoint, callError{code: codeInvalidReply})
 		return
 	}
@@ -125,11 +125,15 @@
 // readChunks posts the chunks of a stream and reports whether the end marker was
 // received. It does not wait for data after the marker.
 func (c *Client) readChunks(req id.Request, attempt id.Attempt, body io.Reader) bool {
-	sc := bufio.NewScanner(body)
-	sc.Buffer(make([]byte, 0, 4096), maxLineBytes)
-	for sc.Scan() {
+	lines := newLineReader(body, c.memory(req))
+	defer lines.release()
+	for {
+		line, err := lines.next()
+		if err != nil {
+			return false
+		}
 		var chunk engine.Chunk
-		if err := json.Unmarshal(sc.Bytes(), &chunk); err != nil || chunk.Offset < 0 {
+		if err := json.Unmarshal(line, &chunk); err != nil || chunk.Offset < 0 {
 			return false
 		}
 		c.poster.Post(core.TokensArrived{
@@ -140,7 +144,15 @@
 			return true
 		}
 	}
-	return false
+}
+
+// memory returns the memory of a request.
+func (c *Client) memory(req id.Request) *exchange.Memory {
+	item, ok := c.store.Get(req)
+	if !ok {
+		return nil
+	}
+	return item.Memory
 }
 
 // Poll reads the load report and the new cache events of an engine. A failed read
@@ -188,7 +200,10 @@
 	if resp.StatusCode != http.StatusOK {
 		return false
 	}
-	return json.NewDecoder(io.LimitReader(resp.Body, maxReplyBytes)).Decode(out) == nil
+	memory := c.reports.NewMemory(nil)
+	defer memory.Release()
+	data, err := memory.ReadReply(io.LimitReader(resp.Body, maxReportBytes), unknownLength)
+	return err == nil && json.Unmarshal(data, out) == nil
 }
 
 // Order sends an order to an engine. It posts exactly one core.OrderAnswered, also
--- a/router/internal/endpoint/service.go
+++ b/router/internal/endpoint/service.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -12,6 +14,7 @@
 
 	"ragwortshunt.example/fleet/core"
 	"ragwortshunt.example/fleet/engine"
+	"ragwortshunt.example/platform/exchange"
 	"ragwortshunt.example/router/internal/inflight"
 )
 
@@ -20,6 +23,16 @@
 // message that the call has run.
 const maxOutcomeBytes = 2048
 
+// smallReplyBytes is the size from which on a reply needs memory of its request. Smaller replies are
+// recorded also if the caller has gone, and the memory of the request has been released.
+const smallReplyBytes = 4 << 10
+
+// unknownLength is the length of a body that is read to its end.
+const unknownLength = -1
+
+// errReplyTooLarge is returned for a reply that exceeds maxReplyBytes.
+var errReplyTooLarge = fmt.Errorf("%w: reply is too large", ErrEndpoint)
+
 // Call sends a caller's call to a plain service. The result is core.ServiceDone or
 // core.RunFailed.
 func (c *Client) Call(e core.CallService) {
@@ -82,16 +95,41 @@
 		c.postFailure(e.Request, e.Attempt, e.Endpoint, callError{code: codeInvalidReply})
 		return
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
-	if err != nil || len(body) > maxReplyBytes || len(body) == 0 && isUnframed(resp) {
+	body, err := readReply(resp, item.Memory)
+	done := core.ServiceDone{Request: e.Request, Attempt: e.Attempt, Status: resp.StatusCode}
+	switch {
+	case errors.Is(err, exchange.ErrMemory): // the call has run, and its reply is not kept
+	case err != nil:
 		c.postFailure(e.Request, e.Attempt, e.Endpoint, callError{code: codeStreamBroken})
 		return
+	default:
+		reply := &inflight.Reply{Status: resp.StatusCode, Header: forwardedHeader(resp.Header), Body: body}
+		item.SetReply(reply)
+		done.Outcome = recordedOutcome(e, reply)
 	}
-	reply := &inflight.Reply{Status: resp.StatusCode, Header: forwardedHeader(resp.Header), Body: body}
-	item.SetReply(reply)
-	c.poster.Post(core.ServiceDone{
-		Request: e.Request, Attempt: e.Attempt, Status: resp.StatusCode, Outcome: recordedOutcome(e, reply),
-	})
+	c.poster.Post(done)
+}
+
+// readReply reads the body of a reply. If there is no memory for it, readReply reads it to its end
+// and returns exchange.ErrMemory. Any other error means that the reply is not complete or too large.
+func readReply(resp *http.Response, m *exchange.Memory) ([]byte, error) {
+	rest := &io.LimitedReader{R: resp.Body, N: maxReplyBytes + 1}
+	body, err := io.ReadAll(io.LimitReader(rest, smallReplyBytes))
+	if err == nil && len(body) == smallReplyBytes {
+		body, err = m.ReadReply(io.MultiReader(bytes.NewReader(body), rest), unknownLength)
+	}
+	if errors.Is(err, exchange.ErrMemory) {
+		if _, copyErr := io.Copy(io.Discard, rest); copyErr != nil {
+			return nil, copyErr
+		}
+	}
+	switch {
+	case rest.N <= 0:
+		return nil, errReplyTooLarge
+	case err == nil && len(body) == 0 && isUnframed(resp):
+		return nil, io.ErrUnexpectedEOF
+	}
+	return body, err
 }
 
 // isUnframed reports whether the body of a reply has neither a length nor chunks, so that it
--- a/router/internal/inflight/store.go
+++ b/router/internal/inflight/store.go
@@ -12,6 +12,7 @@
 	"sync"
 
 	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/platform/exchange"
 )
 
 // Call is a caller's call to a plain service. It does not contain the caller's key.
@@ -29,11 +30,12 @@
 	Body   []byte      `json:"body"`
 }
 
-// Item holds the content of one request and its results so far. Prompt and Call
+// Item holds the content of one request and its results so far. The exported fields
 // must not change after Store.Add; the methods are safe for concurrent use.
 type Item struct {
-	Prompt string // set for model requests
-	Call   *Call  // set for service calls
+	Prompt string           // set for model requests
+	Call   *Call            // set for service calls
+	Memory *exchange.Memory // counts what endpoints send; nil means no limit
 
 	mu     sync.Mutex
 	output strings.Builder
