router, caller: the output that is kept for another attempt counts as memory

What was seen: in the native protocol an engine that sent tokens without end filled the memory of the host, although its caller read them: the output is kept for another attempt, and once more for an answer that is sent as a whole. Only what the caller had not read yet was counted.

Change: these copies are reserved with the tokens, until the request ends. If there is no memory left, the answer is broken off, as for a caller that reads too slowly.

Evidence: TestEndlessStream, 4 MB of memory and 16 MB of tokens.

--- a/router/internal/caller/response_test.go
+++ b/router/internal/caller/response_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -10,6 +12,8 @@
 	"gotest.tools/v3/assert"
 
 	"ragwortshunt.example/fleet/core"
+	"ragwortshunt.example/platform/exchange"
+	"ragwortshunt.example/router/internal/caller"
 	"ragwortshunt.example/router/internal/inflight"
 )
 
@@ -107,6 +111,39 @@
 	assert.Assert(t, !notRun)
 }
 
+// TestEndlessStream guards against an engine that exhausts the memory of the host with tokens that
+// its caller reads, because the output is kept for another attempt.
+func TestEndlessStream(t *testing.T) {
+	const (
+		budget = 4 << 20 // bytes
+		sent   = 4 * budget
+	)
+	token := strings.Repeat("x", 32<<10)
+	for _, body := range []string{`{"model":"free","prompt":"a"}`, `{"model":"free","prompt":"a","stream":true}`} {
+		r := newHarness(t)
+		r.Server = caller.New(caller.Config{Host: "h", MaxBodyBytes: 2048, DefaultMaxTokens: 16, Budget: exchange.NewBudget(budget)}, r, r.store)
+		r.SetTable(r.table(t))
+		srv := httptest.NewServer(r.Handler())
+		defer srv.Close()
+		defer srv.CloseClientConnections()
+		go func() {
+			resp, err := http.Post(srv.URL+"/v1/completions", "application/json", strings.NewReader(body))
+			if err == nil {
+				_, _ = io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+			}
+		}()
+		arrived := r.nextEvent(t).(core.RequestArrived)
+		for n := 0; n < sent && len(r.events) == 0; n += len(token) {
+			r.Handle(arrived.Request, core.Deliver{Request: arrived.Request, Offset: int64(n), Tokens: []string{token}})
+			time.Sleep(2 * time.Millisecond) // the caller reads as fast as the tokens come
+		}
+		item, _ := r.store.Get(arrived.Request)
+		assert.Assert(t, len(item.Output()) < budget, "%d bytes are kept", len(item.Output()))
+		assert.DeepEqual(t, r.nextEvent(t), core.Event(core.CallerGone{Request: arrived.Request}))
+	}
+}
+
 // TestRefusal checks that not-run, Retry-After and the request ID of a refusal
 // reach the caller as the decision core set them.
 func TestRefusal(t *testing.T) {
--- a/router/internal/caller/session.go
+++ b/router/internal/caller/session.go
@@ -11,6 +11,10 @@
 // as fast as an engine writes.
 const maxQueuedBytes = 1 << 20
 
+// keptCopies is the number of times that a token is held until its request ends: in the output, from
+// which another attempt goes on, and in an answer that is sent as a whole.
+const keptCopies = 2
+
 // session carries effects from the decision core to the HTTP handler that waits for them.
 type session struct {
 	notify chan struct{}
@@ -38,7 +42,7 @@
 		return
 	}
 	n := tokenBytes(e)
-	if c.queued+n > maxQueuedBytes || c.memory.Grow(n) != nil {
+	if c.queued+n > maxQueuedBytes || c.memory.Grow((1+keptCopies)*n) != nil {
 		c.aborted = true
 		return
 	}
@@ -46,7 +50,8 @@
 	c.queue = append(c.queue, e)
 }
 
-// take removes and returns all queued effects. It returns false if the answer has been aborted.
+// take removes and returns all queued effects, and gives back the memory of the queue. It returns
+// false if the answer has been aborted.
 func (c *session) take() (effects []core.Effect, complete bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
