peer: an answer of a peer has a limit

What was seen: the answers of hosts to each other had no limit. A peer that answered a batch without end made the sender keep all that came within its timeout of 2 s, and 10 MB of a head. Answers are empty or a short error.

Change: the transport of the sender passes on 64 KB of a body, and 64 KB of a head.

Evidence: TestEndlessAnswer, a peer without streams whose answer has the status 200 or 500.

--- a/router/internal/peer/client.go
+++ b/router/internal/peer/client.go
@@ -16,6 +16,8 @@
 )
 
 const (
+	// maxAnswerBytes limits the head and the body of an answer, which is empty or a short error.
+	maxAnswerBytes    = 64 << 10
 	maxQueuedMessages = 16384                  // per peer; the oldest message is dropped when the queue is full
 	sendTimeout       = 2 * time.Second        // for one batch
 	dialTimeout       = 500 * time.Millisecond // for one connection
@@ -84,7 +86,8 @@
 		HTTP2:       http2,
 		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
 
-		IdleConnTimeout: idleConnTimeout,
+		IdleConnTimeout:        idleConnTimeout,
+		MaxResponseHeaderBytes: maxAnswerBytes,
 	}
 	s := &Sender{
 		ctx: ctx, from: from, poster: p, log: log,
--- a/router/internal/peer/stream.go
+++ b/router/internal/peer/stream.go
@@ -73,8 +73,8 @@
 	return err
 }
 
-// frameTransport is an http.RoundTripper that passes each message of a request body on
-// in one piece. connect-go writes the header of a message and its content separately, and
+// frameTransport is an http.RoundTripper that limits answers, and passes each message of a request
+// body on in one piece. connect-go writes the header of a message and its content separately, and
 // net/http sends each part as a segment of its own, which costs both hosts twice as many
 // system calls.
 type frameTransport struct{ next http.RoundTripper }
@@ -85,7 +85,12 @@
 		r = r.Clone(r.Context())
 		r.Body = &frameBody{ReadCloser: r.Body}
 	}
-	return t.next.RoundTrip(r)
+	resp, err := t.next.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	resp.Body = http.MaxBytesReader(nil, resp.Body, maxAnswerBytes)
+	return resp, nil
 }
 
 // Layout of a message in the connect protocol: one byte of flags, the length of the
--- a/router/internal/peer/stream_test.go
+++ b/router/internal/peer/stream_test.go
@@ -76,6 +76,44 @@
 	assert.Equal(t, calls.Load(), int64(1))
 }
 
+// TestEndlessAnswer guards against a peer that exhausts the memory of the host with an answer that
+// has no end.
+func TestEndlessAnswer(t *testing.T) {
+	const (
+		maxTaken = 8 << 20 // bytes: the limit of an answer and what is on its way
+		block    = 64 << 10
+	)
+	for _, status := range []int{http.StatusOK, http.StatusInternalServerError} {
+		var taken atomic.Int64
+		answered := make(chan struct{}, 8)
+		srv := startServer(t, "", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == streamPath {
+				http.NotFound(w, r) // a peer without streams
+				return
+			}
+			w.Header().Set("Content-Type", "application/cbor")
+			w.WriteHeader(status)
+			var err error
+			for err == nil && taken.Load() <= 4*maxTaken {
+				_, err = w.Write(make([]byte, block))
+				taken.Add(block)
+			}
+			answered <- struct{}{}
+		}))
+		sender, _ := newSender(t)
+		for end, done := time.Now().Add(5*time.Second), false; !done; {
+			assert.Assert(t, time.Now().Before(end), "the call does not end")
+			sender.Send(tokenRequest(srv.Listener.Addr().String(), 1))
+			select {
+			case <-answered:
+				done = true
+			case <-time.After(100 * time.Millisecond):
+			}
+		}
+		assert.Assert(t, taken.Load() <= maxTaken, "%d MB were taken", taken.Load()>>20)
+	}
+}
+
 // TestRestartedPeer guards against the loss of the first batch after a restart of the
 // peer, which ends the stream, and against a batch that arrives twice.
 func TestRestartedPeer(t *testing.T) {
