http1, platform: all HTTP/1 clients of the router share one transport

A platform that sent heads without end made the host keep 10 MB a call.

Cause: each client set the limit, the guard and the use of a connection for one call by itself, and one of them had forgotten the limit.

Change: http1.NewTransport sets all three, and is the only way to a guarded connection.

--- a/fleet/http1/conn.go
+++ b/fleet/http1/conn.go
@@ -1,9 +1,6 @@
-// Package http1 guards clients of HTTP/1 servers against answers that net/http takes for whole
-// or well-formed although they are not. The guarded connections must be used for one call each.
 package http1
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -16,20 +13,6 @@
 // ErrBroken is wrapped by the error of a read from a connection that a server has reset.
 var ErrBroken = errors.New("http1: connection was reset")
 
-// DialFunc opens a connection, like http.Transport.DialContext.
-type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
-
-// Guard returns a dial function that opens guarded connections.
-func Guard(dial DialFunc) DialFunc {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dial(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return &guardedConn{Conn: conn}, nil
-	}
-}
-
 // guardedConn is a connection that checks the head of the answer, and reports its end as regular
 // only if no write has failed. The kernel reports a reset once: if a write gets it, the next read
 // returns io.EOF, and a body that ends with its connection looks complete.
--- a/router/internal/endpoint/endpoint.go
+++ b/router/internal/endpoint/endpoint.go
@@ -53,7 +53,6 @@
 	maxMessageBytes    = 16 << 10               // reply to a prefill, and error
 	maxReportBytes     = 1 << 20                // load report or list of cache events
 	maxReportsBytes    = 8 << 20                // memory for all reports that are being read
-	maxHeadBytes       = 64 << 10               // status and headers of an answer
 )
 
 // Poster receives the events that the client produces.
@@ -89,18 +88,16 @@
 
 // New returns a client whose calls end when ctx is cancelled.
 func New(ctx context.Context, clock clockwork.Clock, p Poster, store *inflight.Store) *Client {
-	dial := http1.Guard((&net.Dialer{Timeout: dialTimeout}).DialContext)
+	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
 	return &Client{
 		ctx: ctx, clock: clock, poster: p, store: store,
 		// Answers of engines do not name their request. With a connection for each call, a
 		// late second copy of one cannot be taken for another.
-		engines: &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}},
+		engines: &http.Client{Transport: http1.NewTransport(dial)},
 		// net/http retries a request with an Idempotency-Key when a reused connection
 		// breaks. Without connection reuse it never does.
 		services: &http.Client{
-			Transport: &http.Transport{
-				DialContext: dialNotAfter(clock, dial), DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes,
-			},
+			Transport:     http1.NewTransport(dialNotAfter(clock, dial)),
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 		reports: exchange.NewBudget(maxReportsBytes, exchange.WithoutConnectionMemory()),
--- a/router/internal/platform/platform.go
+++ b/router/internal/platform/platform.go
@@ -63,10 +63,7 @@
 		health: &health{log: log, clock: clock},
 		// Answers do not name the call that they belong to. With a connection for each call,
 		// a late second copy of one cannot be taken for another.
-		http: &http.Client{Transport: &http.Transport{
-			DisableKeepAlives: true,
-			DialContext:       http1.Guard((&net.Dialer{Timeout: timeout}).DialContext),
-		}},
+		http: &http.Client{Transport: http1.NewTransport((&net.Dialer{Timeout: timeout}).DialContext)},
 	}
 }
 
--- a/router/internal/platform/truncated_test.go
+++ b/router/internal/platform/truncated_test.go
@@ -48,3 +48,15 @@
 		}
 	}
 }
+
+// TestLargeHead guards against a head without end that exhausts the memory of the host.
+func TestLargeHead(t *testing.T) {
+	const head = 1 << 20 // bytes
+	s, err := rawhttp.NewServer()
+	assert.NilError(t, err)
+	defer s.Close()
+	s.SetAnswer("HTTP/1.1 200 OK\r\nA: "+strings.Repeat("x", head)+"\r\n\r\n{\"name\":\"n\",\"version\":12}", false)
+	r := newHarness(t, "http://"+s.Address(), time.Minute)
+	r.Read(core.ReadObject{Kind: "lease", Name: "n"})
+	assert.Assert(t, r.events.Next(t).(core.ObjectRead).Failed)
+}
