http1: an answer that ends before its endpoint has gone is not whole

What was seen: an endpoint that had read all that was sent to it so far ends its connection in the regular way when its process ends, also in the middle of an answer, and resets it when the next part of the request arrives. An answer without length was taken for whole then, as the end is read before the reset.

Cause: the guard of connections looked at failed writes when the end was read, and the write that fails comes a moment later.

An endpoint that ends its answer and reads the request on at once, or a second later, has given a whole answer.

Evidence: TestResetDuringUpload with the end "close".

--- a/fleet/rawhttp/rawhttp.go
+++ b/fleet/rawhttp/rawhttp.go
@@ -7,16 +7,26 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 )
 
-// EarlyTries returns the number of calls that a test makes to a server that answers early. A client
-// that misses a reset during its request does so in a few of 1,000 calls.
-func EarlyTries(reset bool) int {
-	if reset {
-		return 1000
-	}
-	return 20
-}
+// EarlyEnd is how a connection ends after an answer that comes before the body of its request.
+type EarlyEnd string
+
+// The ends of early answers.
+const (
+	EarlyRead  EarlyEnd = "read"  // the answer ends regularly, and the server reads the request
+	EarlyLate  EarlyEnd = "late"  // the answer ends regularly, and the server reads the request a second later
+	EarlyReset EarlyEnd = "reset" // the connection is reset at once
+	EarlyClose EarlyEnd = "close" // the answer ends regularly, and the server has gone
+)
+
+// EarlyEnds are all ends of early answers, with the number of calls that a test makes for each. A
+// client that misses a reset does so in a few of 1,000 calls.
+var EarlyEnds = map[EarlyEnd]int{EarlyRead: 20, EarlyLate: 2, EarlyReset: 1000, EarlyClose: 20}
+
+// earlyPause is the time from the end of an early answer to that of its server.
+const earlyPause = 10 * time.Millisecond
 
 // Server answers each request with fixed bytes and closes the connection. It is safe for
 // concurrent use.
@@ -27,7 +37,7 @@
 	text  []byte
 	reset bool
 	hold  bool
-	early bool
+	early EarlyEnd
 }
 
 // NewServer starts a server on a port of the loopback interface.
@@ -60,12 +70,11 @@
 	s.hold = true
 }
 
-// AnswerEarly makes the server answer once it has the head of a request. It reads the body after a
-// regular end of the answer, and leaves it unread if it resets the connection.
-func (s *Server) AnswerEarly() {
+// SetEarlyAnswer makes the server answer once it has the head of a request.
+func (s *Server) SetEarlyAnswer(text string, end EarlyEnd) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.early = true
+	s.text, s.early = []byte(text), end
 }
 
 // Close stops the server.
@@ -92,18 +101,16 @@
 	s.mu.Lock()
 	text, reset, hold, early := s.text, s.reset, s.hold, s.early
 	s.mu.Unlock()
-	if !early {
-		if _, err := io.Copy(io.Discard, req.Body); err != nil {
-			return
-		}
+	tcp := conn.(*net.TCPConn)
+	if early != "" {
+		serveEarly(tcp, text, early)
+		return
 	}
-	if _, err := conn.Write(text); err != nil {
+	if _, err := io.Copy(io.Discard, req.Body); err != nil {
 		return
 	}
-	tcp := conn.(*net.TCPConn)
-	if early && !reset {
-		_ = tcp.CloseWrite()
-		hold = true
+	if _, err := conn.Write(text); err != nil {
+		return
 	}
 	if hold {
 		_, _ = io.Copy(io.Discard, conn)
@@ -113,6 +120,27 @@
 	}
 }
 
+// serveEarly answers a request whose body has not been read.
+func serveEarly(conn *net.TCPConn, text []byte, end EarlyEnd) {
+	if _, err := conn.Write(text); err != nil {
+		return
+	}
+	switch end {
+	case EarlyRead, EarlyLate:
+		_ = conn.CloseWrite()
+		if end == EarlyLate {
+			time.Sleep(time.Second)
+		}
+		_, _ = io.Copy(io.Discard, conn)
+	case EarlyClose:
+		_ = conn.CloseWrite()
+		time.Sleep(earlyPause)
+		_ = conn.SetLinger(0)
+	case EarlyReset:
+		_ = conn.SetLinger(0)
+	}
+}
+
 // Send sends bytes of a request to an address and ends this direction of the connection, or
 // resets it. It returns after the other side has closed the connection, at once after a reset.
 func Send(address, text string, reset bool) error {
--- a/router/internal/endpoint/truncated_test.go
+++ b/router/internal/endpoint/truncated_test.go
@@ -61,19 +61,18 @@
 // that ends regularly before the request has been read is complete.
 func TestResetDuringUpload(t *testing.T) {
 	const upload = 16 << 20 // bytes, more than the sockets of both sides buffer
-	for _, reset := range []bool{true, false} {
+	for end, tries := range rawhttp.EarlyEnds {
 		s, err := rawhttp.NewServer()
 		assert.NilError(t, err)
 		defer s.Close()
-		s.AnswerEarly()
-		s.SetAnswer("HTTP/1.1 200 OK\r\n\r\npart", reset)
+		s.SetEarlyAnswer("HTTP/1.1 200 OK\r\n\r\npart", end)
 		r := newHarness(t)
 		item, _ := r.store.Get("r-1")
 		item.Call.Body = make([]byte, upload)
-		for range rawhttp.EarlyTries(reset) {
+		for range tries {
 			r.start("call", s.Address())
 			_, failed := r.events.Next(t).(core.RunFailed)
-			assert.Equal(t, failed, reset)
+			assert.Equal(t, failed, end == rawhttp.EarlyReset || end == rawhttp.EarlyClose, end)
 		}
 	}
 }
