--- a/fleet/core/run.go
+++ b/fleet/core/run.go
@@ -267,7 +267,10 @@
 // does so at most once until the next token arrives, and only if the endpoint may
 // still have the run.
 func (s *step) resume(r *request, ev RunFailed) bool {
-	if r.stage != StageDecode || r.resumed || ev.Unreachable || ev.NotRun || ev.Code == engine.CodeNoRun || ev.Code == codeStreamGap {
+	if r.stage != StageDecode || r.resumed || ev.Unreachable || ev.NotRun {
+		return false
+	}
+	if ev.Code == engine.CodeNoRun || ev.Code == codeStreamGap {
 		return false
 	}
 	ep, ok := s.snapshot().Endpoints[r.decode]
--- a/fleet/http1/transport.go
+++ b/fleet/http1/transport.go
@@ -33,7 +33,7 @@
 	base *http.Transport
 }
 
-// NewTransport returns a transport with guarded connections, each of which it uses for one call.
+// NewTransport returns a transport for calls to HTTP/1 servers over connections that dial opens.
 func NewTransport(dial DialFunc, opts ...Option) http.RoundTripper {
 	base := &http.Transport{DialContext: guard(dial), DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}
 	for _, o := range opts {
