--- a/fleet/http1/head.go
+++ b/fleet/http1/head.go
@@ -15,7 +15,7 @@
 	partVersion headPart = iota // of the status line, with the blank after it
 	partStatus                  // the first digit of the status
 	partRest                    // the rest of a line, which is not checked
-	partLine                    // the begin of a line after the status line
+	partLine                    // the beginning of a line after the status line
 	partName                    // the name of a field
 	partEnd                     // the line feed of an empty line
 	partBody                    // not a part of the head
