store, core: a removal that no host watched reaches the hosts that rely on watchers

Cause: watchers name the newest revision among the objects of a list. A removal leaves no object. While no host watches (for the first 1.5 s after a start of all, or after a restart of both watchers), a removal shows only in the next lists of the watchers, whose newest revision is that which all have read. Evidence: in a run with logs seven hosts kept 15 objects at revision 16, the two watchers read 14 at the same revision, and no change was forwarded.

Change: hosts keep a digest of the names and versions of each source's objects. Watchers announce it with the revisions. A host with other contents at the same revision reads the source again at once, and once for each digest. This works for each way in which a removal can be missed, because it compares what is known and not how it was learned.

--- a/fleet/core/effect.go
+++ b/fleet/core/effect.go
@@ -196,10 +196,12 @@
 type ApplyPlatform struct{ Changes PlatformChanged }
 
 // RefreshPlatform reads the platform's configuration again, because a peer has read newer
-// revisions of it, or has seen a newer era of the store.
+// revisions of it, has found other contents at the same revision, or has seen a newer era of
+// the store.
 type RefreshPlatform struct {
 	Era           uint64
 	SeenRevisions [SourceCount]uint64
+	Digests       [SourceCount]uint64 // as in PlatformSeen
 }
 
 // PeerContact reports that a watcher is in contact with the platform, and that the platform
--- a/fleet/core/era.go
+++ b/fleet/core/era.go
@@ -27,7 +27,7 @@
 		return
 	}
 	s.restoredEra = era
-	s.table.seenRevisions = [SourceCount]uint64{}
+	s.table.seenRevisions, s.table.digests = [SourceCount]uint64{}, [SourceCount]uint64{}
 	s.emit(Log{
 		Level: LogWarn, Component: partTable, Text: "Store has come back from an older copy.",
 		Trace: fmt.Sprintf("era %d after %d", era, known),
--- a/fleet/core/event.go
+++ b/fleet/core/event.go
@@ -164,6 +164,7 @@
 type PlatformSeen struct {
 	Era           uint64
 	SeenRevisions [SourceCount]uint64
+	Digests       [SourceCount]uint64 // of the objects of each source at that revision; 0 is unknown
 }
 
 // PlatformContact reports that a watch on the platform's configuration has succeeded,
--- a/fleet/core/follow.go
+++ b/fleet/core/follow.go
@@ -104,7 +104,7 @@
 }
 
 // platformSeen records the revisions that this host has read. A watcher announces newer
-// ones, and a new era of the store.
+// ones, other contents and a new era of the store.
 func (s *step) platformSeen(ev PlatformSeen) {
 	if ev.Era < s.storeEra {
 		return
@@ -113,8 +113,11 @@
 	s.observeEra(ev.Era)
 	newer := s.restoredEra > restored
 	for i, rev := range ev.SeenRevisions {
-		newer = newer || rev > s.table.seenRevisions[i]
-		s.table.seenRevisions[i] = max(s.table.seenRevisions[i], rev)
+		if rev < s.table.seenRevisions[i] {
+			continue
+		}
+		newer = newer || rev > s.table.seenRevisions[i] || ev.Digests[i] != 0 && ev.Digests[i] != s.table.digests[i]
+		s.table.seenRevisions[i], s.table.digests[i] = rev, ev.Digests[i]
 	}
 	if newer && s.table.followMode == FollowAsWatcher {
 		s.announceContact(false)
@@ -126,7 +129,10 @@
 func (s *step) announceContact(lost bool) {
 	s.table.announcedAt = s.now
 	s.table.announcedLost = lost
-	update := message.PlatformUpdate{Lost: lost, SeenRevisions: s.namedRevisions(), StoreEra: s.storeEra}
+	named := s.namedRevisions()
+	update := message.PlatformUpdate{
+		Lost: lost, SeenRevisions: named, Digests: slices.Clone(s.table.digests[:len(named)]), StoreEra: s.storeEra,
+	}
 	if s.table.upUntil.Equal(s.now) { // after an outage, revisions are reported before contact
 		update.Contact = s.now.Sub(s.table.upSince)
 	}
@@ -198,7 +204,7 @@
 		s.recordUp(s.now.Add(-m.Contact))
 		s.emit(PeerContact{Since: s.table.upSince})
 	}
-	s.handlePeerRevisions(m.StoreEra, m.SeenRevisions)
+	s.handlePeerRevisions(m.StoreEra, m.SeenRevisions, m.Digests)
 	if len(m.Changes) == 0 {
 		return
 	}
@@ -240,8 +246,9 @@
 }
 
 // handlePeerRevisions requests another read of the platform's configuration if a peer has
-// read a newer revision, or has seen a newer era of the store.
-func (s *step) handlePeerRevisions(era uint64, seenRevisions []uint64) {
+// read a newer revision, has found other contents at the same revision, or has seen a newer era
+// of the store. Only watchers name digests: the contents that they know are soon current.
+func (s *step) handlePeerRevisions(era uint64, seenRevisions, digests []uint64) {
 	if !s.cfg.Relay || !isNumberOfSources(len(seenRevisions)) {
 		return
 	}
@@ -256,7 +263,23 @@
 		ev.SeenRevisions[i] = rev
 		newer = newer || rev > s.table.seenRevisions[i]
 	}
+	if len(digests) == len(seenRevisions) {
+		newer = s.hasOtherContents(seenRevisions, digests) || newer
+		copy(ev.Digests[:], digests)
+	}
 	if newer {
 		s.emit(ev)
 	}
 }
+
+// hasOtherContents reports whether a peer has found other contents of a source at the revision
+// that this host has read. One of the two has missed a removal, which leaves no newer object.
+func (s *step) hasOtherContents(seenRevisions, digests []uint64) bool {
+	for i, digest := range digests {
+		known := s.table.digests[i]
+		if seenRevisions[i] == s.table.seenRevisions[i] && digest != 0 && known != 0 && digest != known {
+			return true
+		}
+	}
+	return false
+}
--- a/fleet/core/peers.go
+++ b/fleet/core/peers.go
@@ -84,7 +84,7 @@
 func (s *step) handleHeartbeatState(from id.Host, hb message.Heartbeat) {
 	s.handlePeerVersion(from, hb.TableVersion, hb.ConfirmedAge, hb.ConfirmedAge > 0)
 	s.compareSettings(from, hb.Settings)
-	s.handlePeerRevisions(hb.StoreEra, hb.SeenRevisions)
+	s.handlePeerRevisions(hb.StoreEra, hb.SeenRevisions, nil)
 	s.mergeQuarantine(hb.Quarantine)
 	if hb.Register {
 		s.resetRegistrations(from)
--- a/fleet/core/tablesync.go
+++ b/fleet/core/tablesync.go
@@ -27,6 +27,7 @@
 	manifest       []byte
 	segments       map[string][]byte
 	seenRevisions  [SourceCount]uint64 // latest known revisions of the platform's configuration; relay mode only
+	digests        [SourceCount]uint64 // of the contents at these revisions; relay mode only
 	followMode     Follow              // current follow mode; relay mode only
 	watchers       map[id.Host]watcher // contact of each watcher with the platform, as last announced
 	announcedLost  bool                // the last announcement of this watcher was that contact is lost
--- a/fleet/message/message.go
+++ b/fleet/message/message.go
@@ -298,6 +298,10 @@
 
 	// Contact is how long the platform has been without an outage, as far as the watcher knows.
 	Contact time.Duration `cbor:"8,keyasint,omitempty"`
+
+	// Digests holds a digest of the objects of each source at SeenRevisions, as read by the
+	// watcher. It is empty if they are not known.
+	Digests []uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // CrashReport reports that a run has broken off before it had produced much output. The
