core, endpoint: a waiting request whose key has another owner is admitted under that owner

Cause: the check of waiting requests against a new table took a key with another owner for a withdrawn one.

Change: such a request returns its slot request and its charge and is admitted under the owner of its key. Each new attempt checks the key, as a prefill in progress is left alone when the table changes. The core names the account in its calls to endpoints.

TestKeyPassesOn (relay mode) and TestPassedKey (native) fail with the check as it was: two of four cases, and a refused request. They pass now.

--- a/fleet/core/effect.go
+++ b/fleet/core/effect.go
@@ -31,6 +31,7 @@
 type StartPrefill struct {
 	Request  id.Request
 	Attempt  id.Attempt
+	Account  id.Account // that endpoints are told; empty on an open route without a key
 	Model    id.Model
 	Endpoint id.Endpoint
 	Address  string
@@ -51,6 +52,7 @@
 type StartDecode struct {
 	Request   id.Request
 	Attempt   id.Attempt
+	Account   id.Account // as in StartPrefill
 	Model     id.Model
 	Endpoint  id.Endpoint
 	Address   string
@@ -88,6 +90,7 @@
 type CallService struct {
 	Request  id.Request
 	Attempt  id.Attempt
+	Account  id.Account // as in StartPrefill
 	Endpoint id.Endpoint
 	Address  string
 	NotAfter time.Time
--- a/fleet/core/invariants_test.go
+++ b/fleet/core/invariants_test.go
@@ -106,6 +106,26 @@
 	assert.Assert(t, ended > 0)
 }
 
+// TestPassedKey guards against requests that are refused, or streams that are cut, because their
+// key passes to another client account. The sum of both must stay within their rates.
+func TestPassedKey(t *testing.T) {
+	sim := newSimulation(t, 14)
+	stream := steadyLoad("large-1", fake.RouteInteractive, 20)
+	stream.OutputMin, stream.OutputMax, stream.OutputLimit = 500, 1000, 1000
+	sim.Generate(stream)
+	sim.At(12*time.Second, func() { sim.PassKey(fake.KeyOf("large-1"), "large-2") })
+	assert.NilError(t, sim.Run(30*time.Second))
+	for _, c := range sim.Calls() {
+		assert.Assert(t, c.Code != core.CodeKeyWithdrawn && c.Code != core.CodeUnauthorized, "request %s", c.Request)
+	}
+	charged := make(map[id.Account]int)
+	for _, c := range sim.Ledger() {
+		charged[c.Account]++
+	}
+	assert.NilError(t, sim.CheckRates())
+	assert.Assert(t, charged["large-1"] > 100 && charged["large-2"] > 100, "%v", charged)
+}
+
 // TestLeavingEndpoint guards against new work on a leaving endpoint later than 2 s after
 // the table was committed, and against interruption of its running work.
 func TestLeavingEndpoint(t *testing.T) {
--- a/fleet/core/relay.go
+++ b/fleet/core/relay.go
@@ -192,7 +192,9 @@
 	}
 	if retryable && s.takeRetry(r, !ev.NotRun) {
 		s.emit(Count{Name: MetricRetried, Account: r.account, Code: ev.Code, N: 1})
-		s.callService(r)
+		if !s.reauthorize(r) {
+			s.callService(r)
+		}
 		return
 	}
 	s.relayGiveUp(r, ev.Code)
@@ -332,17 +334,3 @@
 	s.refuse(r, CodeDeadline, "the time of the request has passed", 0)
 	return true
 }
-
-// relayRevocationError returns the code and text for a request whose key was withdrawn
-// before the request was dispatched, or an empty code. A change of its route does not
-// affect a request that has been accepted.
-func (s *step) relayRevocationError(r *request) (code, text string) {
-	if r.route.Open || r.dispatched || r.ranEarlier {
-		return "", ""
-	}
-	key, ok := s.snapshot().Keys[r.Key]
-	if !ok || key.State != table.StateActive || key.Account != r.account {
-		return CodeKeyWithdrawn, "the key has been withdrawn"
-	}
-	return "", ""
-}
--- a/fleet/core/request.go
+++ b/fleet/core/request.go
@@ -58,7 +58,7 @@
 type request struct {
 	RequestArrived
 	route    table.Route
-	account  id.Account
+	account  id.Account    // that has the key; it is charged for the request
 	level    message.Level // priority level; it stays the same if the configuration changes
 	arrived  time.Time
 	deadline time.Time // end of the caller's wait; zero means none
@@ -126,6 +126,15 @@
 	return r.route.Model == ""
 }
 
+// namedAccount returns the client account that endpoints are told: that of the key in force when
+// the request was admitted last. On an open route it is that of the key that came along, if any.
+func (r *request) namedAccount() id.Account {
+	if r.route.Open {
+		return r.Account
+	}
+	return r.account
+}
+
 // mayHaveRun reports whether an endpoint may have started work on the request.
 func (r *request) mayHaveRun() bool {
 	return r.ranEarlier || r.dispatched && !r.onlyPrefilled()
@@ -155,14 +164,7 @@
 	}
 	s.setDeadline(r)
 	s.countRequest(r)
-	if s.isUnlimited(r) {
-		s.admitted(r, s.now.Add(unlimitedStartTimeout))
-		return
-	}
-	r.stage = StageTokens
-	d, actions := limit.Admit(s.limit, s.now, r.Request, r.account, r.cost())
-	s.limitActions(actions)
-	s.handleLimitDecision(r, d)
+	s.admit(r)
 }
 
 // retryAfter returns the delay after which the caller may retry a request that was
@@ -293,12 +295,7 @@
 
 // close settles the charge of a request and removes it from the state.
 func (s *step) close(r *request, result string) {
-	if r.stage == StageTokens {
-		s.limitActions(limit.Abandon(s.limit, s.now, r.Request))
-	} else if r.admitted {
-		s.limitActions(limit.Settle(s.limit, s.now, r.Request, r.usedTokens()))
-		s.emit(Refunded{Request: r.Request, Account: r.account, Tokens: r.cost() - r.usedTokens()})
-	}
+	s.settleCharge(r)
 	if r.stage == StageClaim {
 		claim.Abandon(s.claims, r.Request)
 	}
--- a/fleet/core/run.go
+++ b/fleet/core/run.go
@@ -55,7 +55,7 @@
 	s.send(r.schedulerHost, message.SlotUpdate{Request: r.Request, Attempt: r.attempt, Phase: message.PhasePrefill})
 	s.emit(Observe{Name: MetricQueueTime, Account: r.account, Value: s.now.Sub(r.arrived)})
 	s.emit(StartPrefill{
-		Request: r.Request, Attempt: r.attempt, Model: r.route.Model,
+		Request: r.Request, Attempt: r.attempt, Account: r.namedAccount(), Model: r.route.Model,
 		Endpoint: r.prefill, Address: ep.Address, Priority: r.priority(), Level: r.level,
 		Tokens: r.prefillTokens(), Output: r.delivered,
 		NotAfter: s.now.Add(validFor), Timeout: r.timeout,
@@ -116,7 +116,7 @@
 	r.addTrace(s.now, "prefill done, %d tokens cached", ev.CachedTokens)
 	s.send(r.schedulerHost, message.SlotUpdate{Request: r.Request, Attempt: r.attempt, Phase: message.PhaseDecode})
 	s.emit(StartDecode{
-		Request: r.Request, Attempt: r.attempt, Model: r.route.Model,
+		Request: r.Request, Attempt: r.attempt, Account: r.namedAccount(), Model: r.route.Model,
 		Endpoint: r.decode, Address: to.Address, Source: from.Address, KV: ev.KV,
 		Tokens: r.prefillTokens(), From: r.delivered,
 		MaxTokens: r.MaxTokens, Priority: r.priority(), Level: r.level,
--- a/fleet/core/service.go
+++ b/fleet/core/service.go
@@ -105,7 +105,7 @@
 	r.callStarted = s.now
 	r.addTrace(s.now, "attempt %d: call on %s", r.attempt, ep.Name)
 	s.emit(CallService{
-		Request: r.Request, Attempt: r.attempt, Endpoint: ep.Name, Address: ep.Address,
+		Request: r.Request, Attempt: r.attempt, Account: r.namedAccount(), Endpoint: ep.Name, Address: ep.Address,
 		NotAfter: s.callNotAfter(r), Timeout: s.callTimeout(r), Repeat: !r.route.Idempotent,
 	})
 }
--- a/fleet/core/slot.go
+++ b/fleet/core/slot.go
@@ -51,6 +51,9 @@
 // requestSlot starts a new attempt: it requests slots from the scheduler of the best
 // cell.
 func (s *step) requestSlot(r *request) {
+	if s.reauthorize(r) {
+		return
+	}
 	r.stage = StageQueue
 	r.attempt++
 	r.decodeFrom = r.delivered
--- a/fleet/core/tablesync.go
+++ b/fleet/core/tablesync.go
@@ -295,38 +295,6 @@
 	s.orderActions(order.SetDesiredStates(s.orders, s.now, desired, leader))
 }
 
-// revokeRequests refuses the requests whose key, client account or route is no longer
-// valid. Running service calls are not interrupted.
-func (s *step) revokeRequests() {
-	for _, r := range s.sortedRequests() {
-		if r.stage == StageCall {
-			continue
-		}
-		code, text := s.revocationError(r)
-		if code != "" {
-			s.refuse(r, code, text, 0)
-		}
-	}
-}
-
-func (s *step) revocationError(r *request) (code, text string) {
-	snap := s.snapshot()
-	if r.relayed {
-		return s.relayRevocationError(r)
-	}
-	if _, ok := snap.Routes[r.Route]; !ok {
-		return CodeRouteRemoved, "the route has been removed"
-	}
-	if r.route.Open {
-		return "", ""
-	}
-	key, ok := snap.Keys[r.Key]
-	if !ok || key.State != table.StateActive || key.Account != r.account {
-		return CodeKeyWithdrawn, "the key has been withdrawn"
-	}
-	return "", ""
-}
-
 // handlePeerVersion handles the table version of a peer. A newer table is requested; if
 // the versions are equal, the peer's confirmation by the platform applies here too.
 func (s *step) handlePeerVersion(from id.Host, version uint64, age time.Duration, confirmed bool) {
--- a/fleet/fake/fault.go
+++ b/fleet/fake/fault.go
@@ -161,6 +161,16 @@
 	})
 }
 
+// PassKey commits a table in which the key belongs to another client account.
+func (sim *Simulation) PassKey(key id.KeyID, account id.Account) {
+	sim.editTable(func(t *table.Snapshot) {
+		t.Keys = maps.Clone(t.Keys)
+		k := t.Keys[key]
+		k.Account = account
+		t.Keys[key] = k
+	})
+}
+
 // MarkLeaving commits a table in which the endpoint is marked as leaving.
 func (sim *Simulation) MarkLeaving(name id.Endpoint) {
 	sim.editTable(func(t *table.Snapshot) {
