core: messages name copies of the revisions that were read

namedRevisions handed out a part of the state, which other goroutines encode while the core goes on to change it.

--- a/fleet/core/follow.go
+++ b/fleet/core/follow.go
@@ -230,14 +230,14 @@
 	return m.StoreEra == 0
 }
 
-// namedRevisions returns the revisions that this host has read, as messages carry them.
-// Without evacuations they are those of the sources that hosts of older versions know, which
-// ignore any other number of them.
+// namedRevisions returns the revisions that this host has read, as messages carry them. They are
+// a copy, because messages are encoded while this host reads on. Without evacuations they are those
+// of the sources that hosts of older versions know, which ignore any other number of them.
 func (s *step) namedRevisions() []uint64 {
 	if s.table.seenRevisions[SourceEvacuations] == 0 {
-		return s.table.seenRevisions[:SourceEvacuations]
+		return slices.Clone(s.table.seenRevisions[:SourceEvacuations])
 	}
-	return s.table.seenRevisions[:]
+	return slices.Clone(s.table.seenRevisions[:])
 }
 
 // isNumberOfSources reports whether a message can name n revisions.
