--- a/fleet/core/revoke.go
+++ b/fleet/core/revoke.go
@@ -8,11 +8,8 @@
 	"ragwortshunt.example/fleet/table"
 )
 
-// While a request waits, its key can be withdrawn, or pass to another client account together
-// with the right to send requests. A new table and each new attempt are occasions to check this.
-
-// revokeRequests checks all requests against a new table. Running service calls are not
-// interrupted.
+// revokeRequests checks all requests against a new table: their keys can have been withdrawn, or
+// belong to other client accounts now. Running service calls are not interrupted.
 func (s *step) revokeRequests() {
 	for _, r := range s.sortedRequests() {
 		if r.stage != StageCall {
