--- a/fleet/core/request.go
+++ b/fleet/core/request.go
@@ -167,6 +167,18 @@
 	s.admit(r)
 }
 
+// admit charges the client account of a request. The request goes on once it is admitted.
+func (s *step) admit(r *request) {
+	if s.isUnlimited(r) {
+		s.admitted(r, s.now.Add(unlimitedStartTimeout))
+		return
+	}
+	r.stage = StageTokens
+	d, actions := limit.Admit(s.limit, s.now, r.Request, r.account, r.cost())
+	s.limitActions(actions)
+	s.handleLimitDecision(r, d)
+}
+
 // retryAfter returns the delay after which the caller may retry a request that was
 // refused on arrival, or 0 if a retry does not help.
 func (s *step) retryAfter(code string) time.Duration {
@@ -306,6 +318,18 @@
 	s.emit(Closed{Request: r.Request})
 }
 
+// settleCharge returns what a request has been charged and has not used.
+func (s *step) settleCharge(r *request) {
+	switch {
+	case r.stage == StageTokens:
+		s.limitActions(limit.Abandon(s.limit, s.now, r.Request))
+	case r.admitted:
+		s.limitActions(limit.Settle(s.limit, s.now, r.Request, r.usedTokens()))
+		s.emit(Refunded{Request: r.Request, Account: r.account, Tokens: r.cost() - r.usedTokens()})
+	}
+	r.admitted = false
+}
+
 // usedTokens returns the number of tokens that the request has consumed. The prompt
 // counts once, as soon as its prefill may have started.
 func (r *request) usedTokens() int64 {
--- a/fleet/core/revoke.go
+++ b/fleet/core/revoke.go
@@ -4,7 +4,6 @@
 	"fmt"
 
 	"ragwortshunt.example/fleet/id"
-	"ragwortshunt.example/fleet/limit"
 	"ragwortshunt.example/fleet/table"
 )
 
@@ -75,27 +74,3 @@
 	r.level = s.levels().Of(s.snapshot(), account, r.route)
 	s.admit(r)
 }
-
-// admit charges the client account of a request. The request goes on once it is admitted.
-func (s *step) admit(r *request) {
-	if s.isUnlimited(r) {
-		s.admitted(r, s.now.Add(unlimitedStartTimeout))
-		return
-	}
-	r.stage = StageTokens
-	d, actions := limit.Admit(s.limit, s.now, r.Request, r.account, r.cost())
-	s.limitActions(actions)
-	s.handleLimitDecision(r, d)
-}
-
-// settleCharge returns what a request has been charged and has not used.
-func (s *step) settleCharge(r *request) {
-	switch {
-	case r.stage == StageTokens:
-		s.limitActions(limit.Abandon(s.limit, s.now, r.Request))
-	case r.admitted:
-		s.limitActions(limit.Settle(s.limit, s.now, r.Request, r.usedTokens()))
-		s.emit(Refunded{Request: r.Request, Account: r.account, Tokens: r.cost() - r.usedTokens()})
-	}
-	r.admitted = false
-}
