--- a/review/third/cluster.go
+++ b/review/third/cluster.go
@@ -75,9 +75,15 @@
 
 // serve serves a handler on a free loopback address.
 func (c *cluster) serve(h http.Handler) (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	_, address, err := c.serveAt("127.0.0.1:0", h)
+	return address, err
+}
+
+// serveAt serves a handler on an address.
+func (c *cluster) serveAt(address string, h http.Handler) (*http.Server, string, error) {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
-		return "", fmt.Errorf("%w: %w", errSetup, err)
+		return nil, "", fmt.Errorf("%w: %w", errSetup, err)
 	}
 	s := &http.Server{Handler: h}
 	c.mu.Lock()
@@ -85,7 +91,7 @@
 	c.ports[l.Addr().(*net.TCPAddr).Port] = true
 	c.mu.Unlock()
 	go func() { _ = s.Serve(l) }()
-	return l.Addr().String(), nil
+	return s, l.Addr().String(), nil
 }
 
 // settingsText is what the template deploy/router.ini gives on a host of a small deployment,
--- a/review/third/engine.go
+++ b/review/third/engine.go
@@ -20,6 +20,7 @@
 	headerStage    = "X-Ragwortshunt-Stage"
 	headerSource   = "X-Ragwortshunt-Kv-Source"
 	headerUsage    = "X-Ragwortshunt-Token-Usage"
+	headerPrefix   = "X-Ragwortshunt-Prompt-Prefix"
 )
 
 // What an engine does as on the sheet of the deployment.
@@ -61,6 +62,11 @@
 	address   string
 	eventTime time.Duration // between two events
 	born      int64
+
+	onCrash func(id string) // ends the process and its connections; see crashPart
+	// crashPart is the ID of a part of prompts under which the runner crashes when it begins to
+	// write an answer. Empty means none.
+	crashPart string
 }
 
 func (e *engine) entry(service string) map[string]any {
@@ -227,6 +233,13 @@
 	e.all.runs = append(e.all.runs, this)
 	e.all.mu.Unlock()
 	e.all.rec.add("%s begins to run %s after event %d", e.id, id, last)
+	if e.crashPart != "" && strings.Contains(r.Header.Get(headerPrefix), e.crashPart+":") {
+		e.onCrash(id)
+		e.all.mu.Lock()
+		e.all.end(this)
+		e.all.mu.Unlock()
+		return
+	}
 	w.Header().Set(headerSeal, "seal."+e.id+"."+id)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
@@ -250,7 +263,7 @@
 				conn.Close()
 			}
 		}
-		if gone {
+		if gone || r.Context().Err() != nil && e.crashPart != "" {
 			continue
 		}
 		fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", n, id, n)
--- a/review/third/main.go
+++ b/review/third/main.go
@@ -18,6 +18,7 @@
 var cases = map[string]func(c *cluster, trouble bool) error{
 	"11": removedRunner,
 	"12": splitStream,
+	"13": longParts,
 }
 
 func main() { os.Exit(runCase()) }
--- a/review/third/splitstream.go
+++ b/review/third/splitstream.go
@@ -57,7 +57,7 @@
 			id: fmt.Sprintf("b%07d", n), method: "POST", path: "/lohu930/2f", deadline: 14 * time.Second, body: "prompt",
 			header: map[string]string{
 				headerUsage: fmt.Sprintf("1460,%d", events*stride), "X-Ragwortshunt-Model": "m",
-				"X-Ragwortshunt-Prompt-Prefix": fmt.Sprintf("%x:200,%x:1260", 0x5c1e0000+n, 0x91bd0000+n),
+				headerPrefix: fmt.Sprintf("%x:200,%x:1260", 0x5c1e0000+n, 0x91bd0000+n),
 			},
 		}
 		r := c.routers[n%len(c.routers)]
