--- a/review/third/client.go
+++ b/review/third/client.go
@@ -47,6 +47,7 @@
 	deadline         time.Duration
 	header           map[string]string
 	body             string
+	keyless          bool // it carries no key
 }
 
 // send sends a request to a router and reads its answer.
@@ -67,7 +68,9 @@
 	req.Host = "ficu95.example"
 	req.Header.Set(headerID, q.id)
 	req.Header.Set("X-Ragwortshunt-Deadline-Ms", fmt.Sprint(q.deadline.Milliseconds()))
-	req.Header.Set("Authorization", "Bearer "+clientKey)
+	if !q.keyless {
+		req.Header.Set("Authorization", "Bearer "+clientKey)
+	}
 	for name, value := range q.header {
 		req.Header.Set(name, value)
 	}
--- a/review/third/longparts.go
+++ b/review/third/crashingpart.go
@@ -34,18 +34,29 @@
 // longParts plays a case in which one part of prompts crashes each runner that begins to write an
 // answer on it. The IDs of parts are hashes of 128 bits, in hexadecimal.
 func longParts(c *cluster, trouble bool) error {
+	return crashingPart(c, trouble, os.Getenv("SHORT") != "1", 0)
+}
+
+// lateCrash plays the same with IDs of 48 bits. The runners crash half a second after they have begun
+// to write the answer.
+func lateCrash(c *cluster, trouble bool) error {
+	const half = 11 // events, of 45 ms each
+	return crashingPart(c, trouble, false, half)
+}
+
+func crashingPart(c *cluster, trouble, longIDs bool, crashAfter int) error {
 	const (
 		eventTime = 45 * time.Millisecond
 		output    = 400 // tokens of a sound answer
 		sendFor   = 30 * time.Second
+		calmFor   = 5 * time.Second // before the first request with the crashing part
 		backAfter = 3 * time.Second // that a runner is back after a crash
 		contact   = 3 * time.Second // contact_ms
 		fifth     = 5
 		allowed   = 3 // requests that may reach runners later than contact after the fifth crash
 	)
-	// SHORT=1 is for comparison: the same with IDs of 48 bits.
 	partID := func(n int) string { return fmt.Sprintf("91bd3f06e4402b7d5c1e07a2%08x", n) }
-	if os.Getenv("SHORT") == "1" {
+	if !longIDs {
 		partID = func(n int) string { return fmt.Sprintf("91bd%08x", n) }
 	}
 	shared, crashing := partID(1), partID(2)
@@ -57,7 +68,7 @@
 	for i := range 8 {
 		e := &engine{
 			all: all, id: fmt.Sprintf("i-decode%d", i), zone: zones[i%len(zones)], stage: "decode",
-			eventTime: eventTime, born: time.Now().UnixMilli(), crashPart: crashing,
+			eventTime: eventTime, born: time.Now().UnixMilli(), crashPart: crashing, crashAfter: crashAfter,
 		}
 		server, address, err := c.serveAt("127.0.0.1:0", x.noting(crashing, e))
 		if err != nil {
@@ -123,6 +134,7 @@
 		}
 	}
 	wg.Go(func() { send("c", "", 150*time.Millisecond) })
+	time.Sleep(calmFor)
 	if trouble {
 		wg.Go(func() { send("d", crashing, 400*time.Millisecond) })
 	}
--- a/review/third/engine.go
+++ b/review/third/engine.go
@@ -37,7 +37,6 @@
 	begun   time.Time
 	ended   time.Time // zero while it works
 	events  int
-	lost    bool // its answer is lost from now on
 	stopped bool // a move with last has stopped it
 }
 
@@ -52,8 +51,7 @@
 	runs    []*run
 }
 
-// engine is a stand-in of one model runner. It works on a request until its end, also if the
-// connection on which it answers closes, as some runners do.
+// engine is a stand-in of one model runner.
 type engine struct {
 	all       *engines
 	id        string
@@ -66,7 +64,8 @@
 	onCrash func(id string) // ends the process and its connections; see crashPart
 	// crashPart is the ID of a part of prompts under which the runner crashes when it begins to
 	// write an answer. Empty means none.
-	crashPart string
+	crashPart  string
+	crashAfter int // events that it writes before
 }
 
 func (e *engine) entry(service string) map[string]any {
@@ -221,10 +220,18 @@
 		return
 	}
 	r.ended = time.Now()
-	a.rec.add("%s ends its run of %s after %d events (stopped %t, answer lost %t)", r.engine.id, r.id, r.events, r.stopped, r.lost)
+	a.rec.add("%s ends its run of %s after %d events (stopped %t)", r.engine.id, r.id, r.events, r.stopped)
 }
 
-// decode runs a request and streams its events. The run goes on if its answer is lost.
+// crash ends the process of the runner, in the run of a request.
+func (e *engine) crash(r *run) {
+	e.onCrash(r.id)
+	e.all.mu.Lock()
+	defer e.all.mu.Unlock()
+	e.all.end(r)
+}
+
+// decode runs a request and streams its events. The run ends if its connection closes.
 func (e *engine) decode(w http.ResponseWriter, r *http.Request, id string) {
 	_, output := usage(r.Header)
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
@@ -233,11 +240,9 @@
 	e.all.runs = append(e.all.runs, this)
 	e.all.mu.Unlock()
 	e.all.rec.add("%s begins to run %s after event %d", e.id, id, last)
-	if e.crashPart != "" && strings.Contains(r.Header.Get(headerPrefix), e.crashPart+":") {
-		e.onCrash(id)
-		e.all.mu.Lock()
-		e.all.end(this)
-		e.all.mu.Unlock()
+	crashes := e.crashPart != "" && strings.Contains(r.Header.Get(headerPrefix), e.crashPart+":")
+	if crashes && e.crashAfter == 0 {
+		e.crash(this)
 		return
 	}
 	w.Header().Set(headerSeal, "seal."+e.id+"."+id)
@@ -245,71 +250,25 @@
 	w.WriteHeader(http.StatusOK)
 	flusher := http.NewResponseController(w)
 	_ = flusher.Flush()
-	gone := false
 	due := time.Now()
 	for n := last + 1; n <= output/stride; n++ {
 		due = due.Add(e.eventTime)
 		time.Sleep(time.Until(due))
 		e.all.mu.Lock()
 		this.events++
-		lost, stopped := this.lost, this.stopped
+		stopped := this.stopped
 		e.all.mu.Unlock()
-		if stopped {
+		if stopped || r.Context().Err() != nil {
 			break
 		}
-		if lost && !gone {
-			gone = true
-			if conn, _, err := flusher.Hijack(); err == nil {
-				conn.Close()
-			}
-		}
-		if gone || r.Context().Err() != nil && e.crashPart != "" {
-			continue
-		}
 		fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", n, id, n)
 		_ = flusher.Flush()
+		if crashes && n-last == e.crashAfter {
+			e.crash(this)
+			return
+		}
 	}
 	e.all.mu.Lock()
 	e.all.end(this)
 	e.all.mu.Unlock()
 }
-
-// loseAnswer loses the answer of one run at an engine that has made some events and will work for
-// long enough, and returns its request.
-func (a *engines) loseAnswer(e *engine, longer time.Duration, most int) (string, bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for _, r := range a.runs {
-		left := time.Duration(most-r.events) * e.eventTime
-		if r.engine == e && r.ended.IsZero() && r.events >= 3 && left > longer && !r.lost {
-			r.lost = true
-			a.rec.add("the answer of %s to %s is lost from here on; the run goes on", e.id, r.id)
-			return r.id, true
-		}
-	}
-	return "", false
-}
-
-// overlaps returns the runs that went on at another engine for longer than slack while an earlier
-// run of their request still worked.
-func (a *engines) overlaps(slack time.Duration) []string {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	var out []string
-	for i, first := range a.runs {
-		for _, second := range a.runs[i+1:] {
-			if second.id != first.id || second.engine == first.engine {
-				continue
-			}
-			end := first.ended
-			if end.IsZero() {
-				end = time.Now()
-			}
-			if over := end.Sub(second.begun); over > slack {
-				out = append(out, fmt.Sprintf("%s was run by %s for %d ms after it had gone on at %s",
-					first.id, first.engine.id, over.Milliseconds(), second.engine.id))
-			}
-		}
-	}
-	return out
-}
--- a/review/third/main.go
+++ b/review/third/main.go
@@ -16,9 +16,10 @@
 // cases are the scripts by the numbers of their folders. trouble says whether to bring about the
 // disruption.
 var cases = map[string]func(c *cluster, trouble bool) error{
-	"11": removedRunner,
-	"12": splitStream,
-	"13": longParts,
+	"11": splitStream,
+	"12": longParts,
+	"13": lateCrash,
+	"14": noTenants,
 }
 
 func main() { os.Exit(runCase()) }
--- a/review/third/splitstream.go
+++ b/review/third/splitstream.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// splitStream plays the second case: the operator splits a streaming route between the service of
-// the model runners and a service without engines, as in the example of a configuration that the
+// splitStream plays a case in which the operator splits a streaming route between the service
+// of the model runners and a service without engines, as in the example of a configuration that the
 // pages print. Runners of the second one answer without a length, and some answers break off.
 func splitStream(c *cluster, trouble bool) error {
 	const (
