--- a/review/third/client.go
+++ b/review/third/client.go
@@ -47,7 +47,6 @@
 	deadline         time.Duration
 	header           map[string]string
 	body             string
-	keyless          bool // it carries no key
 }
 
 // send sends a request to a router and reads its answer.
@@ -68,9 +67,7 @@
 	req.Host = "ficu95.example"
 	req.Header.Set(headerID, q.id)
 	req.Header.Set("X-Ragwortshunt-Deadline-Ms", fmt.Sprint(q.deadline.Milliseconds()))
-	if !q.keyless {
-		req.Header.Set("Authorization", "Bearer "+clientKey)
-	}
+	req.Header.Set("Authorization", "Bearer "+clientKey)
 	for name, value := range q.header {
 		req.Header.Set(name, value)
 	}
--- a/review/third/main.go
+++ b/review/third/main.go
@@ -19,7 +19,6 @@
 	"11": splitStream,
 	"12": longParts,
 	"13": lateCrash,
-	"14": noTenants,
 }
 
 func main() { os.Exit(runCase()) }
