endpoint, core: events of a plain service are passed on as a stream

Callers saw: a streaming route that is split to a service without engines answers 200 with a part of an event at its end, and a Content-Length that fits. The whole streams of such a service arrived in one piece, after their end.

Cause: whether an answer is read as a stream was decided by the target, a service with or without engines, and not by the type of the route. The answer of a plain service was read whole, and one without length and chunks is complete when its connection ends.

Evidence: the traces of the broken requests have one step "reply 200" at the time of the tenth event, and no step "first token". That was so for all that had broken off.

Change: the route says whether a plain service answers with streams. The core delivers the events of a call and cancels it when the caller leaves. What has broken off is not sent elsewhere, because a plain service can't be asked to stop a run; the caller's connection is closed.

Why it works: the end of the connection no longer says that a stream is complete; its last event does, as with engines, by the same code.

--- a/fleet/core/effect.go
+++ b/fleet/core/effect.go
@@ -86,7 +86,8 @@
 }
 
 // CallService sends the caller's call to a plain service. The result is ServiceDone
-// or RunFailed.
+// or RunFailed. If Stream is set, the results are TokensArrived for each event of a
+// successful response instead of ServiceDone, as with StartDecode.
 type CallService struct {
 	Request  id.Request
 	Attempt  id.Attempt
@@ -94,8 +95,9 @@
 	Endpoint id.Endpoint
 	Address  string
 	NotAfter time.Time
-	Timeout  time.Duration
-	Repeat   bool // the reply is recorded with the claim and returned for repeated calls
+	Timeout  time.Duration // 0 means none
+	Stream   bool          // a successful response is a stream of events; only in relay mode
+	Repeat   bool          // the reply is recorded with the claim and returned for repeated calls
 }
 
 // Deliver sends tokens to the caller. Offsets are in order and without overlap.
--- a/fleet/core/relay.go
+++ b/fleet/core/relay.go
@@ -145,8 +145,12 @@
 func (s *step) retryHosts() int { return member.Count(s.member) + 1 }
 
 // callTimeout returns the timeout of a call to a plain service, which does not exceed
-// the request's deadline.
+// the request's deadline. A stream has none: it lasts until its deadline, which the core
+// watches, or until its caller leaves.
 func (s *step) callTimeout(r *request) time.Duration {
+	if r.route.Streams {
+		return 0
+	}
 	if r.deadline.IsZero() {
 		return s.cfg.ServiceTimeout
 	}
@@ -154,9 +158,9 @@
 }
 
 // cancelCall cancels the running call of a caller that has disconnected, if the route
-// is idempotent, and reports whether it did.
+// is idempotent or its answer is a stream, and reports whether it did.
 func (s *step) cancelCall(r *request) bool {
-	if !r.relayed || !r.route.Idempotent {
+	if !r.relayed || !r.route.Idempotent && !r.route.Streams {
 		return false
 	}
 	s.endCall(r, pace.Abandoned)
--- a/fleet/core/relay_test.go
+++ b/fleet/core/relay_test.go
@@ -69,6 +69,9 @@
 				Name: "safe", Pool: "rack", Class: message.ClassInteractive, Timeout: relayTimeout, Attempts: 2,
 				Idempotent: true,
 			},
+			"events": {
+				Name: "events", Pool: "rack", Class: message.ClassInteractive, Timeout: relayTimeout, Attempts: 2, Streams: true,
+			},
 		},
 		Keys: map[id.KeyID]table.Key{"k": {ID: "k", Account: "a", State: table.StateActive}},
 	}
--- a/fleet/core/run.go
+++ b/fleet/core/run.go
@@ -126,7 +126,7 @@
 // tokensArrived delivers tokens in the order of their offsets. Chunks beyond the
 // delivered offset are buffered; duplicates and chunks of earlier attempts are dropped.
 func (s *step) tokensArrived(ev TokensArrived) {
-	r, ok := s.currentAttempt(ev.Request, ev.Attempt, StageDecode)
+	r, ok := s.currentStream(ev.Request, ev.Attempt)
 	if !ok {
 		return
 	}
@@ -138,7 +138,7 @@
 		return
 	}
 	s.deliver(r, ev)
-	for r.stage == StageDecode {
+	for r.isStreaming() {
 		next, ok := takeOutOfOrder(r)
 		if !ok {
 			return
@@ -220,19 +220,28 @@
 
 func (s *step) finish(r *request, reason string) {
 	r.addTrace(s.now, "finished with %d tokens", r.delivered)
-	s.send(r.schedulerHost, message.SlotUpdate{
-		Request: r.Request, Attempt: r.attempt, Phase: message.PhaseDone, Tokens: s.outputTokens(r),
-	})
+	if r.isService() {
+		s.callAnswered(r)
+	} else {
+		s.endDecode(r)
+	}
 	s.emit(Finish{
 		Request: r.Request, Finish: reason,
 		PromptTokens: r.PromptTokens, OutputTokens: r.delivered,
 	})
 	s.emit(Count{Name: MetricFinished, Account: r.account, N: 1})
+	s.close(r, "finished")
+}
+
+// endDecode records the end of a decode whose stream is complete, and frees its reservation.
+func (s *step) endDecode(r *request) {
+	s.send(r.schedulerHost, message.SlotUpdate{
+		Request: r.Request, Attempt: r.attempt, Phase: message.PhaseDone, Tokens: s.outputTokens(r),
+	})
 	if r.delivered > r.decodeFrom {
 		s.recordAnswer(r, r.decode)
 	}
 	s.recordDuration(r.retryBudgetKey(), s.now.Sub(r.arrived))
-	s.close(r, "finished")
 }
 
 func (s *step) runFailed(ev RunFailed) {
--- a/fleet/core/service.go
+++ b/fleet/core/service.go
@@ -106,7 +106,7 @@
 	r.addTrace(s.now, "attempt %d: call on %s", r.attempt, ep.Name)
 	s.emit(CallService{
 		Request: r.Request, Attempt: r.attempt, Account: r.namedAccount(), Endpoint: ep.Name, Address: ep.Address,
-		NotAfter: s.callNotAfter(r), Timeout: s.callTimeout(r), Repeat: !r.route.Idempotent,
+		NotAfter: s.callNotAfter(r), Timeout: s.callTimeout(r), Stream: r.route.Streams, Repeat: !r.route.Idempotent,
 	})
 }
 
@@ -196,19 +196,25 @@
 	if !ok {
 		return
 	}
-	s.endCall(r, pace.Answered)
-	s.recordCall(r.decode, s.now.Sub(r.callStarted), false, false)
-	s.recordDuration(r.retryBudgetKey(), s.now.Sub(r.callStarted))
+	s.callAnswered(r)
 	r.addTrace(s.now, "reply %d", ev.Status)
 	s.settleClaim(r, message.ClaimDone, ev.Outcome)
 	if !r.callerLeft {
 		s.emit(Reply{Request: r.Request, Attempt: r.attempt})
 	}
-	s.emit(Observe{Name: MetricServiceTime, Account: r.account, Value: s.now.Sub(r.arrived)})
 	s.emit(Count{Name: MetricFinished, Account: r.account, N: 1})
 	s.close(r, "finished "+http.StatusText(ev.Status))
 }
 
+// callAnswered records the end of a call whose answer is complete.
+func (s *step) callAnswered(r *request) {
+	took := s.now.Sub(r.callStarted)
+	s.endCall(r, pace.Answered)
+	s.recordCall(r.decode, took, false, false)
+	s.recordDuration(r.retryBudgetKey(), took)
+	s.emit(Observe{Name: MetricServiceTime, Account: r.account, Value: s.now.Sub(r.arrived)})
+}
+
 func (s *step) endCall(r *request, outcome pace.Outcome) {
 	s.recordPace(r, outcome)
 	s.outstandingCalls[r.decode]--
@@ -221,6 +227,12 @@
 // idempotent. Otherwise it refuses the request; the outcome is unknown if an attempt
 // may have run.
 func (s *step) serviceFailed(r *request, ev RunFailed) {
+	if r.delivered > 0 {
+		ev.NotRun = false // whatever the endpoint states
+	}
+	if ev.Code == codeStreamGap {
+		s.cancelRun(r.Request, r.attempt, r.decode) // the endpoint works on
+	}
 	s.endCall(r, s.paceOutcome(r, ev))
 	s.recordCall(ev.Endpoint, s.now.Sub(r.callStarted), true, ev.Unreachable)
 	r.addTrace(s.now, "call failed on %s: %s (not-run %t)", ev.Endpoint, ev.Code, ev.NotRun)
--- /dev/null
+++ b/fleet/core/servicestream.go
@@ -0,0 +1,22 @@
+package core
+
+import "ragwortshunt.example/fleet/id"
+
+// A route of streams may lead to a plain service. Such a stream is a service call whose answer
+// arrives event by event. Once its endpoint may have run it, it is not resumed elsewhere: a
+// service can't be asked to stop a run, so that two runs could be at work. Its connection is
+// closed, and the caller may resume it.
+
+// isStreaming reports whether events of the current attempt may arrive.
+func (r *request) isStreaming() bool {
+	return r.stage == StageDecode || r.stage == StageCall && r.route.Streams
+}
+
+// currentStream returns the request if attempt is its current attempt and may deliver events.
+func (s *step) currentStream(req id.Request, attempt id.Attempt) (*request, bool) {
+	r, ok := s.requests[req]
+	if !ok || r.attempt != attempt || !r.isStreaming() {
+		return nil, false
+	}
+	return r, true
+}
--- a/fleet/table/table.go
+++ b/fleet/table/table.go
@@ -113,6 +113,7 @@
 	FirstEventTimeout time.Duration // time after which callers give up waiting for the first event; 0 means no limit
 	Attempts          int           // maximum number of endpoints on which one request may run; 0 means the default
 	NoResume          bool          // a response that has begun is not resumed on another endpoint; only for model routes
+	Streams           bool          // responses are streams of events; only for service routes, as those of models always are
 	Priority          int           // 0 is the most urgent
 }
 
