wire, id: prompt segments are known whatever the length of their IDs

Cause: the ID of a segment was parsed as a number of 64 bits. One that exceeds them counted as invalid and was left out without a log line. A request without segments leaves no suspect when its engine crashes.

Why it works: all hosts compute the same digest of the same ID, so that reports, objections, entries and the published status agree as they do for short IDs, within the same bounds.

--- a/fleet/id/id.go
+++ b/fleet/id/id.go
@@ -2,8 +2,12 @@
 package id
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
 	"fmt"
 	"strconv"
+	"strings"
 )
 
 type (
@@ -24,7 +28,8 @@
 	// KeyID identifies a caller key. It is not secret.
 	KeyID string
 	// Segment identifies one segment of a prompt by the hash of its content. Requests whose
-	// prompts have a segment in common have its ID in common.
+	// prompts have a segment in common have its ID in common. A longer ID is represented by a
+	// digest; see SegmentOf.
 	Segment uint64
 	// Request identifies one request of a caller. It is unique across all hosts.
 	Request string
@@ -39,13 +44,30 @@
 
 const (
 	hexBase     = 16
+	hexDigits   = "0123456789abcdef"
 	segmentBits = 64
 )
 
-// String returns the segment in hexadecimal, as callers send it.
+// String returns the segment in hexadecimal: the ID that callers send, or its digest.
 func (s Segment) String() string { return strconv.FormatUint(uint64(s), hexBase) }
 
-// ParseSegment returns the segment with the given hexadecimal ID.
+// SegmentOf returns the segment with the given hexadecimal ID, which may have any number of
+// digits. The segment of an ID that exceeds 64 bits is the beginning of the SHA-256 digest of its
+// digits, in lower case and without leading zeros. All hosts must compute the same digest.
+func SegmentOf(text string) (Segment, error) {
+	s, err := ParseSegment(text)
+	if !errors.Is(err, strconv.ErrRange) {
+		return s, err
+	}
+	digits := strings.ToLower(strings.TrimLeft(text, "0"))
+	if strings.Trim(digits, hexDigits) != "" {
+		return 0, fmt.Errorf("prompt segment: %w", strconv.ErrSyntax)
+	}
+	digest := sha256.Sum256([]byte(digits))
+	return Segment(binary.BigEndian.Uint64(digest[:])), nil
+}
+
+// ParseSegment returns the segment that String has formatted.
 func ParseSegment(text string) (Segment, error) {
 	v, err := strconv.ParseUint(text, hexBase, segmentBits)
 	if err != nil {
