core: a stopping host refuses streams of plain services

A stopping host took streams of plain services if the calls of their pool were quick, and would have cut those that last longer. Once a stream had been measured, it refused the quick calls of the pool as well.

Cause: the durations of all calls of a pool were kept together, and only routes to models counted as streams when a stopping host decides.

Change: the durations of streams have a key of their own, and a stopping host refuses new streams of plain services with "not run", as those of engines.

Measured: TestLeavingHostAndServiceStreams failed before in both respects; it passes, as do the tests of stops in fleet/core.

--- a/fleet/core/drain.go
+++ b/fleet/core/drain.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"ragwortshunt.example/fleet/id"
 	"ragwortshunt.example/fleet/limit"
 	"ragwortshunt.example/fleet/member"
 	"ragwortshunt.example/fleet/table"
@@ -110,21 +109,20 @@
 
 // acceptsWhileDraining reports whether a draining host still accepts the request.
 // Callers continue to use their open connections, and a call to a plain service ends
-// before the shutdown does, if that is not too close. A request to a model may take longer
-// and is refused.
+// before the shutdown does, if that is not too close. A stream may take longer and is refused.
 func (s *step) acceptsWhileDraining(r *request) bool {
 	if !r.relayed || s.snapshot() == nil {
 		return false
 	}
 	route, ok := s.snapshot().Routes[r.Route]
-	return ok && route.Model == "" && s.answersInTime(route, shortestTimeout(r.Timeout, route.Timeout))
+	return ok && route.Model == "" && !route.Streams && s.answersInTime(route, shortestTimeout(r.Timeout, route.Timeout))
 }
 
 // answersInTime reports whether a call that starts now is answered before this host must end,
 // even if it takes as long as the longest of the last calls and its endpoint is silent
 // meanwhile. A call ends at its timeout; 0 means none.
 func (s *step) answersInTime(route table.Route, timeout time.Duration) bool {
-	needed := min(s.longestRun(route.Pool)+drainCallReserve, s.cfg.ServiceTimeout)
+	needed := min(s.longestRun(route)+drainCallReserve, s.cfg.ServiceTimeout)
 	if timeout > 0 {
 		needed = min(needed, timeout)
 	}
@@ -154,11 +152,7 @@
 	if !ok {
 		return false
 	}
-	key := route.Pool
-	if route.Model != "" {
-		key = id.Pool(route.Model)
-	}
-	needed := s.durations[key].mean
+	needed := s.durations[durationKey(route)].mean
 	if timeout := shortestTimeout(r.Timeout, route.Timeout); timeout > 0 {
 		needed = min(needed, timeout)
 	}
--- a/fleet/core/drain_test.go
+++ b/fleet/core/drain_test.go
@@ -70,15 +70,18 @@
 		{name: "stream without an event", route: "once", want: core.Refuse{}},
 		{name: "resumable stream without an event", route: "resumable", want: core.Refuse{}},
 		{name: "stream that has begun", route: "once", begun: true},
+		{name: "stream of a service without an event", route: "events", want: core.Refuse{}},
+		{name: "stream of a service that has begun", route: "events", begun: true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			h := newRelayHost(t)
 			out := h.sendRequest("r", tt.route)
+			attempt := id.Attempt(1)
 			if tt.route == "once" || tt.route == "resumable" {
-				d := h.completePrefill(out)
-				if tt.begun {
-					h.reduce(core.TokensArrived{Request: "r", Attempt: d.Attempt, Tokens: []string{"event"}})
-				}
+				attempt = h.completePrefill(out).Attempt
+			}
+			if tt.begun {
+				h.reduce(core.TokensArrived{Request: "r", Attempt: attempt, Tokens: []string{"event"}})
 			}
 			h.reduce(core.DrainRequested{Within: within})
 			out = h.advance(within + 100*time.Millisecond)
--- a/fleet/core/duration.go
+++ b/fleet/core/duration.go
@@ -4,12 +4,16 @@
 	"time"
 
 	"ragwortshunt.example/fleet/id"
+	"ragwortshunt.example/fleet/table"
 )
 
 // durationWindow is the time for which the longest run of a pool or model is remembered. It is
 // remembered for up to twice this time, so that a stop that follows a calm minute knows it.
 const durationWindow = 30 * time.Second
 
+// streamSuffix follows the name of a pool in the key of the durations of its streams.
+const streamSuffix = "/streams"
+
 // runDurations holds statistics of how long the answers of one pool or model have taken.
 type runDurations struct {
 	mean     time.Duration // moving average
@@ -20,8 +24,22 @@
 
 func (d runDurations) longest() time.Duration { return max(d.current, d.previous) }
 
-// recordDuration adds an answer to the statistics of its pool or model.
-func (s *step) recordDuration(key id.Pool, took time.Duration) {
+// durationKey returns the key of the durations of a route's answers: its model or its pool. Streams
+// of a plain service are kept apart from its other calls, because they last longer.
+func durationKey(route table.Route) id.Pool {
+	switch {
+	case route.Model != "":
+		return id.Pool(route.Model)
+	case route.Streams:
+		return route.Pool + streamSuffix
+	default:
+		return route.Pool
+	}
+}
+
+// recordDuration adds an answer to the statistics of its route's pool or model.
+func (s *step) recordDuration(route table.Route, took time.Duration) {
+	key := durationKey(route)
 	d, ok := s.durations[key]
 	switch age := s.now.Sub(d.since); {
 	case !ok:
@@ -36,12 +54,13 @@
 	s.durations[key] = d
 }
 
-// longestRun returns the longest time that an answer of a pool or model has taken lately, or
-// that a run which has no answer yet has taken until now.
-func (s *step) longestRun(key id.Pool) time.Duration {
+// longestRun returns the longest time that an answer of a route's pool or model has taken lately,
+// or that a run which has no complete answer yet has taken until now.
+func (s *step) longestRun(route table.Route) time.Duration {
+	key := durationKey(route)
 	longest := s.durations[key].longest()
 	for _, r := range s.requests {
-		if r.stage == StageCall && r.dispatched && r.retryBudgetKey() == key {
+		if r.stage == StageCall && r.dispatched && durationKey(r.route) == key {
 			longest = max(longest, s.now.Sub(r.callStarted))
 		}
 	}
--- a/fleet/core/run.go
+++ b/fleet/core/run.go
@@ -241,7 +241,7 @@
 	if r.delivered > r.decodeFrom {
 		s.recordAnswer(r, r.decode)
 	}
-	s.recordDuration(r.retryBudgetKey(), s.now.Sub(r.arrived))
+	s.recordDuration(r.route, s.now.Sub(r.arrived))
 }
 
 func (s *step) runFailed(ev RunFailed) {
--- a/fleet/core/service.go
+++ b/fleet/core/service.go
@@ -211,7 +211,7 @@
 	took := s.now.Sub(r.callStarted)
 	s.endCall(r, pace.Answered)
 	s.recordCall(r.decode, took, false, false)
-	s.recordDuration(r.retryBudgetKey(), took)
+	s.recordDuration(r.route, took)
 	s.emit(Observe{Name: MetricServiceTime, Account: r.account, Value: s.now.Sub(r.arrived)})
 }
 
--- a/fleet/core/servicestream_test.go
+++ b/fleet/core/servicestream_test.go
@@ -74,6 +74,22 @@
 	}
 }
 
+// TestLeavingHostAndServiceStreams guards against a draining host that accepts a stream of a plain
+// service, which it might cut, and against one that refuses other calls because streams take long.
+func TestLeavingHostAndServiceStreams(t *testing.T) {
+	h := newRelayHost(t)
+	c := find(t, h.sendRequest("stream", "events"), core.CallService{}).(core.CallService)
+	h.advance(8 * time.Second)
+	h.reduce(core.TokensArrived{Request: "stream", Attempt: c.Attempt, Tokens: []string{"x"}})
+	h.reduce(core.TokensArrived{Request: "stream", Attempt: c.Attempt, Offset: 1, End: true})
+	for _, h := range []*relayHost{h, newRelayHost(t)} { // the second one has not measured any stream
+		h.reduce(core.DrainRequested{Within: 6 * time.Second})
+		h.advance(time.Second)
+		assert.Assert(t, find(t, h.sendRequest("late", "events"), core.Refuse{}).(core.Refuse).NotRun)
+		assert.Assert(t, has(h.sendRequest("call", "unsafe"), core.CallService{}))
+	}
+}
+
 // assertBrokenOff checks that a request ends without a complete response or another run.
 func assertBrokenOff(t *testing.T, _ core.CallService, out []core.Effect) {
 	assert.Assert(t, !has(out, core.CallService{}) && !has(out, core.Finish{}), "%+v", out)
