--- a/fleet/core/service.go
+++ b/fleet/core/service.go
@@ -228,7 +228,7 @@
 // may have run.
 func (s *step) serviceFailed(r *request, ev RunFailed) {
 	if r.delivered > 0 {
-		ev.NotRun = false // whatever the endpoint states
+		ev.NotRun = false // a stream that has begun has run, whatever its endpoint states
 	}
 	if ev.Code == codeStreamGap {
 		s.cancelRun(r.Request, r.attempt, r.decode) // the endpoint works on
