core: streams of plain services don't count for the speed of its endpoints

Where hosts tell each other the speed of endpoints, quick calls with short deadlines were refused with "service-slow" after a stream of the same service had lasted longer than their deadline.

Cause: the time of a whole stream was counted as the time of a call.

Change: package pace is not told of streams. The statistics of each host take the time to the first event as the latency of a stream.

Measured: TestQuickCallsBesideStreams failed before at its second call ("the endpoints need 2s for an answer now", for a service that answers calls in 20 ms) and passes.

--- a/fleet/core/pace.go
+++ b/fleet/core/pace.go
@@ -98,9 +98,12 @@
 	}
 }
 
-// recordPace records the end of a call. The duration of a call that began before a pause of this
+// recordPace records the end of a call, unless its answer is a stream. The duration of a call that began before a pause of this
 // host says nothing about its endpoint.
 func (s *step) recordPace(r *request, outcome pace.Outcome) {
+	if r.route.Streams {
+		return
+	}
 	if r.callStarted.Before(s.resumedAt) && outcome == pace.Answered {
 		outcome = pace.Abandoned
 	}
--- a/fleet/core/service.go
+++ b/fleet/core/service.go
@@ -101,7 +101,9 @@
 	r.prefill = ""
 	r.decode = ep.Name
 	s.outstandingCalls[ep.Name]++
-	pace.Started(s.pace, s.now, r.route.Pool, ep.Name)
+	if !r.route.Streams {
+		pace.Started(s.pace, s.now, r.route.Pool, ep.Name)
+	}
 	r.callStarted = s.now
 	r.addTrace(s.now, "attempt %d: call on %s", r.attempt, ep.Name)
 	s.emit(CallService{
@@ -208,10 +210,9 @@
 
 // callAnswered records the end of a call whose answer is complete.
 func (s *step) callAnswered(r *request) {
-	took := s.now.Sub(r.callStarted)
 	s.endCall(r, pace.Answered)
-	s.recordCall(r.decode, took, false, false)
-	s.recordDuration(r.route, took)
+	s.recordCall(r.decode, s.callLatency(r), false, false)
+	s.recordDuration(r.route, s.now.Sub(r.callStarted))
 	s.emit(Observe{Name: MetricServiceTime, Account: r.account, Value: s.now.Sub(r.arrived)})
 }
 
@@ -234,7 +235,7 @@
 		s.cancelRun(r.Request, r.attempt, r.decode) // the endpoint works on
 	}
 	s.endCall(r, s.paceOutcome(r, ev))
-	s.recordCall(ev.Endpoint, s.now.Sub(r.callStarted), true, ev.Unreachable)
+	s.recordCall(ev.Endpoint, s.callLatency(r), true, ev.Unreachable)
 	r.addTrace(s.now, "call failed on %s: %s (not-run %t)", ev.Endpoint, ev.Code, ev.NotRun)
 	if !ev.HasReply {
 		s.avoid[ev.Endpoint] = s.now.Add(avoidFailedFor)
--- a/fleet/core/servicestream_test.go
+++ b/fleet/core/servicestream_test.go
@@ -1,12 +1,14 @@
 package core_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"ragwortshunt.example/fleet/core"
+	"ragwortshunt.example/fleet/id"
 )
 
 // TestServiceStream guards against a stream of a plain service that is held back until its end,
@@ -90,6 +92,27 @@
 	}
 }
 
+// TestQuickCallsBesideStreams guards against refusing the quick calls of a plain service as too late,
+// and against keeping them away from an endpoint, because its streams last long.
+func TestQuickCallsBesideStreams(t *testing.T) {
+	h := newRelayHostWith(t, func(cfg *core.Config) { cfg.Pace.Enabled = true })
+	count := make(map[id.Endpoint]int)
+	for n := range 40 {
+		stream := id.Request(fmt.Sprint("stream", n))
+		c := find(t, h.sendRequest(stream, "events"), core.CallService{}).(core.CallService)
+		h.reduce(core.TokensArrived{Request: stream, Attempt: c.Attempt, Tokens: []string{"x"}})
+		h.advance(2 * time.Second)
+		call := id.Request(fmt.Sprint("call", n))
+		out := h.reduce(core.RequestArrived{Request: call, Route: "unsafe", Account: "a", Key: "k", Timeout: time.Second})
+		quick := find(t, out, core.CallService{}).(core.CallService)
+		count[quick.Endpoint]++
+		h.advance(20 * time.Millisecond)
+		h.reduce(core.ServiceDone{Request: call, Attempt: quick.Attempt, Status: 200})
+		h.reduce(core.TokensArrived{Request: stream, Attempt: c.Attempt, Offset: 1, End: true})
+	}
+	assert.Assert(t, count["s1"] > 0 && count["s2"] > 0, "%v", count)
+}
+
 // assertBrokenOff checks that a request ends without a complete response or another run.
 func assertBrokenOff(t *testing.T, _ core.CallService, out []core.Effect) {
 	assert.Assert(t, !has(out, core.CallService{}) && !has(out, core.Finish{}), "%+v", out)
